--- /dev/null
+++ b/core/snapshot.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"verbenareel/schema"
+)
+
+// Instance is a member of a snapshot. It is immutable.
+type Instance struct {
+	name        string
+	service     string
+	domain      string
+	address     string
+	incarnation uint64
+	state       schema.InstanceState
+}
+
+// NewInstance returns an instance from a member record and its state in force.
+func NewInstance(member *schema.Member, state schema.InstanceState) *Instance {
+	return &Instance{
+		name:        member.GetInstance(),
+		service:     member.GetService(),
+		domain:      member.GetDomain(),
+		address:     member.GetAddress(),
+		incarnation: member.GetIncarnation(),
+		state:       state,
+	}
+}
+
+// Name returns the name of the instance.
+func (i *Instance) Name() string { return i.name }
+
+// Service returns the service that the instance serves.
+func (i *Instance) Service() string { return i.service }
+
+// Domain returns the failure domain.
+func (i *Instance) Domain() string { return i.domain }
+
+// Address returns the address of the node's rpc listener, as IP:port.
+func (i *Instance) Address() string { return i.address }
+
+// Incarnation returns the random number of the node's process, or 0 if only the platform's list names the instance.
+func (i *Instance) Incarnation() uint64 { return i.incarnation }
+
+// State returns the worst state that the document, the platform's list and the node itself give.
+func (i *Instance) State() schema.InstanceState { return i.state }
+
+// Eligible reports whether the instance may receive new work.
+func (i *Instance) Eligible() bool {
+	return i.state == schema.InstanceState_INSTANCE_STATE_SERVING || i.state == schema.InstanceState_INSTANCE_STATE_COLD
+}
+
+// Snapshot is the configuration and the members in force. It is immutable and safe for concurrent use.
+type Snapshot struct {
+	revision  uint64
+	document  *schema.Document
+	instances map[string]*Instance
+	services  map[string][]*Instance
+}
+
+// NewSnapshot returns the snapshot of an accepted document and the known members.
+func NewSnapshot(revision uint64, document *schema.Document, members []*schema.Member) *Snapshot {
+	s := &Snapshot{
+		revision:  revision,
+		document:  document,
+		instances: make(map[string]*Instance, len(members)),
+		services:  make(map[string][]*Instance),
+	}
+	for _, m := range members {
+		instance := NewInstance(m, stateInForce(document, m))
+		s.instances[m.GetInstance()] = instance
+		s.services[m.GetService()] = append(s.services[m.GetService()], instance)
+	}
+	for _, list := range s.services {
+		sort.Slice(list, func(i, j int) bool { return list[i].name < list[j].name })
+	}
+	return s
+}
+
+// stateInForce returns the worse of the member's own state and the document's.
+func stateInForce(document *schema.Document, member *schema.Member) schema.InstanceState {
+	state := max(member.GetState(), schema.InstanceState_INSTANCE_STATE_SERVING)
+	if OutOfService(document, member.GetInstance(), member.GetDomain()) {
+		return max(state, schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE)
+	}
+	return state
+}
+
+// OutOfService reports whether the document takes the instance or its failure domain out of service. A failure domain
+// that the document does not name is out of service.
+func OutOfService(document *schema.Document, instance, domain string) bool {
+	places := document.GetPlaces()
+	place, ok := places.GetDomains()[domain]
+	return !ok || place.GetOutOfService() || places.GetInstances()[instance].GetOutOfService()
+}
+
+// Revision returns the platform's revision of the document.
+func (s *Snapshot) Revision() uint64 { return s.revision }
+
+// Document returns the accepted document; it is not to be changed.
+func (s *Snapshot) Document() *schema.Document { return s.document }
+
+// Service returns the settings of a service, or nil.
+func (s *Snapshot) Service(name string) *schema.Service { return s.document.GetServices()[name] }
+
+// Instance returns the instance with the name, or nil.
+func (s *Snapshot) Instance(name string) *Instance { return s.instances[name] }
+
+// Instances returns the instances of a service in order of name, in each state; the slice is not to be changed.
+func (s *Snapshot) Instances(service string) []*Instance { return s.services[service] }
+
+// Route returns the first rule that matches a request, or nil.
+func (s *Snapshot) Route(method, path string) *schema.Rule {
+	for _, r := range s.document.GetRules() {
+		if r.GetMethod() != "" && r.GetMethod() != method {
+			continue
+		}
+		if strings.HasPrefix(path, r.GetPath()) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Delay returns the network round trip between two failure domains by the document.
+func (s *Snapshot) Delay(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	places := s.document.GetPlaces()
+	here := places.GetDomains()[from].GetRegion()
+	there := places.GetDomains()[to].GetRegion()
+	region := places.GetRegions()[here]
+	if here == there {
+		return 2 * region.GetDelay().AsDuration()
+	}
+	return 2 * region.GetRemoteDelay().AsDuration()
+}
+
+// LoadReport is the guard's measurement of its backend server as a plain value.
+type LoadReport struct {
+	InFlight    int
+	Queued      int
+	Limit       int
+	Latency     time.Duration
+	FailureRate float64
+	State       schema.InstanceState
+	Revision    uint64
+	Incarnation uint64
+}
+
+// NewLoadReport returns the plain value of a message; a nil message gives the zero report.
+func NewLoadReport(load *schema.Load) LoadReport {
+	return LoadReport{
+		InFlight:    int(load.GetInFlight()),
+		Queued:      int(load.GetQueued()),
+		Limit:       int(load.GetLimit()),
+		Latency:     time.Duration(load.GetLatencyUs()) * time.Microsecond,
+		FailureRate: float64(load.GetFailurePermille()) / 1000,
+		State:       load.GetState(),
+		Revision:    load.GetRevision(),
+		Incarnation: load.GetIncarnation(),
+	}
+}
+
+// Message returns the report as a message.
+func (r LoadReport) Message() *schema.Load {
+	return schema.Load_builder{
+		InFlight:        uint32(r.InFlight),
+		Queued:          uint32(r.Queued),
+		Limit:           uint32(r.Limit),
+		LatencyUs:       uint32(r.Latency / time.Microsecond),
+		FailurePermille: uint32(r.FailureRate * 1000),
+		State:           r.State,
+		Revision:        r.Revision,
+		Incarnation:     r.Incarnation,
+	}.Build()
+}
