--- /dev/null
+++ b/router/call.go
@@ -0,0 +1,239 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"verbenareel/core"
+	"verbenareel/picker"
+	"verbenareel/schema"
+)
+
+// maxAttempts bounds the sends of one call, whatever the budget allows.
+const maxAttempts = 4
+
+// call is the state of one call in the router.
+type call struct {
+	input       *core.Call
+	rule        *schema.Rule
+	group       *group
+	deadline    time.Time
+	fingerprint uint64
+	ticket      *schema.Ticket
+	suspect     bool
+	// tried holds the instances that the call was sent to.
+	tried []*picker.View
+	// possible is the reply of an attempt that ran or may have run. Once it is set, the call cannot end as not run.
+	possible *schema.ExecuteReply
+}
+
+// Handle implements core.Handler.
+func (r *Router) Handle(ctx context.Context, input *core.Call) *schema.ExecuteReply {
+	start := r.clock.Now()
+	c, refusal := r.accept(start, input)
+	if c == nil {
+		r.metrics.finished("", refusal, 0)
+		return refusal
+	}
+	ctx, stop := context.WithTimeout(ctx, c.deadline.Sub(start))
+	defer stop()
+	c.group.usage.called(c.rule.GetRepeatable())
+	reply := r.run(ctx, c)
+	r.metrics.finished(c.rule.GetService(), reply, r.clock.Now().Sub(start))
+	return reply
+}
+
+// run performs an accepted call.
+func (r *Router) run(ctx context.Context, c *call) *schema.ExecuteReply {
+	switch {
+	case c.rule.GetRepeatable():
+		return r.repeat(ctx, c)
+	case c.ticket == nil:
+		return r.requireTicket(ctx, c)
+	}
+	return r.runTicket(ctx, c)
+}
+
+// accept checks the input and returns the state of the call, or the refusal.
+func (r *Router) accept(now time.Time, input *core.Call) (*call, *schema.ExecuteReply) {
+	t := r.current(now)
+	if t.snapshot == nil {
+		return nil, core.NotRun(schema.Reason_REASON_NO_CONFIGURATION)
+	}
+	if input.Depth >= core.MaxDepth {
+		return nil, final(core.NotRun(schema.Reason_REASON_DEPTH))
+	}
+	rule := t.snapshot.Route(input.Method, input.Path)
+	g := t.groups[rule.GetService()]
+	if g == nil {
+		return nil, core.NotRun(schema.Reason_REASON_NO_RULE)
+	}
+	if bound := g.settings.GetMaxBody(); bound > 0 && len(input.Body) > int(bound) {
+		return nil, core.NotRun(schema.Reason_REASON_TOO_LARGE)
+	}
+	timeout := g.settings.GetTimeout().AsDuration()
+	if input.Timeout > 0 {
+		timeout = min(timeout, input.Timeout)
+	}
+	c := &call{input: input, rule: rule, group: g, deadline: now.Add(timeout)}
+	c.fingerprint = fingerprint(rule.GetService(), input)
+	if !rule.GetRepeatable() {
+		c.ticket = input.Ticket
+	}
+	return c, nil
+}
+
+// repeat sends a repeatable call until it is answered or may not be retried.
+func (r *Router) repeat(ctx context.Context, c *call) *schema.ExecuteReply {
+	last := core.NotRun(schema.Reason_REASON_NO_INSTANCE)
+	for attempt := range maxAttempts {
+		view := r.choose(c)
+		if view == nil {
+			break
+		}
+		if attempt > 0 && !c.group.usage.retry(r.clock.Now()) {
+			r.metrics.budgetSpent(c.rule.GetService())
+			last = overBudget(last)
+			break
+		}
+		if attempt > 0 {
+			r.metrics.retried(c.rule.GetService(), last.GetReason())
+		}
+		last = r.attempt(ctx, c, view)
+		if ctx.Err() != nil || !retryable(last) {
+			break
+		}
+	}
+	return c.conclude(last)
+}
+
+// attempt sends the call to the instance and notes whether it may have run there.
+func (r *Router) attempt(ctx context.Context, c *call, view *picker.View) *schema.ExecuteReply {
+	c.tried = append(c.tried, view)
+	reply := r.send(ctx, c, view).reply
+	c.note(reply)
+	return reply
+}
+
+// note keeps the reply of an attempt that may have run. A whole response is worth more than none.
+func (c *call) note(reply *schema.ExecuteReply) {
+	c.suspect = c.suspect || reply.GetSuspect()
+	if reply.GetStatus() == schema.Status_STATUS_NOT_RUN {
+		return
+	}
+	if c.possible.GetStatus() != schema.Status_STATUS_ANSWERED {
+		c.possible = reply
+	}
+}
+
+// conclude returns the reply for the caller, given the last attempt's.
+func (c *call) conclude(last *schema.ExecuteReply) *schema.ExecuteReply {
+	if succeeded(last) {
+		return last
+	}
+	if c.possible != nil {
+		return final(c.possible)
+	}
+	return final(last)
+}
+
+func succeeded(reply *schema.ExecuteReply) bool {
+	return reply.GetStatus() == schema.Status_STATUS_ANSWERED && reply.GetCode() < 500
+}
+
+// overBudget returns the reply of a call that is not retried because the budget is spent.
+func overBudget(last *schema.ExecuteReply) *schema.ExecuteReply {
+	if last.GetStatus() == schema.Status_STATUS_NOT_RUN {
+		return core.NotRun(schema.Reason_REASON_RETRY_BUDGET)
+	}
+	return last
+}
+
+// final marks a reply so that routers of the layers above do not retry it. The reply may be shared with other callers,
+// so it is copied; the body is not.
+func final(reply *schema.ExecuteReply) *schema.ExecuteReply {
+	if reply.GetRetried() {
+		return reply
+	}
+	marked := shallow(reply)
+	marked.SetRetried(true)
+	return marked
+}
+
+func shallow(reply *schema.ExecuteReply) *schema.ExecuteReply {
+	return schema.ExecuteReply_builder{
+		Status:       reply.GetStatus(),
+		Reason:       reply.GetReason(),
+		Code:         reply.GetCode(),
+		Headers:      reply.GetHeaders(),
+		Body:         reply.GetBody(),
+		Load:         reply.GetLoad(),
+		NextTicket:   reply.GetNextTicket(),
+		SupersededBy: reply.GetSupersededBy(),
+		Retried:      reply.GetRetried(),
+		Suspect:      reply.GetSuspect(),
+	}.Build()
+}
+
+// retryable reports whether a repeatable call may be sent to another instance after the reply.
+func retryable(reply *schema.ExecuteReply) bool {
+	if reply.GetRetried() {
+		return false
+	}
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED {
+		return reply.GetCode() >= 500
+	}
+	switch reply.GetReason() {
+	case schema.Reason_REASON_BUSY,
+		schema.Reason_REASON_PREEMPTED,
+		schema.Reason_REASON_LEAVING,
+		schema.Reason_REASON_OUT_OF_SERVICE,
+		schema.Reason_REASON_SHED,
+		schema.Reason_REASON_SUSPECT,
+		schema.Reason_REASON_NO_CONFIGURATION,
+		schema.Reason_REASON_CONNECT,
+		schema.Reason_REASON_CONNECTION_LOST,
+		schema.Reason_REASON_TRUNCATED,
+		schema.Reason_REASON_CONNECTION_SILENT,
+		schema.Reason_REASON_UNREACHABLE,
+		schema.Reason_REASON_NODE_LOST,
+		schema.Reason_REASON_PAUSED,
+		schema.Reason_REASON_WRONG_INSTANCE,
+		schema.Reason_REASON_TICKETS_FULL,
+		schema.Reason_REASON_CRASHED:
+		return true
+	}
+	return false
+}
+
+// choose returns an instance that the call was not sent to, by the snapshot in force now, or nil. Instances that were
+// unreachable a short time ago are used only if there is no other.
+func (r *Router) choose(c *call) *picker.View {
+	now := r.clock.Now()
+	t := r.current(now)
+	g := t.groups[c.rule.GetService()]
+	if g == nil {
+		return nil
+	}
+	c.group = g
+	usable := func(v *picker.View) bool {
+		return v.Eligible(now, t.snapshot.Revision()) && !slices.Contains(c.tried, v)
+	}
+	for range g.views {
+		i := r.chooser.Choose(now, g.candidates, func(i int) bool {
+			return g.views[i].Avoided(now) || !usable(g.views[i])
+		})
+		if i < 0 {
+			break
+		}
+		if g.views[i].Claim(now) {
+			return g.views[i]
+		}
+	}
+	i := r.chooser.Choose(now, g.candidates, func(i int) bool { return !usable(g.views[i]) })
+	if i < 0 {
+		return nil
+	}
+	return g.views[i]
+}
--- /dev/null
+++ b/router/metric.go
@@ -0,0 +1,73 @@
+package router
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+// metrics are the counters and histograms of a router.
+type metrics struct {
+	calls   *prometheus.CounterVec
+	latency *prometheus.HistogramVec
+	retries *prometheus.CounterVec
+	denied  *prometheus.CounterVec
+	hedges  *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	return &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "verbenareel_router_calls_total",
+			Help: "Calls by service, outcome and reason.",
+		}, []string{"service", "outcome", "reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "verbenareel_router_latency_seconds",
+			Help:    "Time from the acceptance of a call to its outcome.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"service"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "verbenareel_router_retries_total",
+			Help: "Retries by service and reason of the attempt before.",
+		}, []string{"service", "reason"}),
+		denied: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "verbenareel_router_retries_denied_total",
+			Help: "Retries that the budget did not allow.",
+		}, []string{"service"}),
+		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "verbenareel_router_hedges_total",
+			Help: "Hedges by service and by whether the hedge replied first.",
+		}, []string{"service", "result"}),
+	}
+}
+
+// register registers each metric; registerer may be nil. Calls go on without a metric that cannot be registered.
+func (m *metrics) register(registerer prometheus.Registerer, logger *zap.Logger) {
+	if registerer == nil {
+		return
+	}
+	for _, c := range []prometheus.Collector{m.calls, m.latency, m.retries, m.denied, m.hedges} {
+		if err := registerer.Register(c); err != nil {
+			logger.Error("registering a metric of the router failed", zap.Error(err))
+		}
+	}
+}
+
+func (m *metrics) finished(service string, reply *schema.ExecuteReply, took time.Duration) {
+	m.calls.WithLabelValues(service, core.StatusName(reply.GetStatus()), core.ReasonName(reply.GetReason())).Inc()
+	if took > 0 {
+		m.latency.WithLabelValues(service).Observe(took.Seconds())
+	}
+}
+
+func (m *metrics) retried(service string, reason schema.Reason) {
+	m.retries.WithLabelValues(service, core.ReasonName(reason)).Inc()
+}
+
+func (m *metrics) budgetSpent(service string) {
+	m.denied.WithLabelValues(service).Inc()
+}
