--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,82 @@
+// Package budget holds token buckets for probes, retries and hedges. It does no I/O and reads no clock.
+package budget
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Bucket is a token bucket that starts empty, so that restarting a process grants nothing extra. It keeps its tokens
+// as a whole number of nanoseconds of accrual: rounding never adds up to a token, and in each window of length w at
+// most burst + rate*w calls of Take succeed, under any schedule of calls and pauses.
+//
+// A Bucket is safe for concurrent use. A clock reading below an earlier one accrues nothing.
+type Bucket struct {
+	mutex    sync.Mutex
+	interval time.Duration
+	capacity time.Duration
+	credit   time.Duration
+	clock    clock
+}
+
+// New returns a bucket that accrues rate tokens a second and holds at most burst tokens. It grants nothing if rate is
+// not positive or burst is below 1. The accrual time of a token is rounded up to 1 ns.
+func New(rate, burst float64) *Bucket {
+	interval := math.Ceil(float64(time.Second) / rate)
+	capacity := math.Floor(burst * interval)
+	if !(rate > 0) || !(interval < maxCredit) || !(burst >= 1) {
+		return &Bucket{}
+	}
+	return &Bucket{
+		interval: time.Duration(interval),
+		capacity: time.Duration(math.Min(capacity, maxCredit)),
+	}
+}
+
+// maxCredit bounds the accrual time of a bucket to about 146 years, so that sums of durations don't overflow.
+const maxCredit = float64(math.MaxInt64 / 2)
+
+// Take removes one token and reports whether there was one.
+func (b *Bucket) Take(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.interval == 0 {
+		return false
+	}
+	b.accrue(b.clock.advance(now))
+	if b.credit < b.interval {
+		return false
+	}
+	b.credit -= b.interval
+	return true
+}
+
+func (b *Bucket) accrue(elapsed time.Duration) {
+	if elapsed >= b.capacity-b.credit {
+		b.credit = b.capacity
+		return
+	}
+	b.credit += elapsed
+}
+
+// clock turns readings into elapsed time that is never negative.
+type clock struct {
+	last    time.Time
+	started bool
+}
+
+// advance returns the time since the highest earlier reading, or 0 for the first reading.
+func (c *clock) advance(now time.Time) time.Duration {
+	if !c.started {
+		c.last = now
+		c.started = true
+		return 0
+	}
+	elapsed := now.Sub(c.last)
+	if elapsed <= 0 {
+		return 0
+	}
+	c.last = now
+	return elapsed
+}
--- /dev/null
+++ b/budget/ratio.go
@@ -0,0 +1,61 @@
+package budget
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Memory is the time constant with which unused earned tokens decay: a long calm period leaves at most the tokens of
+// about 10 s of calls for a burst of retries.
+const Memory = 10 * time.Second
+
+// Ratio is a budget for retries or hedges: a share of the calls plus a constant rate. Tokens of the share decay with
+// the time constant Memory; the constant rate is a Bucket that holds at most one second of tokens, and at least one.
+//
+// A Ratio is safe for concurrent use. A clock reading below an earlier one neither earns by time nor decays.
+type Ratio struct {
+	mutex  sync.Mutex
+	ratio  float64
+	earned float64
+	clock  clock
+	floor  *Bucket
+}
+
+// NewRatio returns an empty budget that earns ratio tokens with each call and floorPerSecond tokens a second.
+func NewRatio(ratio, floorPerSecond float64) *Ratio {
+	if !(ratio > 0) || math.IsInf(ratio, 1) {
+		ratio = 0
+	}
+	return &Ratio{
+		ratio: ratio,
+		floor: New(floorPerSecond, math.Max(1, floorPerSecond)),
+	}
+}
+
+// Earn records one call.
+func (r *Ratio) Earn(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.decay(now)
+	r.earned += r.ratio
+}
+
+// Take removes one token and reports whether there was one. Earned tokens are used first, since they decay.
+func (r *Ratio) Take(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.decay(now)
+	if r.earned >= 1 {
+		r.earned--
+		return true
+	}
+	return r.floor.Take(now)
+}
+
+func (r *Ratio) decay(now time.Time) {
+	elapsed := r.clock.advance(now)
+	if elapsed > 0 && r.earned > 0 {
+		r.earned *= math.Exp(-elapsed.Seconds() / Memory.Seconds())
+	}
+}
--- /dev/null
+++ b/poison/poison.go
@@ -0,0 +1,253 @@
+// Package poison keeps the fingerprints of requests that were in flight when a backend server crashed. It does no I/O.
+//
+// A crash has a random identifier, and a table holds for each fingerprint a set of crashes, some of them cleared.
+// Merge takes the union of the sets, and cleared wins over not cleared; both are commutative, associative and
+// idempotent, so tables converge whatever the order and duplication of messages, and a crash that many nodes report
+// counts once. Clear marks the crashes known at that time, so an older record of one of them doesn't undo it, and a
+// later crash has another identifier and still counts.
+//
+// Nodes share no clock, so records travel with their remaining life. A table that already holds a crash keeps its own
+// time; each copy into a table that lacks it costs 1/64 of the life. A record therefore can't circulate for ever
+// between tables that drop and learn it again.
+package poison
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"verbenareel/schema"
+)
+
+// Condemned is the number of crashes from which a fingerprint is refused.
+const Condemned = 2
+
+const (
+	// hopShare is the number of copies in a row after which a record has no life left.
+	hopShare = 64
+	// maxCrashes bounds the crashes kept for one fingerprint, cleared ones included.
+	maxCrashes = 8
+)
+
+// Table is a bounded table of suspects. It is safe for concurrent use.
+type Table struct {
+	mutex    sync.Mutex
+	capacity int
+	life     time.Duration
+	entries  map[uint64]*entry
+}
+
+// entry is the record of one fingerprint. It lives until its latest crash expires, so that a condemned fingerprint
+// stays refused for the whole life after its last crash.
+type entry struct {
+	fingerprint uint64
+	expires     time.Time
+	crashes     []crash
+}
+
+type crash struct {
+	id      uint64
+	cleared bool
+}
+
+// New returns an empty table for at most capacity fingerprints, each kept for life after its last crash.
+func New(capacity int, life time.Duration) *Table {
+	return &Table{
+		capacity: max(capacity, 1),
+		life:     life,
+		entries:  make(map[uint64]*entry),
+	}
+}
+
+// Crashes returns the number of crashes of the fingerprint that are not cleared. From Condemned on it is refused.
+func (t *Table) Crashes(now time.Time, fingerprint uint64) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[fingerprint]
+	if e == nil || e.expired(now) {
+		return 0
+	}
+	return e.count()
+}
+
+// Record adds one crash with the fingerprints that were in flight. A fingerprint that occurs twice counts once.
+func (t *Table) Record(now time.Time, fingerprints []uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.expire(now)
+	id := rand.Uint64()
+	for _, f := range fingerprints {
+		t.learn(f, crash{id: id}, now.Add(t.life))
+	}
+}
+
+// Clear marks the known crashes of a fingerprint that ran alone without a crash. A condemned fingerprint stays
+// refused: it no longer runs, so the clean run began before its last crash was known.
+//
+// The mark is kept for a whole life, so that it outlives each copy of the crashes.
+func (t *Table) Clear(now time.Time, fingerprint uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[fingerprint]
+	if e == nil || e.expired(now) || e.count() == 0 || e.count() >= Condemned {
+		return
+	}
+	for i := range e.crashes {
+		e.crashes[i].cleared = true
+	}
+	e.expires = now.Add(t.life)
+}
+
+// Merge adds the records of another table and returns those that changed this one.
+func (t *Table) Merge(now time.Time, suspects []*schema.Suspect) (changed []*schema.Suspect) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.expire(now)
+	for _, s := range suspects {
+		life := min(time.Duration(s.GetExpiresMs())*time.Millisecond, t.life) - t.life/hopShare
+		if life <= 0 {
+			continue
+		}
+		if t.learn(s.GetFingerprint(), crash{id: s.GetCrash(), cleared: s.GetCleared()}, now.Add(life)) {
+			changed = append(changed, s)
+		}
+	}
+	return changed
+}
+
+// Records returns at most limit records for the exchange: condemned fingerprints first, then the latest ones.
+func (t *Table) Records(now time.Time, limit int) []*schema.Suspect {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.expire(now)
+	entries := make([]*entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		entries = append(entries, e)
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[j].less(entries[i]) })
+	var records []*schema.Suspect
+	for _, e := range entries {
+		records = append(records, e.records(now)...)
+		if len(records) >= limit {
+			return records[:max(limit, 0)]
+		}
+	}
+	return records
+}
+
+// Len returns the number of fingerprints in the table.
+func (t *Table) Len() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.entries)
+}
+
+// learn adds a crash, or clears a known one, and reports whether the table changed.
+func (t *Table) learn(fingerprint uint64, c crash, expires time.Time) bool {
+	e := t.entries[fingerprint]
+	if e == nil {
+		e = &entry{fingerprint: fingerprint, expires: expires, crashes: []crash{c}}
+		t.entries[fingerprint] = e
+		return t.evict() != e
+	}
+	if !e.add(c) {
+		return false
+	}
+	if expires.After(e.expires) {
+		e.expires = expires
+	}
+	return true
+}
+
+// evict removes the least entry of a table that is over its bound and returns it.
+func (t *Table) evict() *entry {
+	if len(t.entries) <= t.capacity {
+		return nil
+	}
+	var least *entry
+	for _, e := range t.entries {
+		if least == nil || e.less(least) {
+			least = e
+		}
+	}
+	delete(t.entries, least.fingerprint)
+	return least
+}
+
+func (t *Table) expire(now time.Time) {
+	for f, e := range t.entries {
+		if e.expired(now) {
+			delete(t.entries, f)
+		}
+	}
+}
+
+// add adds a crash, or clears a known one, and reports whether the entry changed.
+func (e *entry) add(c crash) bool {
+	for i := range e.crashes {
+		known := &e.crashes[i]
+		if known.id != c.id {
+			continue
+		}
+		changed := c.cleared && !known.cleared
+		known.cleared = known.cleared || c.cleared
+		return changed
+	}
+	if len(e.crashes) < maxCrashes {
+		e.crashes = append(e.crashes, c)
+		return true
+	}
+	return e.replaceCleared(c)
+}
+
+// replaceCleared replaces the first cleared crash of a full entry. An entry without one is condemned already.
+func (e *entry) replaceCleared(c crash) bool {
+	for i := range e.crashes {
+		if e.crashes[i].cleared && !c.cleared {
+			e.crashes[i] = c
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) count() int {
+	count := 0
+	for _, c := range e.crashes {
+		if !c.cleared {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *entry) expired(now time.Time) bool { return !now.Before(e.expires) }
+
+// less orders entries for eviction: those that are not condemned first, then the oldest.
+func (e *entry) less(other *entry) bool {
+	condemned := e.count() >= Condemned
+	if condemned != (other.count() >= Condemned) {
+		return !condemned
+	}
+	if !e.expires.Equal(other.expires) {
+		return e.expires.Before(other.expires)
+	}
+	return e.fingerprint < other.fingerprint
+}
+
+func (e *entry) records(now time.Time) []*schema.Suspect {
+	remaining := e.expires.Sub(now).Milliseconds()
+	records := make([]*schema.Suspect, 0, len(e.crashes))
+	for _, c := range e.crashes {
+		records = append(records, schema.Suspect_builder{
+			Fingerprint: e.fingerprint,
+			Crashes:     uint32(e.count()),
+			ExpiresMs:   uint32(min(remaining, math.MaxUint32)),
+			Cleared:     c.cleared,
+			Crash:       c.id,
+		}.Build())
+	}
+	return records
+}
