--- a/fakes/server.go
+++ b/fakes/server.go
@@ -192,6 +192,10 @@
 		b.restart()
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("/fake/crash", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+		once.Do(func() { close(crash) })
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		b.call(w, r, func() { once.Do(func() { close(crash) }) })
 	})
