Add first working guard with admission and adaptive limit

Joins admission, limiter, outcome store and backend client behind core.Executor, so that a whole node can be wired.

--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,365 @@
+// Package admit is the admission state machine of a guard: calls in flight, the queue and exclusive runs. It does no
+// I/O, holds no lock and reads no clock.
+package admit
+
+import (
+	"time"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+const (
+	// ranks is the number of queues: repeatable calls by priority, then calls that may not be repeated by priority.
+	ranks = 2 * (int(schema.Priority_PRIORITY_HIGH) + 1)
+	// serviceWeight is the weight of one call in the moving average of the time that a slot is held.
+	serviceWeight = 0.1
+)
+
+// state is where a call is in its life.
+type state int
+
+const (
+	stateNew state = iota
+	stateQueued
+	stateRunning
+	stateEnded
+)
+
+// Call is a call that asks for admission. The exported fields are set by its owner and do not change.
+type Call struct {
+	// Priority orders calls that are alike in Repeatable.
+	Priority schema.Priority
+	// Repeatable calls are started last and refused first.
+	Repeatable bool
+	// Alone marks a suspect of crashing the backend server, which runs with no other call in flight.
+	Alone bool
+	// Deadline is the time after which the call does not start.
+	Deadline time.Time
+	// Owner is what the owner associates with the call.
+	Owner any
+
+	state      state
+	started    time.Time
+	inFlight   int
+	prev, next *Call
+	queue      *list
+}
+
+// Started returns the time at which the call started.
+func (c *Call) Started() time.Time { return c.started }
+
+// InFlight returns the calls in flight when the call started, itself included.
+func (c *Call) InFlight() int { return c.inFlight }
+
+// Queued reports whether the call waits in the queue.
+func (c *Call) Queued() bool { return c.state == stateQueued }
+
+// rank returns the index of the queue of the call.
+func (c *Call) rank() int {
+	priority := int(c.Priority)
+	if c.Priority == schema.Priority_PRIORITY_UNSPECIFIED {
+		priority = int(schema.Priority_PRIORITY_NORMAL)
+	}
+	if !c.Repeatable {
+		priority += ranks / 2
+	}
+	return min(max(priority, 0), ranks-1)
+}
+
+// Event tells the owner that a call is to be started (REASON_NONE) or is refused. Each call gets exactly one event.
+type Event struct {
+	Call   *Call
+	Reason schema.Reason
+}
+
+// Controller decides which calls run. The slices of events that its methods return are valid until the next call of a
+// method.
+type Controller struct {
+	limiter  core.Limiter
+	capacity int
+
+	inFlight  int
+	exclusive bool
+	closed    schema.Reason
+	paused    bool
+
+	queues   [ranks]list
+	queued   int
+	suspects list
+	// turns is the number of other calls that may start before the next suspect: a stream of suspects must not starve
+	// them.
+	turns   int
+	service time.Duration
+	events  []Event
+}
+
+// New returns a controller whose queue holds at most capacity calls, and as many suspects again.
+func New(limiter core.Limiter, capacity int) *Controller {
+	return &Controller{limiter: limiter, capacity: max(capacity, 0)}
+}
+
+// SetCapacity changes the bound of the queue; calls that wait already stay.
+func (c *Controller) SetCapacity(capacity int) { c.capacity = max(capacity, 0) }
+
+// InFlight returns the calls that occupy the backend server.
+func (c *Controller) InFlight() int { return c.inFlight }
+
+// Queued returns the calls that wait.
+func (c *Controller) Queued() int { return c.queued + c.suspects.length }
+
+// Closed returns the reason for which new calls are refused, or REASON_NONE.
+func (c *Controller) Closed() schema.Reason { return c.closed }
+
+// Paused reports whether nothing starts.
+func (c *Controller) Paused() bool { return c.paused }
+
+// Offer starts, queues or refuses a new call.
+func (c *Controller) Offer(now time.Time, call *Call) []Event {
+	c.events = c.events[:0]
+	c.expire(now)
+	if reason := c.admit(now, call); reason != schema.Reason_REASON_NONE {
+		c.refuse(call, reason)
+	}
+	c.start(now)
+	return c.events
+}
+
+// Finish ends a call that was started: its response or its connection has ended.
+func (c *Controller) Finish(now time.Time, call *Call) []Event {
+	c.events = c.events[:0]
+	if call.state != stateRunning {
+		return c.events
+	}
+	call.state = stateEnded
+	c.inFlight--
+	c.learn(now.Sub(call.started))
+	if call.Alone {
+		c.exclusive = false
+		c.turns = min(c.queued, c.limiter.Limit(now))
+	}
+	c.start(now)
+	return c.events
+}
+
+// Cancel withdraws a call that waits, with one event for it, and reports whether it did. A running call goes on.
+func (c *Controller) Cancel(now time.Time, call *Call, reason schema.Reason) (bool, []Event) {
+	c.events = c.events[:0]
+	if call.state != stateQueued {
+		return false, c.events
+	}
+	c.dequeue(call)
+	c.refuse(call, reason)
+	c.start(now)
+	return true, c.events
+}
+
+// Tick refuses the calls whose deadline has passed and starts others if the limit has risen.
+func (c *Controller) Tick(now time.Time) []Event {
+	c.events = c.events[:0]
+	c.expire(now)
+	c.start(now)
+	return c.events
+}
+
+// Close refuses new calls and those that wait with reason; running calls go on.
+func (c *Controller) Close(reason schema.Reason) []Event {
+	c.events = c.events[:0]
+	c.closed = reason
+	for i := ranks - 1; i >= 0; i-- {
+		c.handBack(&c.queues[i], reason)
+	}
+	c.handBack(&c.suspects, reason)
+	return c.events
+}
+
+// Open accepts calls again after Close.
+func (c *Controller) Open() { c.closed = schema.Reason_REASON_NONE }
+
+// Pause starts nothing until Resume. Calls that wait go on waiting, new ones are refused.
+func (c *Controller) Pause() { c.paused = true }
+
+// Resume ends a pause.
+func (c *Controller) Resume(now time.Time) []Event {
+	c.paused = false
+	return c.Tick(now)
+}
+
+// admit queues a call, or returns the reason for which it is refused. A call that can start at once is started by the
+// start that follows.
+func (c *Controller) admit(now time.Time, call *Call) schema.Reason {
+	switch {
+	case c.closed != schema.Reason_REASON_NONE:
+		return c.closed
+	case c.paused:
+		return schema.Reason_REASON_PAUSED
+	case !now.Before(call.Deadline):
+		return schema.Reason_REASON_DEADLINE
+	case c.startable(now, call):
+	case call.Alone:
+		return c.admitSuspect(now, call)
+	case c.late(now, call, c.ahead(call.rank())):
+		return schema.Reason_REASON_BUSY
+	case c.queued >= c.capacity && !c.preempt(call.rank()):
+		return schema.Reason_REASON_BUSY
+	}
+	c.enqueue(call)
+	return schema.Reason_REASON_NONE
+}
+
+// admitSuspect queues a call that has to run alone.
+func (c *Controller) admitSuspect(now time.Time, call *Call) schema.Reason {
+	if c.suspects.length >= c.capacity || c.late(now, call, c.limiter.Limit(now)*(c.suspects.length+1)) {
+		return schema.Reason_REASON_SUSPECT
+	}
+	c.enqueue(call)
+	return schema.Reason_REASON_NONE
+}
+
+// startable reports whether the call starts at once, ahead of all that waits.
+func (c *Controller) startable(now time.Time, call *Call) bool {
+	if c.exclusive || c.suspects.length > 0 {
+		return false
+	}
+	if call.Alone {
+		return c.inFlight == 0
+	}
+	return c.inFlight < c.limiter.Limit(now) && c.ahead(call.rank()) == 0
+}
+
+// late reports whether a call that waits for ahead others is expected to miss its deadline.
+func (c *Controller) late(now time.Time, call *Call, ahead int) bool {
+	limit := max(c.limiter.Limit(now), 1)
+	wait := c.service * time.Duration(ahead+1) / time.Duration(limit)
+	return now.Add(wait + c.service).After(call.Deadline)
+}
+
+// ahead returns the number of calls that wait with at least the rank.
+func (c *Controller) ahead(rank int) int {
+	count := 0
+	for i := rank; i < ranks; i++ {
+		count += c.queues[i].length
+	}
+	return count
+}
+
+// preempt refuses the latest call of the lowest rank below rank, and reports whether there was one.
+func (c *Controller) preempt(rank int) bool {
+	for i := range rank {
+		if call := c.queues[i].last; call != nil {
+			c.dequeue(call)
+			c.refuse(call, schema.Reason_REASON_PREEMPTED)
+			return true
+		}
+	}
+	return false
+}
+
+// start starts what may start at now.
+func (c *Controller) start(now time.Time) {
+	if c.paused || c.closed != schema.Reason_REASON_NONE {
+		return
+	}
+	for !c.exclusive {
+		call := c.choose(now)
+		if call == nil {
+			return
+		}
+		c.dequeue(call)
+		if !now.Before(call.Deadline) {
+			c.refuse(call, schema.Reason_REASON_DEADLINE)
+			continue
+		}
+		c.run(now, call)
+	}
+}
+
+// choose returns the next call to start, or nil. While a suspect waits and has its turn, no other call starts, so that
+// the calls in flight end and the suspect does not starve.
+func (c *Controller) choose(now time.Time) *Call {
+	if suspect := c.suspects.first; suspect != nil && (c.turns == 0 || c.queued == 0) {
+		if c.inFlight > 0 {
+			return nil
+		}
+		return suspect
+	}
+	if c.inFlight >= c.limiter.Limit(now) {
+		return nil
+	}
+	for i := ranks - 1; i >= 0; i-- {
+		if call := c.queues[i].first; call != nil {
+			return call
+		}
+	}
+	return nil
+}
+
+func (c *Controller) run(now time.Time, call *Call) {
+	call.state = stateRunning
+	call.started = now
+	c.inFlight++
+	call.inFlight = c.inFlight
+	c.exclusive = call.Alone
+	if !call.Alone && c.turns > 0 {
+		c.turns--
+	}
+	c.events = append(c.events, Event{Call: call})
+}
+
+func (c *Controller) refuse(call *Call, reason schema.Reason) {
+	call.state = stateEnded
+	c.events = append(c.events, Event{Call: call, Reason: reason})
+}
+
+// expire refuses the calls that wait and whose deadline has passed.
+func (c *Controller) expire(now time.Time) {
+	for i := range c.queues {
+		c.expireList(now, &c.queues[i])
+	}
+	c.expireList(now, &c.suspects)
+}
+
+func (c *Controller) expireList(now time.Time, l *list) {
+	for call := l.first; call != nil; {
+		next := call.next
+		if !now.Before(call.Deadline) {
+			c.dequeue(call)
+			c.refuse(call, schema.Reason_REASON_DEADLINE)
+		}
+		call = next
+	}
+}
+
+func (c *Controller) handBack(l *list, reason schema.Reason) {
+	for l.first != nil {
+		call := l.first
+		c.dequeue(call)
+		c.refuse(call, reason)
+	}
+}
+
+func (c *Controller) enqueue(call *Call) {
+	call.state = stateQueued
+	if call.Alone {
+		c.suspects.push(call)
+		return
+	}
+	c.queues[call.rank()].push(call)
+	c.queued++
+}
+
+func (c *Controller) dequeue(call *Call) {
+	if !call.Alone {
+		c.queued--
+	}
+	call.queue.remove(call)
+}
+
+// learn updates the average time for which a call holds its slot.
+func (c *Controller) learn(held time.Duration) {
+	if c.service == 0 {
+		c.service = held
+		return
+	}
+	c.service += time.Duration(serviceWeight * float64(held-c.service))
+}
--- /dev/null
+++ b/core/suspect.go
@@ -0,0 +1,36 @@
+package core
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// SuspectTable holds the fingerprints of requests that were in flight when a backend server crashed.
+// It is safe for concurrent use.
+type SuspectTable interface {
+	// Crashes returns the number of crashes at which the request was in flight; 0 means that it is no suspect.
+	Crashes(now time.Time, fingerprint uint64) int
+	// Record adds one crash to each of the fingerprints.
+	Record(now time.Time, fingerprints []uint64)
+	// Clear removes a fingerprint whose request ran alone without a crash.
+	Clear(now time.Time, fingerprint uint64)
+}
+
+// Fingerprint returns the xxhash of service, method, uri and body. Each field is preceded by its length, so that bytes
+// cannot move from one field to the next without changing the hash.
+func Fingerprint(service, method, uri string, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var length [8]byte
+	for _, field := range [...]string{service, method, uri} {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = d.Write(length[:])
+		_, _ = d.WriteString(field)
+	}
+	binary.LittleEndian.PutUint64(length[:], uint64(len(body)))
+	_, _ = d.Write(length[:])
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,267 @@
+// Package guard is the only entrance to one backend server. It joins admission, the concurrency limit, tickets and
+// suspects with the backend client, and measures the backend server.
+package guard
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"verbenareel/admit"
+	"verbenareel/core"
+	"verbenareel/limit"
+	"verbenareel/schema"
+)
+
+// Guard implements core.Executor.
+type Guard struct {
+	self      *schema.Member
+	snapshots core.Snapshots
+	backend   core.Backend
+	clock     core.Clock
+	logger    *zap.Logger
+	suspects  core.SuspectTable
+	push      func(ctx context.Context, fingerprints []uint64)
+	recheck   func(ctx context.Context) error
+	registry  prometheus.Registerer
+	metrics   *metrics
+	epoch     time.Time
+	done      chan struct{}
+	calls     conc.WaitGroup
+	// ticked is the time of the last tick, in nanoseconds since epoch.
+	ticked atomic.Int64
+
+	tickets sync.Mutex
+	store   core.OutcomeStore
+
+	// mu protects the fields below. It may be held when tickets is locked, never the other way round.
+	mu         sync.Mutex
+	controller *admit.Controller
+	limiter    core.Limiter
+	server     server
+	applied    *core.Snapshot
+	ineligible schema.Reason
+	draining   bool
+	idle       chan struct{}
+	attempts   map[uint64]*call
+	cancelled  cancelledAttempts
+	pause      pause
+	probes     probes
+}
+
+// Option changes a setting of New.
+type Option func(*Guard)
+
+// WithLogger sets the logger; the default logs nothing.
+func WithLogger(logger *zap.Logger) Option { return func(g *Guard) { g.logger = logger } }
+
+// WithRegisterer registers the metrics of the guard; by default they are kept but not exported.
+func WithRegisterer(registerer prometheus.Registerer) Option {
+	return func(g *Guard) { g.registry = registerer }
+}
+
+// WithSuspects sets the table of suspects; by default no request is a suspect.
+func WithSuspects(table core.SuspectTable) Option { return func(g *Guard) { g.suspects = table } }
+
+// WithSuspectPush sets the function that sends suspects to the other instances of the service and returns once they
+// acknowledged. The callers of a crash wait for it, but no longer than 200 ms.
+func WithSuspectPush(push func(ctx context.Context, fingerprints []uint64)) Option {
+	return func(g *Guard) { g.push = push }
+}
+
+// WithRecheck sets a function that brings the snapshot up to date after a pause. It returns nil once the snapshot was
+// confirmed by another process. Without it, the latest snapshot counts as up to date.
+func WithRecheck(recheck func(ctx context.Context) error) Option {
+	return func(g *Guard) { g.recheck = recheck }
+}
+
+// WithLimiter replaces the adaptive limiter.
+func WithLimiter(limiter core.Limiter) Option { return func(g *Guard) { g.limiter = limiter } }
+
+// New returns the guard of the backend server of self, at the cold limit.
+func New(self *schema.Member, snapshots core.Snapshots, backend core.Backend, store core.OutcomeStore, clock core.Clock, opts ...Option) *Guard {
+	g := &Guard{
+		self:      self,
+		snapshots: snapshots,
+		backend:   backend,
+		clock:     clock,
+		store:     store,
+		logger:    zap.NewNop(),
+		suspects:  noSuspects{},
+		registry:  prometheus.NewRegistry(),
+		epoch:     clock.Now(),
+		done:      make(chan struct{}),
+		attempts:  make(map[uint64]*call),
+	}
+	g.limiter = limit.NewAdaptive(g.epoch, limit.Bounds{})
+	for _, o := range opts {
+		o(g)
+	}
+	g.controller = admit.New(g.limiter, 0)
+	g.ineligible = ineligible(self, nil)
+	g.metrics = newMetrics(g)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh(g.epoch)
+	return g
+}
+
+// noSuspects is the table of a guard without one.
+type noSuspects struct{}
+
+func (noSuspects) Crashes(time.Time, uint64) int { return 0 }
+func (noSuspects) Record(time.Time, []uint64)    {}
+func (noSuspects) Clear(time.Time, uint64)       {}
+
+// Done is closed when Run has returned.
+func (g *Guard) Done() <-chan struct{} { return g.done }
+
+// Load returns the guard's measurement of its backend server.
+func (g *Guard) Load() core.LoadReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.load(g.clock.Now())
+}
+
+func (g *Guard) load(now time.Time) core.LoadReport {
+	return core.LoadReport{
+		InFlight:    g.controller.InFlight(),
+		Queued:      g.controller.Queued(),
+		Limit:       g.limiter.Limit(now),
+		Latency:     g.server.latency,
+		FailureRate: g.server.failures,
+		State:       g.state(now),
+		Revision:    g.revision(),
+		Incarnation: g.self.GetIncarnation(),
+	}
+}
+
+func (g *Guard) revision() uint64 {
+	if g.applied == nil {
+		return 0
+	}
+	return g.applied.Revision()
+}
+
+// state returns the state that the guard reports to routers.
+func (g *Guard) state(now time.Time) schema.InstanceState {
+	switch g.controller.Closed() {
+	case schema.Reason_REASON_NONE:
+	case schema.Reason_REASON_LEAVING:
+		return schema.InstanceState_INSTANCE_STATE_LEAVING
+	default:
+		return schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
+	}
+	if a, ok := g.limiter.(*limit.Adaptive); ok && !a.Warm(now) {
+		return schema.InstanceState_INSTANCE_STATE_COLD
+	}
+	return schema.InstanceState_INSTANCE_STATE_SERVING
+}
+
+// Drain refuses new work and the queue as NotRun(leaving) and waits for the running calls. The error reports that ctx
+// ended first.
+func (g *Guard) Drain(ctx context.Context) error {
+	idle := g.beginDrain()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("draining with %d calls in flight: %w", g.Load().InFlight, ctx.Err())
+	}
+}
+
+// beginDrain closes the guard for new work. The returned channel is closed once no call is running.
+func (g *Guard) beginDrain() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	if g.idle == nil {
+		g.idle = make(chan struct{})
+	}
+	g.refresh(g.clock.Now())
+	g.checkIdle()
+	return g.idle
+}
+
+// checkIdle tells Drain once the last running call has ended.
+func (g *Guard) checkIdle() {
+	if !g.draining || g.controller.InFlight() > 0 {
+		return
+	}
+	select {
+	case <-g.idle:
+	default:
+		close(g.idle)
+	}
+}
+
+// refresh applies the latest snapshot and closes or opens admission by it. It is called before each decision to start
+// a call.
+func (g *Guard) refresh(now time.Time) {
+	if snapshot := g.snapshots.Snapshot(); snapshot != g.applied {
+		g.apply(now, snapshot)
+	}
+	reason := g.closedReason(now)
+	switch closed := g.controller.Closed(); {
+	case reason == closed:
+	case reason != schema.Reason_REASON_NONE:
+		g.logger.Info("refusing new work", zap.String("reason", core.ReasonName(reason)))
+		g.handle(now, g.controller.Close(reason))
+	default:
+		g.logger.Info("accepting work", zap.String("after", core.ReasonName(closed)))
+		g.limiter.Cool(now)
+		g.controller.Open()
+	}
+}
+
+// apply takes the settings of the service from a snapshot.
+func (g *Guard) apply(now time.Time, snapshot *core.Snapshot) {
+	g.applied = snapshot
+	g.ineligible = ineligible(g.self, snapshot)
+	service := snapshot.Service(g.self.GetService())
+	if service == nil {
+		return
+	}
+	g.controller.SetCapacity(int(service.GetQueue()))
+	g.probes.configure(now, service.GetProbesPerSecond())
+	if a, ok := g.limiter.(*limit.Adaptive); ok {
+		a.Configure(limit.Bounds{
+			Cold:     int(service.GetColdLimit()),
+			Slots:    int(service.GetSlots()),
+			WarmTime: service.GetWarmTime().AsDuration(),
+		})
+	}
+}
+
+// closedReason returns why the guard accepts no work, or REASON_NONE.
+func (g *Guard) closedReason(now time.Time) schema.Reason {
+	if g.draining || now.Before(g.server.drainingUntil) {
+		return schema.Reason_REASON_LEAVING
+	}
+	return g.ineligible
+}
+
+// ineligible returns why an instance may receive no new work by a snapshot, or REASON_NONE.
+func ineligible(self *schema.Member, snapshot *core.Snapshot) schema.Reason {
+	if snapshot == nil || snapshot.Service(self.GetService()) == nil {
+		return schema.Reason_REASON_NO_CONFIGURATION
+	}
+	if instance := snapshot.Instance(self.GetInstance()); instance != nil {
+		if instance.State() >= schema.InstanceState_INSTANCE_STATE_LEAVING {
+			return schema.Reason_REASON_LEAVING
+		}
+		if !instance.Eligible() {
+			return schema.Reason_REASON_OUT_OF_SERVICE
+		}
+	}
+	if core.OutOfService(snapshot.Document(), self.GetInstance(), self.GetDomain()) {
+		return schema.Reason_REASON_OUT_OF_SERVICE
+	}
+	return schema.Reason_REASON_NONE
+}
--- /dev/null
+++ b/guard/metrics.go
@@ -0,0 +1,55 @@
+package guard
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+// metrics counts outcomes. Its counters are created on first use and kept, since a lookup by label costs more than the
+// rest of a reply.
+type metrics struct {
+	calls  *prometheus.CounterVec
+	probes prometheus.Counter
+	pauses prometheus.Counter
+	crash  prometheus.Counter
+	answer prometheus.Counter
+}
+
+func newMetrics(g *Guard) *metrics {
+	m := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "verbenareel_guard_calls_total",
+			Help: "Calls by outcome and reason.",
+		}, []string{"outcome", "reason"}),
+		probes: counter("verbenareel_guard_probes_total", "Probes of the backend server."),
+		pauses: counter("verbenareel_guard_pauses_total", "Pauses of the process that were detected."),
+		crash:  counter("verbenareel_guard_crashes_total", "Crashes of the backend server that were detected."),
+	}
+	m.answer = m.calls.WithLabelValues(core.StatusName(schema.Status_STATUS_ANSWERED), core.ReasonName(schema.Reason_REASON_NONE))
+	g.registry.MustRegister(
+		m.calls, m.probes, m.pauses, m.crash,
+		gauge("verbenareel_guard_in_flight", "Calls that occupy the backend server.", func() int { return g.Load().InFlight }),
+		gauge("verbenareel_guard_queued", "Calls that wait for admission.", func() int { return g.Load().Queued }),
+		gauge("verbenareel_guard_limit", "Concurrency limit.", func() int { return g.Load().Limit }),
+	)
+	return m
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func gauge(name, help string, value func() int) prometheus.GaugeFunc {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) })
+}
+
+// count counts a reply.
+func (m *metrics) count(reply *schema.ExecuteReply) {
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && reply.GetReason() == schema.Reason_REASON_NONE {
+		m.answer.Inc()
+		return
+	}
+	m.calls.WithLabelValues(core.StatusName(reply.GetStatus()), core.ReasonName(reply.GetReason())).Inc()
+}
--- /dev/null
+++ b/guard/run.go
@@ -0,0 +1,241 @@
+package guard
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"verbenareel/admit"
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+const (
+	// latencyWeight is the weight of one call in the reported averages of service time and failures.
+	latencyWeight = 0.1
+	// drainingTime is how long a report of a draining backend server holds. Without a limit, one misleading report
+	// would keep the instance out of use until the next probe.
+	drainingTime = 2 * time.Second
+	// resetWindow and resetCount define several resets together.
+	resetWindow = 100 * time.Millisecond
+	resetCount  = 2
+	// poisonedCrashes is the number of crashes at which a request is refused everywhere.
+	poisonedCrashes = 2
+)
+
+// server is what the guard knows of its backend server.
+type server struct {
+	latency       time.Duration
+	failures      float64
+	incarnation   uint64
+	drainingUntil time.Time
+	reported      time.Time
+	reset         time.Time
+	resets        int
+}
+
+// handle carries out the decisions of the controller. It is called with mu held.
+func (g *Guard) handle(now time.Time, events []admit.Event) {
+	for _, e := range events {
+		c := e.Call.Owner.(*call)
+		if e.Reason != schema.Reason_REASON_NONE {
+			g.settle(now, c, core.NotRun(e.Reason))
+			continue
+		}
+		g.calls.Go(func() { g.send(c) })
+	}
+}
+
+// settle records the outcome of a call and hands it to the goroutine that waits for it.
+func (g *Guard) settle(now time.Time, c *call, reply *schema.ExecuteReply) {
+	if c.request.HasTicket() {
+		g.tickets.Lock()
+		g.store.Finish(now, c.request.GetTicket(), reply)
+		g.tickets.Unlock()
+	}
+	c.outcome <- reply
+}
+
+// send runs a call that was started by the controller.
+func (g *Guard) send(c *call) {
+	if c.cancel != nil {
+		defer c.cancel()
+	}
+	if reason := g.lastCheck(c); reason != schema.Reason_REASON_NONE {
+		g.abandon(c, reason)
+		return
+	}
+	r := c.request
+	result := g.backend.Send(c.ctx, &core.Request{
+		Method:   r.GetMethod(),
+		URI:      r.GetUri(),
+		Headers:  r.GetHeaders(),
+		Body:     r.GetBody(),
+		Depth:    r.GetDepth(),
+		Deadline: c.admit.Deadline,
+	})
+	if result == nil {
+		result = &core.Result{Written: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
+	}
+	g.complete(c, result)
+}
+
+// lastCheck returns why a call must not be sent after all, or REASON_NONE. Time may have passed since the controller
+// started it: the process may have been paused, or the request may have crashed another instance.
+func (g *Guard) lastCheck(c *call) schema.Reason {
+	now := g.clock.Now()
+	if !now.Before(c.admit.Deadline) {
+		return schema.Reason_REASON_DEADLINE
+	}
+	if g.gap(now) > maxGap {
+		return schema.Reason_REASON_PAUSED
+	}
+	if c.ctx.Err() != nil {
+		return schema.Reason_REASON_CANCELLED
+	}
+	crashes := g.suspects.Crashes(now, c.fingerprint)
+	if crashes >= poisonedCrashes {
+		return schema.Reason_REASON_POISONED
+	}
+	if crashes > 0 && !c.admit.Alone {
+		return schema.Reason_REASON_SUSPECT
+	}
+	return ineligible(g.self, g.snapshots.Snapshot())
+}
+
+// abandon ends a call of which nothing was sent.
+func (g *Guard) abandon(c *call, reason schema.Reason) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.refresh(now)
+	g.checkPause(now)
+	g.release(now, c)
+	g.settle(now, c, core.NotRun(reason))
+}
+
+// complete ends a call that was sent.
+func (g *Guard) complete(c *call, result *core.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	reply := outcome(result)
+	g.observe(now, c, result, reply)
+	g.refresh(now)
+	g.checkPause(now)
+	g.release(now, c)
+	g.settle(now, c, reply)
+}
+
+// release gives the slot of a call to others.
+func (g *Guard) release(now time.Time, c *call) {
+	delete(g.attempts, c.request.GetAttempt())
+	g.handle(now, g.controller.Finish(now, &c.admit))
+	g.checkIdle()
+}
+
+// outcome returns what the result of sending a call means for its caller.
+func outcome(result *core.Result) *schema.ExecuteReply {
+	switch {
+	case result.Reason == schema.Reason_REASON_SHED:
+		return core.NotRun(schema.Reason_REASON_SHED)
+	case result.Code != 0:
+		return schema.ExecuteReply_builder{
+			Status:  schema.Status_STATUS_ANSWERED,
+			Code:    uint32(result.Code),
+			Headers: result.Headers,
+			Body:    result.Body,
+			Retried: retried(result),
+		}.Build()
+	case !result.Written:
+		return core.NotRun(reasonOr(result.Reason, schema.Reason_REASON_CONNECT))
+	default:
+		return core.Unknown(reasonOr(result.Reason, schema.Reason_REASON_CONNECTION_LOST))
+	}
+}
+
+func reasonOr(reason, otherwise schema.Reason) schema.Reason {
+	if reason == schema.Reason_REASON_NONE {
+		return otherwise
+	}
+	return reason
+}
+
+// retried reports whether an error response says that it was retried deeper in the chain.
+func retried(result *core.Result) bool {
+	if result.Code < http.StatusBadRequest {
+		return false
+	}
+	for _, h := range result.Headers {
+		if strings.EqualFold(h.GetName(), core.HeaderRetried) {
+			return true
+		}
+	}
+	return false
+}
+
+// observe updates the measurements by the result of a call.
+func (g *Guard) observe(now time.Time, c *call, result *core.Result, reply *schema.ExecuteReply) {
+	if result.Report != nil {
+		g.report(now, result.Report)
+	}
+	if result.Reset {
+		g.countReset(now)
+	}
+	if reply.GetStatus() == schema.Status_STATUS_NOT_RUN {
+		return
+	}
+	latency := now.Sub(c.admit.Started())
+	failed := reply.GetStatus() == schema.Status_STATUS_UNKNOWN || result.Code >= http.StatusInternalServerError
+	g.server.measure(latency, failed)
+	g.limiter.Observe(now, core.Sample{Latency: latency, InFlight: c.admit.InFlight(), Failed: failed})
+}
+
+// measure updates the averages that a load report carries.
+func (s *server) measure(latency time.Duration, failed bool) {
+	if s.latency == 0 {
+		s.latency = latency
+	}
+	s.latency += time.Duration(latencyWeight * float64(latency-s.latency))
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	s.failures += latencyWeight * (outcome - s.failures)
+}
+
+// report takes over what the backend server says of itself. It can lower the limit, never raise it.
+func (g *Guard) report(now time.Time, report *core.ServerReport) {
+	g.server.reported = now
+	g.limiter.Bound(now, report.Limit)
+	restarted := report.Incarnation != 0 && g.server.incarnation != 0 && report.Incarnation != g.server.incarnation
+	if report.Incarnation != 0 {
+		g.server.incarnation = report.Incarnation
+	}
+	if report.Cold || restarted {
+		g.cool(now, "report of the backend server")
+	}
+	g.server.drainingUntil = time.Time{}
+	if report.Draining {
+		g.server.drainingUntil = now.Add(drainingTime)
+	}
+}
+
+// countReset counts a connection that the backend server reset. Several together mean that it restarted.
+func (g *Guard) countReset(now time.Time) {
+	if now.Sub(g.server.reset) > resetWindow {
+		g.server.resets = 0
+	}
+	g.server.reset = now
+	g.server.resets++
+	if g.server.resets >= resetCount {
+		g.cool(now, "several connections reset")
+	}
+}
+
+func (g *Guard) cool(now time.Time, cause string) {
+	g.logger.Debug("returning to the cold limit", zap.String("cause", cause))
+	g.limiter.Cool(now)
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,54 @@
+// Package limit bounds the concurrency of one backend server. It does no I/O and reads no clock.
+package limit
+
+import (
+	"time"
+
+	"verbenareel/core"
+)
+
+// Bounds are the settings of a service that bound a limiter.
+type Bounds struct {
+	// Cold is the concurrency that an instance in cold start bears; at least 1.
+	Cold int
+	// Slots is the concurrency that a warm instance bears; at least Cold.
+	Slots int
+	// WarmTime is the time from Cold to Slots.
+	WarmTime time.Duration
+}
+
+func (b Bounds) normal() Bounds {
+	b.Cold = max(b.Cold, 1)
+	b.Slots = max(b.Slots, b.Cold)
+	b.WarmTime = max(b.WarmTime, 0)
+	return b
+}
+
+// Fixed is a constant limit, as a baseline for comparison.
+type Fixed struct {
+	limit int
+	bound int
+}
+
+// NewFixed returns a limiter that always allows limit calls, or fewer if the backend server reports a lower limit.
+func NewFixed(limit int) *Fixed { return &Fixed{limit: max(limit, 1)} }
+
+// Limit implements core.Limiter.
+func (f *Fixed) Limit(time.Time) int { return bounded(f.limit, f.bound) }
+
+// Bound implements core.Limiter.
+func (f *Fixed) Bound(_ time.Time, limit int) { f.bound = limit }
+
+// bounded returns limit, lowered to bound if there is one.
+func bounded(limit, bound int) int {
+	if bound <= 0 {
+		return limit
+	}
+	return min(limit, bound)
+}
+
+// Observe implements core.Limiter; it changes nothing.
+func (f *Fixed) Observe(time.Time, core.Sample) {}
+
+// Cool implements core.Limiter; it changes nothing.
+func (f *Fixed) Cool(time.Time) {}
