--- /dev/null
+++ b/io/backend.go
@@ -0,0 +1,413 @@
+package io
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	stdio "io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+const (
+	// maxInterim bounds the informational responses before the final one.
+	maxInterim = 16
+	// noLength is what fasthttp gives for a response with neither a length nor chunked framing.
+	noLength = -2
+	// chunkedLength is what fasthttp gives for a chunked response.
+	chunkedLength = -1
+)
+
+var (
+	errDeadline = errors.New("deadline passed before the first byte")
+	errNoReport = errors.New("response carries no valid load report")
+)
+
+// Backend sends calls to the backend server of a guard over its own pool of connections.
+type Backend struct {
+	options
+	faults  faults
+	address string
+	slots   chan struct{}
+
+	mutex  sync.Mutex
+	idle   []*backendConn
+	open   map[*backendConn]struct{}
+	closed bool
+}
+
+// NewBackend returns a Backend for the server at address. It opens connections on demand.
+func NewBackend(address string, opts ...Option) *Backend {
+	o := newOptions(opts, defaultBackendIdle, defaultConnections)
+	return &Backend{
+		options: o,
+		faults:  newFaults(o.registerer, "backend"),
+		address: address,
+		slots:   make(chan struct{}, o.connections),
+		open:    make(map[*backendConn]struct{}),
+	}
+}
+
+// Close closes all connections; requests in progress end as lost.
+func (b *Backend) Close() error {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.closed = true
+	for c := range b.open {
+		_ = c.Close()
+	}
+	b.idle = nil
+	return nil
+}
+
+// Connect implements core.Backend.
+func (b *Backend) Connect(ctx context.Context) error {
+	conn, err := b.dial(ctx)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+// Probe implements core.Backend.
+func (b *Backend) Probe(ctx context.Context) (*core.ServerReport, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = b.clock.Now().Add(b.slotLimit)
+	}
+	result := b.Send(ctx, &core.Request{Method: fasthttp.MethodGet, URI: core.ProbePath, Deadline: deadline})
+	switch {
+	case result.Code == 0:
+		return nil, fmt.Errorf("probe %s: %s", b.address, core.ReasonName(result.Reason))
+	case result.Report == nil:
+		return nil, fmt.Errorf("probe %s: code %d: %w", b.address, result.Code, errNoReport)
+	}
+	return result.Report, nil
+}
+
+// Send implements core.Backend. A zero Deadline means none.
+func (b *Backend) Send(ctx context.Context, request *core.Request) *core.Result {
+	select {
+	case b.slots <- struct{}{}:
+	case <-ctx.Done():
+		return b.fail(&core.Result{Reason: endReason(ctx)})
+	}
+	defer func() { <-b.slots }()
+	c, err := b.acquire(ctx)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return b.fail(&core.Result{Reason: endReason(ctx)})
+	case err != nil:
+		return b.fail(&core.Result{Reason: schema.Reason_REASON_CONNECT})
+	}
+	result := c.exchange(ctx, request)
+	b.release(c)
+	return b.fail(result)
+}
+
+// fail counts the reason of a result.
+func (b *Backend) fail(result *core.Result) *core.Result {
+	if result.Reason != schema.Reason_REASON_NONE {
+		b.faults.count(core.ReasonName(result.Reason))
+	}
+	return result
+}
+
+// acquire returns an idle connection that is still open, or a new one.
+func (b *Backend) acquire(ctx context.Context) (*backendConn, error) {
+	for {
+		c := b.pop()
+		if c == nil {
+			break
+		}
+		if b.clock.Now().Sub(c.used) < b.idleTime && c.alive() {
+			return c, nil
+		}
+		b.drop(c)
+	}
+	conn, err := b.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c := newBackendConn(b, conn)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.closed {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	b.open[c] = struct{}{}
+	return c, nil
+}
+
+func (b *Backend) dial(ctx context.Context) (*net.TCPConn, error) {
+	dialer := net.Dialer{Timeout: b.dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", b.address)
+	if err != nil {
+		return nil, fmt.Errorf("backend server: %w", err)
+	}
+	return conn.(*net.TCPConn), nil
+}
+
+func (b *Backend) pop() *backendConn {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	last := len(b.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	c := b.idle[last]
+	b.idle[last] = nil
+	b.idle = b.idle[:last]
+	return c
+}
+
+// release puts a connection back, or closes it if it cannot be used again. It closes those that are idle for too long.
+func (b *Backend) release(c *backendConn) {
+	if !c.reusable {
+		b.drop(c)
+		return
+	}
+	now := b.clock.Now()
+	c.used = now
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.closed {
+		return
+	}
+	old := 0
+	for old < len(b.idle) && now.Sub(b.idle[old].used) >= b.idleTime {
+		delete(b.open, b.idle[old])
+		_ = b.idle[old].Close()
+		old++
+	}
+	b.idle = append(b.idle[old:], c)
+}
+
+func (b *Backend) drop(c *backendConn) {
+	_ = c.Close()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	delete(b.open, c)
+}
+
+// backendConn is a connection to the backend server. It counts the bytes of the exchange in progress.
+type backendConn struct {
+	*net.TCPConn
+	backend  *Backend
+	raw      syscall.RawConn
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	used     time.Time
+	reusable bool
+	deadline time.Time
+	written  int
+	read     int
+}
+
+func newBackendConn(b *Backend, conn *net.TCPConn) *backendConn {
+	c := &backendConn{TCPConn: conn, backend: b}
+	c.raw, _ = conn.SyscallConn()
+	c.reader = bufio.NewReaderSize(c, maxHeaderBytes)
+	c.writer = bufio.NewWriterSize(c, readBufferSize)
+	return c
+}
+
+// Read counts the bytes read.
+func (c *backendConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.read += n
+	return n, err
+}
+
+// Write counts the bytes written. The clock is read right before the first byte.
+func (c *backendConn) Write(p []byte) (int, error) {
+	if c.written == 0 && !c.deadline.IsZero() && !c.backend.clock.Now().Before(c.deadline) {
+		return 0, errDeadline
+	}
+	n, err := c.TCPConn.Write(p)
+	c.written += n
+	return n, err
+}
+
+// alive reports whether the server has neither closed the idle connection nor sent anything on it.
+func (c *backendConn) alive() bool {
+	if c.raw == nil || c.reader.Buffered() > 0 {
+		return false
+	}
+	open := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// exchange writes the request and reads the response. When ctx ends it half-closes the connection, which tells the
+// server that the call is cancelled, and goes on reading.
+func (c *backendConn) exchange(ctx context.Context, request *core.Request) *core.Result {
+	c.reusable, c.written, c.read, c.deadline = false, 0, 0, request.Deadline
+	_ = c.SetDeadline(time.Now().Add(c.backend.slotLimit))
+	if err := c.send(request); err != nil {
+		return c.unsent(err)
+	}
+	cancelled := context.AfterFunc(ctx, func() { _ = c.CloseWrite() })
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	err := c.receive(response, request.Method == fasthttp.MethodHead)
+	running := cancelled()
+	if err != nil {
+		return c.broken(err, running)
+	}
+	c.reusable = running && !response.ConnectionClose() && c.reader.Buffered() == 0
+	return c.result(response, request.Method == fasthttp.MethodHead)
+}
+
+func (c *backendConn) send(request *core.Request) error {
+	message := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(message)
+	c.fill(message, request)
+	c.writer.Reset(c)
+	if err := message.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+func (c *backendConn) fill(message *fasthttp.Request, request *core.Request) {
+	h := &message.Header
+	h.DisableNormalizing()
+	h.SetNoDefaultContentType(true)
+	h.SetMethod(request.Method)
+	h.SetRequestURI(request.URI)
+	for _, f := range request.Headers {
+		if name := f.GetName(); !isHopByHop(name) && !isCallField(name) {
+			h.AddBytesV(f.GetName(), f.GetValue())
+		}
+	}
+	if len(h.Host()) == 0 {
+		h.SetHost(c.backend.address)
+	}
+	if !request.Deadline.IsZero() {
+		left := max(0, request.Deadline.Sub(c.backend.clock.Now()))
+		h.Set(core.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	h.Set(core.HeaderDepth, strconv.FormatUint(uint64(request.Depth), 10))
+	message.SetBodyRaw(request.Body)
+}
+
+// unsent maps an error of writing the request.
+func (c *backendConn) unsent(err error) *core.Result {
+	result := &core.Result{Written: c.written > 0, Reason: schema.Reason_REASON_CONNECTION_LOST}
+	if errors.Is(err, errDeadline) {
+		result.Reason = schema.Reason_REASON_DEADLINE
+		return result
+	}
+	result.Reset = isReset(err)
+	return result
+}
+
+// broken maps an error of reading the response. A connection that ends after it was cancelled is no sign of a crash.
+func (c *backendConn) broken(err error, running bool) *core.Result {
+	result := &core.Result{Written: true}
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
+		result.Reason = schema.Reason_REASON_TOO_LARGE
+	case errors.As(err, &network) && network.Timeout():
+		result.Reason = schema.Reason_REASON_DEADLINE
+	case c.read > 0:
+		result.Reason = schema.Reason_REASON_TRUNCATED
+	default:
+		result.Reason = schema.Reason_REASON_CONNECTION_LOST
+		result.Reset = running
+	}
+	return result
+}
+
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, stdio.EOF)
+}
+
+// receive reads a whole response. It follows fasthttp's ReadLimitBody, but refuses a body that ends with the connection,
+// since its end cannot be told from a truncation.
+func (c *backendConn) receive(response *fasthttp.Response, head bool) error {
+	response.SkipBody = head
+	h := &response.Header
+	h.DisableNormalizing()
+	h.SetNoDefaultContentType(true)
+	for range maxInterim {
+		if err := h.Read(c.reader); err != nil {
+			return err
+		}
+		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			break
+		}
+	}
+	if head || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
+		return nil
+	}
+	length := h.ContentLength()
+	if length == noLength || h.StatusCode() < fasthttp.StatusOK {
+		return errNoFraming
+	}
+	if err := response.ReadBody(c.reader, c.backend.maxBody); err != nil {
+		return err
+	}
+	if length == chunkedLength {
+		return h.ReadTrailer(c.reader)
+	}
+	return nil
+}
+
+var errNoFraming = errors.New("response has neither a length nor chunked framing")
+
+func (c *backendConn) result(response *fasthttp.Response, head bool) *core.Result {
+	result := &core.Result{
+		Written: true,
+		Code:    response.StatusCode(),
+		Headers: c.headers(response, head),
+		Body:    response.SwapBody(nil),
+	}
+	if value := response.Header.Peek(core.HeaderLoad); len(value) > 0 {
+		report, ok := parseLoad(string(value))
+		if !ok {
+			c.backend.faults.count("malformed-load")
+		}
+		result.Report = report
+	}
+	if result.Code == fasthttp.StatusServiceUnavailable && len(response.Header.Peek(core.HeaderNotRun)) > 0 {
+		result.Reason = schema.Reason_REASON_SHED
+	}
+	return result
+}
+
+// headers copies the header fields for the caller. The load report is meant for the guard. The length is passed on only
+// where there is no body to derive it from.
+func (c *backendConn) headers(response *fasthttp.Response, head bool) []*schema.Header {
+	headers := make([]*schema.Header, 0, response.Header.Len())
+	length := head || response.StatusCode() == fasthttp.StatusNotModified
+	listed := string(response.Header.Peek("Connection"))
+	for name, value := range response.Header.All() {
+		key := string(name)
+		isLength := length && strings.EqualFold(key, "Content-Length")
+		if (isHopByHop(key) && !isLength) || namedIn(listed, key) || strings.EqualFold(key, core.HeaderLoad) {
+			continue
+		}
+		headers = append(headers, schema.Header_builder{Name: key, Value: append([]byte{}, value...)}.Build())
+	}
+	return headers
+}
--- /dev/null
+++ b/io/front.go
@@ -0,0 +1,294 @@
+package io
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+	"verbenareel/ticket"
+)
+
+// retryAfter is the value of Retry-After for a busy service, in seconds.
+const retryAfter = "1"
+
+// Front serves callers over HTTP.
+//
+// fasthttp, on which fiber builds, does not tell a handler that its caller has disconnected. The context of a call
+// therefore ends only when the Front is closed at once; the deadline of the call bounds the work for a caller that is
+// gone.
+type Front struct {
+	options
+	faults   faults
+	handler  core.Handler
+	app      *fiber.App
+	listener net.Listener
+	stopped  context.Context
+	stop     context.CancelFunc
+	done     chan struct{}
+	once     sync.Once
+}
+
+// NewFront listens on address, whose port may be 0, and serves once Serve is called.
+func NewFront(address string, handler core.Handler, opts ...Option) (*Front, error) {
+	o := newOptions(opts, defaultCallerIdle, fiber.DefaultConcurrency)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("http front: %w", err)
+	}
+	f := &Front{
+		options:  o,
+		faults:   newFaults(o.registerer, "front"),
+		handler:  handler,
+		listener: listener,
+		done:     make(chan struct{}),
+	}
+	f.stopped, f.stop = context.WithCancel(context.Background())
+	f.app = fiber.New(fiber.Config{
+		BodyLimit:                    o.maxBody,
+		Concurrency:                  o.connections,
+		ReadBufferSize:               maxHeaderBytes,
+		ReadTimeout:                  o.readTimeout,
+		WriteTimeout:                 o.writeTimeout,
+		IdleTimeout:                  o.idleTime,
+		DisableDefaultDate:           true,
+		DisableDefaultContentType:    true,
+		DisablePreParseMultipartForm: true,
+		DisableStartupMessage:        true,
+		ErrorHandler:                 f.refuse,
+	})
+	f.app.Use(f.serve)
+	return f, nil
+}
+
+// Addr returns the address that the front listens on.
+func (f *Front) Addr() string { return f.listener.Addr().String() }
+
+// Done is closed once the front has stopped.
+func (f *Front) Done() <-chan struct{} { return f.done }
+
+// Serve accepts connections until Shutdown, or until ctx ends, which ends the contexts of all calls.
+func (f *Front) Serve(ctx context.Context) error {
+	release := context.AfterFunc(ctx, f.close)
+	defer release()
+	defer f.finish()
+	if err := f.app.Listener(f.listener); err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("http front: %w", err)
+	}
+	return nil
+}
+
+// Shutdown stops accepting, waits for the calls in progress and closes the connections.
+func (f *Front) Shutdown(ctx context.Context) error {
+	err := f.app.ShutdownWithContext(ctx)
+	f.stop()
+	_ = f.listener.Close()
+	f.finish()
+	if err != nil {
+		return fmt.Errorf("http front: wait for calls in progress: %w", err)
+	}
+	return nil
+}
+
+func (f *Front) close() {
+	f.stop()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = f.app.ShutdownWithContext(ended)
+	_ = f.listener.Close()
+}
+
+func (f *Front) finish() { f.once.Do(func() { close(f.done) }) }
+
+// FieldError reports a header field of a call that cannot be parsed.
+type FieldError struct {
+	name   string
+	reason schema.Reason
+	err    error
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return fmt.Sprintf("header %s: %v", e.name, e.err) }
+
+// Unwrap returns the cause.
+func (e *FieldError) Unwrap() error { return e.err }
+
+func (f *Front) serve(c *fiber.Ctx) error {
+	call, err := newCall(c.Request())
+	if err != nil {
+		return err
+	}
+	reply := f.handler.Handle(f.stopped, call)
+	if reply.GetNextTicket() != nil {
+		c.Response().Header.Set(core.HeaderNextTicket, ticket.Encode(reply.GetNextTicket()))
+	}
+	if reply.GetRetried() {
+		c.Response().Header.Set(core.HeaderRetried, "1")
+	}
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED {
+		writeAnswer(c.Response(), reply)
+		return nil
+	}
+	writeOutcome(c.Response(), reply.GetStatus(), reply.GetReason(), "")
+	return nil
+}
+
+// newCall copies a request, since fiber reuses its buffers once the handler has returned.
+func newCall(request *fasthttp.Request) (*core.Call, error) {
+	call := &core.Call{
+		Method:  string(request.Header.Method()),
+		URI:     string(request.RequestURI()),
+		Path:    string(request.URI().Path()),
+		Body:    append([]byte(nil), request.Body()...),
+		Headers: make([]*schema.Header, 0, request.Header.Len()),
+	}
+	if !strings.HasPrefix(call.URI, "/") {
+		call.URI = string(request.URI().RequestURI())
+	}
+	for name, value := range request.Header.All() {
+		key := string(name)
+		if isCallField(key) {
+			if err := setField(call, key, string(value)); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		call.Headers = append(call.Headers,
+			schema.Header_builder{Name: key, Value: append([]byte{}, value...)}.Build())
+	}
+	call.Headers = keepEndToEnd(call.Headers)
+	return call, nil
+}
+
+func setField(call *core.Call, name, value string) error {
+	var err error
+	reason := schema.Reason_REASON_MALFORMED
+	switch {
+	case strings.EqualFold(name, core.HeaderTimeout):
+		call.Timeout, err = parseTimeout(value)
+	case strings.EqualFold(name, core.HeaderDepth):
+		call.Depth, err = parseDepth(value)
+	default:
+		reason = schema.Reason_REASON_TICKET_INVALID
+		call.Ticket, err = ticket.Decode(value)
+	}
+	if err != nil {
+		return &FieldError{name: name, reason: reason, err: err}
+	}
+	return nil
+}
+
+func parseTimeout(value string) (time.Duration, error) {
+	number, err := strconv.ParseUint(value, 10, 31)
+	if err != nil || number == 0 {
+		return 0, fmt.Errorf("expected milliseconds from 1 to %d", math.MaxInt32)
+	}
+	return time.Duration(number) * time.Millisecond, nil
+}
+
+func parseDepth(value string) (uint32, error) {
+	number, err := strconv.ParseUint(value, 10, 31)
+	if err != nil {
+		return 0, errors.New("expected the number of layers")
+	}
+	return uint32(number), nil
+}
+
+// refuse answers requests that did not become a call: a malformed field, or an error of fasthttp.
+func (f *Front) refuse(c *fiber.Ctx, err error) error {
+	reason := schema.Reason_REASON_MALFORMED
+	code := 0
+	var field *FieldError
+	var status *fiber.Error
+	switch {
+	case errors.As(err, &field):
+		reason = field.reason
+	case errors.As(err, &status):
+		code = status.Code
+	}
+	if code == fiber.StatusRequestEntityTooLarge || code == fiber.StatusRequestHeaderFieldsTooLarge {
+		reason = schema.Reason_REASON_TOO_LARGE
+	}
+	if code == fiber.StatusRequestTimeout {
+		reason = schema.Reason_REASON_DEADLINE
+	}
+	f.faults.count(core.ReasonName(reason))
+	f.logger.Debug("refused a request", zap.Error(err))
+	c.Response().Reset()
+	writeOutcome(c.Response(), schema.Status_STATUS_NOT_RUN, reason, err.Error())
+	if code != 0 {
+		c.Response().SetStatusCode(code)
+	}
+	return nil
+}
+
+// writeAnswer writes the response of the backend server as it came.
+func writeAnswer(response *fasthttp.Response, reply *schema.ExecuteReply) {
+	h := &response.Header
+	h.DisableNormalizing()
+	h.SetNoDefaultContentType(true)
+	response.SetStatusCode(int(reply.GetCode()))
+	for _, f := range reply.GetHeaders() {
+		h.AddBytesV(f.GetName(), f.GetValue())
+	}
+	response.SetBodyRaw(reply.GetBody())
+}
+
+// writeOutcome writes a response for a call without an answer.
+func writeOutcome(response *fasthttp.Response, status schema.Status, reason schema.Reason, detail string) {
+	name := core.ReasonName(reason)
+	h := &response.Header
+	h.Set(core.HeaderOutcome, core.StatusName(status)+"; reason="+name)
+	h.SetContentType("text/plain; charset=utf-8")
+	if isBusy(reason) && status == schema.Status_STATUS_NOT_RUN {
+		h.Set(fasthttp.HeaderRetryAfter, retryAfter)
+	}
+	response.SetStatusCode(outcomeCode(status, reason))
+	text := core.StatusName(status) + ": " + name
+	if detail != "" {
+		text += ": " + strings.ReplaceAll(detail, "\n", " ")
+	}
+	response.SetBodyString(text + "\n")
+}
+
+func isBusy(reason schema.Reason) bool {
+	return reason == schema.Reason_REASON_BUSY || reason == schema.Reason_REASON_PREEMPTED
+}
+
+// notRunCodes gives the HTTP status codes of calls that did not run; others are 503.
+var notRunCodes = map[schema.Reason]int{
+	schema.Reason_REASON_RETRY_BUDGET:    fasthttp.StatusTooManyRequests,
+	schema.Reason_REASON_TICKET_REQUIRED: fasthttp.StatusPreconditionRequired,
+	schema.Reason_REASON_TICKET_INVALID:  fasthttp.StatusBadRequest,
+	schema.Reason_REASON_TICKET_MISMATCH: fasthttp.StatusUnprocessableEntity,
+	schema.Reason_REASON_TICKET_CLOSED:   fasthttp.StatusConflict,
+	schema.Reason_REASON_MALFORMED:       fasthttp.StatusBadRequest,
+	schema.Reason_REASON_DEPTH:           fasthttp.StatusBadRequest,
+	schema.Reason_REASON_NO_RULE:         fasthttp.StatusNotFound,
+	schema.Reason_REASON_TOO_LARGE:       fasthttp.StatusRequestEntityTooLarge,
+}
+
+// outcomeCode returns the HTTP status code of a call without an answer.
+func outcomeCode(status schema.Status, reason schema.Reason) int {
+	if status == schema.Status_STATUS_NOT_RUN {
+		if code, ok := notRunCodes[reason]; ok {
+			return code
+		}
+		return fasthttp.StatusServiceUnavailable
+	}
+	if reason == schema.Reason_REASON_DEADLINE || reason == schema.Reason_REASON_CONNECTION_SILENT {
+		return fasthttp.StatusGatewayTimeout
+	}
+	return fasthttp.StatusBadGateway
+}
--- /dev/null
+++ b/io/transport.go
@@ -0,0 +1,543 @@
+package io
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+const (
+	// monitorPeriod is the time between two checks for silent and idle connections.
+	monitorPeriod = 25 * time.Millisecond
+	// pauseGap is the time between two checks above which this process itself was paused: replies may wait in the
+	// kernel, so silence is measured anew.
+	pauseGap = 200 * time.Millisecond
+)
+
+var (
+	errClosed = errors.New("transport is closed")
+	errSilent = errors.New("nothing was read on the connection")
+	errIdle   = errors.New("connection was idle")
+)
+
+// purpose separates the connections of calls from those of the peer exchange, whose messages may be large.
+type purpose int
+
+const (
+	purposeCalls purpose = iota
+	purposePeers
+)
+
+type linkKey struct {
+	address string
+	purpose purpose
+}
+
+// Transport reaches other nodes. It keeps one connection for calls and one for the peer exchange per address, opened
+// on demand.
+type Transport struct {
+	options
+	faults faults
+	group  conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+	once   sync.Once
+
+	mutex sync.Mutex
+	links map[linkKey]*link
+}
+
+// NewTransport returns a Transport. clock measures silence and idle time.
+func NewTransport(clock core.Clock, opts ...Option) *Transport {
+	o := newOptions(append([]Option{WithClock(clock)}, opts...), defaultNodeIdle, defaultConnections)
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Transport{
+		options: o,
+		faults:  newFaults(o.registerer, "transport"),
+		ctx:     ctx,
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		links:   make(map[linkKey]*link),
+	}
+	t.group.Go(t.monitor)
+	return t
+}
+
+// Close closes all connections; calls in flight fail.
+func (t *Transport) Close() error {
+	t.mutex.Lock()
+	t.cancel()
+	t.mutex.Unlock()
+	for _, l := range t.snapshot() {
+		l.close()
+	}
+	t.group.Wait()
+	t.once.Do(func() { close(t.done) })
+	return nil
+}
+
+// Done is closed once Close has finished.
+func (t *Transport) Done() <-chan struct{} { return t.done }
+
+// Execute implements core.Transport.
+func (t *Transport) Execute(ctx context.Context, to *core.Instance, request *schema.ExecuteRequest) (*schema.ExecuteReply, error) {
+	return call(ctx, t, purposeCalls, to.Address(), "Guard.Execute", request, new(schema.ExecuteReply))
+}
+
+// Cancel implements core.Transport.
+func (t *Transport) Cancel(ctx context.Context, to *core.Instance, request *schema.CancelRequest) (*schema.CancelReply, error) {
+	return call(ctx, t, purposeCalls, to.Address(), "Guard.Cancel", request, new(schema.CancelReply))
+}
+
+// Issue implements core.Transport.
+func (t *Transport) Issue(ctx context.Context, to *core.Instance, request *schema.IssueRequest) (*schema.IssueReply, error) {
+	return call(ctx, t, purposeCalls, to.Address(), "Guard.Issue", request, new(schema.IssueReply))
+}
+
+// Supersede implements core.Transport.
+func (t *Transport) Supersede(ctx context.Context, to *core.Instance, request *schema.SupersedeRequest) (*schema.SupersedeReply, error) {
+	return call(ctx, t, purposeCalls, to.Address(), "Guard.Supersede", request, new(schema.SupersedeReply))
+}
+
+// Sync implements core.PeerTransport.
+func (t *Transport) Sync(ctx context.Context, address string, request *schema.SyncRequest) (*schema.SyncReply, error) {
+	return call(ctx, t, purposePeers, address, "Peer.Sync", request, new(schema.SyncReply))
+}
+
+// Buckets implements core.PeerTransport.
+func (t *Transport) Buckets(ctx context.Context, address string, request *schema.BucketsRequest) (*schema.BucketsReply, error) {
+	return call(ctx, t, purposePeers, address, "Peer.Buckets", request, new(schema.BucketsReply))
+}
+
+// Manifest implements core.PeerTransport.
+func (t *Transport) Manifest(ctx context.Context, address string, request *schema.ManifestRequest) (*schema.ManifestReply, error) {
+	return call(ctx, t, purposePeers, address, "Peer.Manifest", request, new(schema.ManifestReply))
+}
+
+// Sections implements core.PeerTransport.
+func (t *Transport) Sections(ctx context.Context, address string, request *schema.SectionsRequest) (*schema.SectionsReply, error) {
+	return call(ctx, t, purposePeers, address, "Peer.Sections", request, new(schema.SectionsReply))
+}
+
+// Suspects implements core.PeerTransport. It uses the connection of the calls, because a large section must not
+// delay it.
+func (t *Transport) Suspects(ctx context.Context, address string, request *schema.SuspectsRequest) (*schema.SuspectsReply, error) {
+	return call(ctx, t, purposeCalls, address, "Peer.Suspects", request, new(schema.SuspectsReply))
+}
+
+// call sends one request and waits for its reply or the end of ctx.
+func call[R proto.Message](ctx context.Context, t *Transport, p purpose, address, method string, request proto.Message, reply R) (R, error) {
+	err := t.exchange(ctx, p, address, method, request, reply)
+	if err != nil {
+		var none R
+		return none, err
+	}
+	return reply, nil
+}
+
+func (t *Transport) exchange(ctx context.Context, p purpose, address, method string, request, reply proto.Message) error {
+	f, err := newFrame(request, t.maxBody+frameRoom)
+	if err != nil {
+		t.faults.count("oversize")
+		return core.NewTransportError(address, schema.Reason_REASON_TOO_LARGE, false, err)
+	}
+	l, c, failure := t.acquire(ctx, linkKey{address, p})
+	if failure != nil {
+		return failure
+	}
+	defer l.release(c, t.clock)
+	slot := &replySlot{message: reply}
+	pending := c.client.Go(method, f, slot, make(chan *rpc.Call, 1))
+	select {
+	case <-pending.Done:
+		return t.outcome(c, f, address, pending.Error)
+	case <-ctx.Done():
+		slot.forgotten.Store(true)
+		sent := !c.codec.writer.drop(f)
+		return core.NewTransportError(address, endReason(ctx), sent, ctx.Err())
+	}
+}
+
+// outcome maps the end of a call to an error.
+func (t *Transport) outcome(c *connection, f *frame, address string, err error) error {
+	if err == nil {
+		return nil
+	}
+	sent := !c.codec.writer.drop(f)
+	reason := schema.Reason_REASON_NODE_LOST
+	if cause := c.codec.cause(); cause != nil {
+		err = cause
+	}
+	switch {
+	case errors.Is(err, errSilent):
+		reason = schema.Reason_REASON_CONNECTION_SILENT
+	case !sent:
+		reason = schema.Reason_REASON_UNREACHABLE
+	}
+	t.faults.count(core.ReasonName(reason))
+	return core.NewTransportError(address, reason, sent, err)
+}
+
+func endReason(ctx context.Context) schema.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return schema.Reason_REASON_DEADLINE
+	}
+	return schema.Reason_REASON_CANCELLED
+}
+
+func (t *Transport) acquire(ctx context.Context, key linkKey) (*link, *connection, error) {
+	for {
+		if ctx.Err() != nil {
+			return nil, nil, core.NewTransportError(key.address, endReason(ctx), false, ctx.Err())
+		}
+		l := t.link(key)
+		if l == nil {
+			return nil, nil, core.NewTransportError(key.address, schema.Reason_REASON_UNREACHABLE, false, errClosed)
+		}
+		c, wait := l.acquire(t.clock)
+		if c != nil {
+			return l, c, nil
+		}
+		if wait == nil {
+			continue
+		}
+		select {
+		case <-wait.done:
+		case <-ctx.Done():
+			continue
+		}
+		if wait.err != nil {
+			t.faults.count("dial")
+			return nil, nil, core.NewTransportError(key.address, schema.Reason_REASON_UNREACHABLE, false, wait.err)
+		}
+	}
+}
+
+// link returns the link of the key, or nil once the transport is closed.
+func (t *Transport) link(key linkKey) *link {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.ctx.Err() != nil {
+		return nil
+	}
+	l, ok := t.links[key]
+	if !ok {
+		l = &link{transport: t, address: key.address, used: t.clock.Now()}
+		t.links[key] = l
+	}
+	return l
+}
+
+func (t *Transport) snapshot() map[linkKey]*link {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	links := make(map[linkKey]*link, len(t.links))
+	for k, l := range t.links {
+		links[k] = l
+	}
+	return links
+}
+
+// monitor closes silent and idle connections and forgets addresses that are no longer used.
+func (t *Transport) monitor() {
+	last := t.clock.Now()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.clock.After(monitorPeriod):
+		}
+		now := t.clock.Now()
+		paused := now.Sub(last) > pauseGap
+		last = now
+		for key, l := range t.snapshot() {
+			if l.check(now, paused) {
+				t.forget(key, l)
+			}
+		}
+	}
+}
+
+func (t *Transport) forget(key linkKey, l *link) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if l.retire() {
+		delete(t.links, key)
+	}
+}
+
+// link is the way to one address.
+type link struct {
+	transport *Transport
+	address   string
+
+	mutex   sync.Mutex
+	current *connection
+	dialing *dial
+	used    time.Time
+	retired bool
+}
+
+// dial is an attempt to open a connection, which several calls may wait for.
+type dial struct {
+	done chan struct{}
+	err  error
+}
+
+// acquire returns the connection with its call counted, or the dial to wait for, or neither if the link was retired.
+func (l *link) acquire(clock core.Clock) (*connection, *dial) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.retired {
+		return nil, nil
+	}
+	now := clock.Now()
+	l.used = now
+	if c := l.current; c != nil && c.codec.cause() == nil {
+		if c.calls == 0 {
+			c.quiet = now
+		}
+		c.calls++
+		return c, nil
+	}
+	l.current = nil
+	if l.dialing == nil {
+		l.dialing = &dial{done: make(chan struct{})}
+		l.transport.group.Go(l.dial)
+	}
+	return nil, l.dialing
+}
+
+func (l *link) release(c *connection, clock core.Clock) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	c.calls--
+	l.used = clock.Now()
+}
+
+func (l *link) dial() {
+	t := l.transport
+	dialer := net.Dialer{Timeout: t.dialTimeout}
+	conn, err := dialer.DialContext(t.ctx, "tcp", l.address)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	attempt := l.dialing
+	l.dialing = nil
+	attempt.err = err
+	if err == nil && t.ctx.Err() != nil {
+		_ = conn.Close()
+		attempt.err = errClosed
+	}
+	if attempt.err == nil {
+		l.current = newConnection(t, conn)
+	}
+	close(attempt.done)
+}
+
+func (l *link) close() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.retired = true
+	if l.current != nil {
+		l.current.end(errClosed)
+	}
+}
+
+// retire marks the link as unusable unless a call came in meanwhile.
+func (l *link) retire() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.retired = l.current == nil && l.dialing == nil
+	return l.retired
+}
+
+// check pings or closes the connection as needed and reports whether the link can be retired.
+func (l *link) check(now time.Time, paused bool) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	c := l.current
+	idle := now.Sub(l.used) >= l.transport.idleTime
+	if c == nil || c.codec.cause() != nil {
+		l.current = nil
+		return idle && l.dialing == nil
+	}
+	if c.calls > 0 {
+		if c.checkSilence(now, paused) {
+			l.transport.faults.count("silent")
+			l.current = nil
+		}
+		return false
+	}
+	c.pinged = time.Time{}
+	if idle {
+		c.end(errIdle)
+		l.current = nil
+	}
+	return false
+}
+
+// connection is an open connection; its fields are guarded by the mutex of the link.
+type connection struct {
+	transport *Transport
+	codec     *clientCodec
+	client    *rpc.Client
+	calls     int
+	// quiet is when the silence that is measured may have begun at the earliest.
+	quiet  time.Time
+	pinged time.Time
+}
+
+func newConnection(t *Transport, conn net.Conn) *connection {
+	codec := newClientCodec(t, conn)
+	return &connection{transport: t, codec: codec, client: rpc.NewClientWithCodec(codec)}
+}
+
+// checkSilence pings the connection or closes it and reports whether it closed it.
+func (c *connection) checkSilence(now time.Time, paused bool) bool {
+	read := time.Unix(0, c.codec.read.Load())
+	if paused {
+		c.quiet = now
+		c.pinged = time.Time{}
+	}
+	if read.Before(c.quiet) {
+		read = c.quiet
+	}
+	if !c.pinged.IsZero() && read.After(c.pinged) {
+		c.pinged = time.Time{}
+	}
+	switch {
+	case !c.pinged.IsZero():
+		if now.Sub(c.pinged) < c.transport.silentAfter {
+			return false
+		}
+		c.end(errSilent)
+		return true
+	case now.Sub(read) >= c.transport.pingAfter:
+		c.pinged = now
+		c.ping()
+	}
+	return false
+}
+
+func (c *connection) ping() {
+	f, err := newFrame(&schema.PingRequest{}, frameRoom)
+	if err == nil {
+		c.client.Go("Node.Ping", f, &replySlot{message: &schema.PingReply{}}, make(chan *rpc.Call, 1))
+	}
+}
+
+func (c *connection) end(err error) {
+	c.codec.end(err)
+	_ = c.client.Close()
+}
+
+// replySlot receives the reply of one call. A forgotten reply is read and dropped.
+type replySlot struct {
+	message   proto.Message
+	forgotten atomic.Bool
+}
+
+// clientCodec is the net/rpc codec of one connection.
+type clientCodec struct {
+	transport *Transport
+	conn      net.Conn
+	reader    *frameReader
+	writer    *frameWriter
+	read      atomic.Int64
+
+	mutex sync.Mutex
+	err   error
+}
+
+func newClientCodec(t *Transport, conn net.Conn) *clientCodec {
+	c := &clientCodec{transport: t, conn: conn}
+	c.read.Store(t.clock.Now().UnixNano())
+	c.reader = newFrameReader(&stampedReader{conn: conn, clock: t.clock, read: &c.read}, t.maxBody+frameRoom)
+	c.writer = newFrameWriter(conn, t.writeTimeout, &t.group, func(err error) {
+		t.faults.count(kindWrite)
+		c.end(fmt.Errorf("write: %w", err))
+	})
+	return c
+}
+
+// cause returns why the connection ended, or nil.
+func (c *clientCodec) cause() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.err
+}
+
+// end closes the connection; the first cause is kept.
+func (c *clientCodec) end(err error) {
+	c.mutex.Lock()
+	if c.err == nil {
+		c.err = err
+	}
+	c.mutex.Unlock()
+	c.writer.stop(err)
+	_ = c.conn.Close()
+}
+
+// WriteRequest implements rpc.ClientCodec. body is a *frame; it does not block.
+func (c *clientCodec) WriteRequest(request *rpc.Request, body any) error {
+	f, ok := body.(*frame)
+	if !ok {
+		return fmt.Errorf("unexpected body %T", body)
+	}
+	header := schema.RpcRequest_builder{Method: request.ServiceMethod, Sequence: request.Seq}.Build()
+	if err := f.seal(header); err != nil {
+		return err
+	}
+	return c.writer.enqueue(f)
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseHeader(response *rpc.Response) error {
+	var header schema.RpcResponse
+	if err := c.reader.read(&header); err != nil {
+		return c.lost(err)
+	}
+	response.Seq = header.GetSequence()
+	response.Error = header.GetError()
+	return nil
+}
+
+// ReadResponseBody implements rpc.ClientCodec. body is nil or a *replySlot.
+func (c *clientCodec) ReadResponseBody(body any) error {
+	slot, ok := body.(*replySlot)
+	if !ok || slot.forgotten.Load() {
+		return c.lost(c.reader.skip())
+	}
+	return c.lost(c.reader.read(slot.message))
+}
+
+// lost ends the connection after a read error, since the stream may be out of step.
+func (c *clientCodec) lost(err error) error {
+	if err == nil {
+		return nil
+	}
+	var malformed *FrameError
+	if errors.As(err, &malformed) {
+		c.transport.faults.count(malformed.kind)
+	}
+	c.end(fmt.Errorf("read: %w", err))
+	return err
+}
+
+// Close implements rpc.ClientCodec.
+func (c *clientCodec) Close() error {
+	c.end(errClosed)
+	return nil
+}
