Choose by expected latency with honest waits instead of room first

Three draws of the same candidate also sent 1 in n^2 calls to an instance that looks bad.

Change: one figure is compared: round trip, service time, wait for a slot above the limit (weight 2), failures, and the share of the router's own calls in flight, which alone is never stale. Calls in flight of a report count half after half a service time. A straggler counts as slow once its oldest call has waited 6 expected latencies. Failures seen by the router itself decay with time. A duplicate draw is repeated once.

--- a/picker/expect.go
+++ b/picker/expect.go
@@ -1,31 +1,45 @@
 package picker
 
 import (
+	"math"
 	"time"
 
 	"verbenareel/core"
 )
 
+// The constants of Expected were chosen by BenchmarkChoosers of package model.
 const (
-	// samples is how many random candidates are compared.
+	// samples is how many random candidates are compared. With 2, a straggler is met more often; with 5, routers whose
+	// reports lag crowd the same instance.
 	samples = 3
-	// trialShare is one in how many calls goes to a random instance without an unanswered call, so that an instance
-	// that looked bad is measured again.
+	// trialShare is one in how many calls goes to a random instance without an unanswered call of this router, so that
+	// an instance that looked bad is measured again.
 	trialShare = 100
-	// reportLife is the age at which a report counts half and the neutral values count half.
+	// reportLife is the age at which latency and failures of a report count half and the neutral values count half.
 	reportLife = time.Second
+	// occupancyLife is the age, in service times, at which the calls in flight of a report count half: about as long as
+	// these calls last. With a longer life, routers whose reports lag crowd the same instance.
+	occupancyLife = 0.5
+	// waitWeight weighs the expected wait for a slot. Above 1, since a call above the limit may also be refused.
+	// Preferring instances with room whatever their latency was worse: the only one with room is often the straggler.
+	waitWeight = 2
+	// ownWeight weighs the calls of this router in flight, compared with their mean over the instances. They are the
+	// only part of the view that is never stale, so each router spreads its own calls evenly first.
+	ownWeight = 2
 	// failurePenalty is what a failed call costs, in usual service times. It is well above 1 so that an instance that
 	// fails at once does not look fast.
 	failurePenalty = 20
-	// stragglerFactor is how many expected latencies the oldest unanswered call may wait before it counts as the
-	// expected latency itself.
-	stragglerFactor = 3
+	// stragglerFactor is how many expected latencies the oldest unanswered call may wait before its wait counts as the
+	// expected latency. At 3, instances with 18 calls of varying length look slow too often.
+	stragglerFactor = 6
 	// fallbackLatency is the service time assumed before any report of the service arrived.
 	fallbackLatency = 10 * time.Millisecond
+	// neutralLife is the age up to which reports count for the neutral values.
+	neutralLife = 4 * reportLife
 )
 
-// Expected chooses among a few random candidates: those with room first, then the lowest expected latency, network
-// round trip included.
+// Expected chooses the lowest expected latency among a few random candidates: network round trip, service time, wait
+// for a slot, and the cost of failures.
 type Expected struct {
 	source Source
 }
@@ -42,20 +56,27 @@
 	if best < 0 || e.trial(candidates[best]) {
 		return best
 	}
-	chosen := Estimate(now, candidates[best])
+	lowest := Estimate(now, candidates[best]).Latency
 	for range samples - 1 {
-		index := e.source.draw(n, exclude)
-		if index == best {
-			continue
-		}
-		other := Estimate(now, candidates[index])
-		if other.Better(chosen) {
-			best, chosen = index, other
+		index := e.other(n, best, exclude)
+		latency := Estimate(now, candidates[index]).Latency
+		if latency < lowest {
+			best, lowest = index, latency
 		}
 	}
 	return best
 }
 
+// other returns a random index other than best, as far as two draws find one. Comparing the same candidate three times
+// would send 1 in n^2 of the calls to an instance that looks bad.
+func (e *Expected) other(n, best int, exclude func(index int) bool) int {
+	index := e.source.draw(n, exclude)
+	if index == best {
+		return e.source.draw(n, exclude)
+	}
+	return index
+}
+
 // trial reports whether the call is sent to the candidate to measure it, whatever its estimate.
 func (e *Expected) trial(candidate core.Candidate) bool {
 	return e.source.below(trialShare) == 0 && candidate.InFlight() == 0
@@ -63,89 +84,125 @@
 
 // Forecast is what a call to a candidate is expected to meet.
 type Forecast struct {
-	// Latency includes the network round trip and the cost of failures.
+	// Latency includes the network round trip, the wait for a slot and the cost of failures and of an uneven share of
+	// this router's calls. It serves to compare candidates.
 	Latency time.Duration
-	// Room is the spare concurrency; it is negative if calls wait.
+	// Room is the estimated spare concurrency; it is negative if calls wait.
 	Room float64
 }
 
-// Better reports whether f is to be preferred to other.
-func (f Forecast) Better(other Forecast) bool {
-	if (f.Room >= 1) != (other.Room >= 1) {
-		return f.Room >= 1
+// Estimate returns the forecast for a call that is sent to the candidate now.
+func Estimate(now time.Time, candidate core.Candidate) Forecast {
+	e := gather(now, candidate)
+	cost := max(e.latency, e.failures*e.usual) + e.failures*failurePenalty*e.usual
+	inFlight := e.others + e.own
+	if e.limit > 0 {
+		cost *= 1 + waitWeight*max(0, inFlight+1-e.limit)/e.limit
+	}
+	cost *= 1 + ownWeight*e.own/(1+e.meanOwn)
+	return Forecast{
+		Latency: candidate.Delay() + time.Duration(cost),
+		Room:    e.limit - inFlight,
 	}
-	return f.Latency < other.Latency
 }
 
-// Estimate returns the forecast for a call that is sent to the candidate now.
-func Estimate(now time.Time, candidate core.Candidate) Forecast {
+// evidence is what is known of a candidate after the decay of old reports; times are in nanoseconds.
+type evidence struct {
+	usual    float64
+	latency  float64
+	failures float64
+	limit    float64
+	others   float64
+	own      float64
+	meanOwn  float64
+}
+
+func gather(now time.Time, candidate core.Candidate) evidence {
 	view, ok := candidate.(*View)
 	if !ok {
 		load, received := candidate.Load()
-		return forecast(now, &report{load: load, received: received}, &Neutral{}, candidate)
+		e := neutralEvidence(&Neutral{})
+		e.own = float64(candidate.InFlight())
+		if !received.IsZero() {
+			e.apply(now, &report{load: load, received: received})
+		}
+		return e
+	}
+	e := neutralEvidence(view.neutral.Load())
+	e.own = float64(view.InFlight())
+	if r := view.report.Load(); r != nil {
+		e.apply(now, r)
 	}
-	f := forecast(now, view.report.Load(), view.neutral.Load(), candidate)
-	penalty := view.Failures() * failurePenalty * float64(usual(view.neutral.Load()))
-	f.Latency += time.Duration(penalty)
-	if oldest := view.Oldest(now); oldest > stragglerFactor*f.Latency {
-		f.Latency = oldest
+	e.failures = max(e.failures, view.Failures(now))
+	if oldest := float64(view.Oldest(now)); oldest > stragglerFactor*e.latency {
+		e.latency = oldest
 	}
-	return f
+	return e
 }
 
-func usual(neutral *Neutral) time.Duration {
-	if neutral.Latency == 0 {
-		return fallbackLatency
+// neutralEvidence returns what is assumed of an instance without a report.
+func neutralEvidence(n *Neutral) evidence {
+	usual := float64(n.Latency)
+	if usual == 0 {
+		usual = float64(fallbackLatency)
+	}
+	return evidence{
+		usual:   usual,
+		latency: usual,
+		limit:   float64(n.Limit),
+		others:  n.InFlight,
+		meanOwn: n.Own,
 	}
-	return neutral.Latency
 }
 
-func forecast(now time.Time, r *report, neutral *Neutral, candidate core.Candidate) Forecast {
-	own := float64(candidate.InFlight())
-	if r == nil || r.received.IsZero() {
-		return waiting(usual(neutral), candidate.Delay(), own+neutral.InFlight, neutral.Limit)
-	}
+// apply takes a report into account, the less the older it is.
+func (e *evidence) apply(now time.Time, r *report) {
 	age := max(now.Sub(r.received), 0)
-	fresh := float64(reportLife) / float64(reportLife+age)
+	fresh := half(age, float64(reportLife))
+	e.failures = fresh * r.load.FailureRate
+	if r.load.Latency > 0 {
+		e.latency += fresh * (float64(r.load.Latency) - e.latency)
+	}
+	e.limit = float64(r.load.Limit)
 	others := max(float64(r.load.InFlight+r.load.Queued-r.own), 0)
-	others = fresh*others + (1-fresh)*neutral.InFlight
-	latency := fresh*float64(r.load.Latency) + (1-fresh)*float64(usual(neutral))
-	latency += fresh * r.load.FailureRate * failurePenalty * float64(usual(neutral))
-	return waiting(time.Duration(latency), candidate.Delay(), own+others, r.load.Limit)
+	e.others += half(age, occupancyLife*e.usual) * (others - e.others)
 }
 
-// waiting returns the forecast for an instance with the service time and calls in flight: calls above the limit wait
-// their turn.
-func waiting(latency, delay time.Duration, inFlight float64, limit int) Forecast {
-	room := float64(limit) - inFlight
-	if limit == 0 {
-		room = 1
-	}
-	expected := float64(latency)
-	if room < 1 {
-		expected *= 1 + (1-room)/float64(max(limit, 1))
-	}
-	return Forecast{Latency: delay + time.Duration(expected), Room: room}
+// half returns a weight that is 1 at age 0, a half at the age of life, and falls slowly after that.
+func half(age time.Duration, life float64) float64 {
+	return life / (life + float64(age))
+}
+
+// Neutral is what is assumed of an instance without a recent report.
+type Neutral struct {
+	// Latency is the usual service time of the service; 0 if it is not known.
+	Latency time.Duration
+	// Limit is the concurrency of an instance about which nothing is known; 0 if it is not known.
+	Limit int
+	// InFlight is the usual number of calls in flight at one instance, and Own that of the calls of this router.
+	InFlight float64
+	Own      float64
 }
 
-// Average returns the neutral values of a service: the mean of the reports received within a few report lives, and limit
-// as the concurrency of an unknown instance.
+// Average returns the neutral values of a service: means over its instances and their recent reports, and limit as the
+// concurrency of an unknown instance.
 func Average(now time.Time, views []*View, limit int) *Neutral {
 	n := &Neutral{Limit: limit}
-	count := 0
-	var latency time.Duration
+	var reports, latency float64
 	for _, v := range views {
+		n.Own += float64(v.InFlight()) / float64(len(views))
 		load, received := v.Load()
-		if received.IsZero() || now.Sub(received) > 4*reportLife || load.Latency == 0 {
+		if received.IsZero() || now.Sub(received) > neutralLife || load.Latency == 0 {
 			continue
 		}
-		count++
-		latency += load.Latency
+		reports++
+		latency += math.Log(float64(load.Latency))
 		n.InFlight += float64(load.InFlight + load.Queued)
 	}
-	if count > 0 {
-		n.Latency = latency / time.Duration(count)
-		n.InFlight /= float64(count)
+	if reports > 0 {
+		// The geometric mean, so that one straggler does not make the others look fast.
+		n.Latency = time.Duration(math.Exp(latency / reports))
+		n.InFlight /= reports
 	}
 	return n
 }
--- a/picker/model/model.go
+++ b/picker/model/model.go
@@ -53,6 +53,30 @@
 type Result struct {
 	Calls, Failed, Retries int
 	Latency                *hdrhistogram.Histogram
+	// sends counts the sends to each instance in windows of 100 ms from the start.
+	sends [][instances]int
+}
+
+const sendsWindow = 100 * time.Millisecond
+
+// Share returns the share of the sends from one time to another that went to the instance.
+func (r *Result) Share(instance int, from, to time.Duration) float64 {
+	count, all := 0, 0
+	for _, window := range r.sends[from/sendsWindow : min(int(to/sendsWindow), len(r.sends))] {
+		count += window[instance]
+		for _, n := range window {
+			all += n
+		}
+	}
+	return float64(count) / float64(all)
+}
+
+func (r *Result) sent(instance int, since time.Duration) {
+	window := int(since / sendsWindow)
+	for len(r.sends) <= window {
+		r.sends = append(r.sends, [instances]int{})
+	}
+	r.sends[window][instance]++
 }
 
 // String returns p50, p99 and p99.9 in milliseconds, and failures and retries as a share of the calls.
@@ -153,6 +177,12 @@
 // FailFast makes an instance answer each call at once with an error.
 func (r *Run) FailFast(instance int) { r.guards[instance].failing = true }
 
+// Recover ends Slow and FailFast.
+func (r *Run) Recover(instance int) {
+	r.guards[instance].factor = 1
+	r.guards[instance].failing = false
+}
+
 // Leave takes an instance out of service; Return lets it serve again, from the cold limit up to all slots within warm.
 func (r *Run) Leave(instance int) {
 	r.setState(instance, schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE)
@@ -246,7 +276,9 @@
 
 func (g *guard) begin(reply func(outcome)) {
 	g.inFlight++
-	took := g.run.exponential(time.Duration(float64(serviceTime) * g.factor))
+	// The sum of two exponential stages: it varies less than one, as most servers do.
+	stage := time.Duration(float64(serviceTime) * g.factor / 2)
+	took := g.run.exponential(stage) + g.run.exponential(stage)
 	if g.failing {
 		took = 100 * time.Microsecond
 	}
@@ -322,6 +354,7 @@
 		c.end(false)
 		return
 	}
+	r.result.sent(i, r.now.Sub(r.start))
 	c.sends++
 	c.tried[i] = true
 	v, g := o.views[i], r.guards[i]
@@ -337,7 +370,7 @@
 // receive handles the reply of one send.
 func (c *call) receive(v *picker.View, flight *picker.Flight, load core.LoadReport, result outcome) {
 	r := c.router.run
-	v.End(flight, result == crashed)
+	v.End(r.now, flight, result == crashed)
 	if r.scenario.ReportDelay == 0 {
 		v.Receive(r.now, load)
 	} else {
@@ -396,9 +429,9 @@
 	return last
 }
 
-// Scenarios returns the scenarios of the comparison at a load. The fault starts after a warm-up of two seconds.
+// Scenarios returns the scenarios of the comparison at a load. The fault starts after a warm-up of a second.
 func Scenarios(load float64, length time.Duration) []Scenario {
-	const warmup = 2 * time.Second
+	const warmup = time.Second
 	base := Scenario{Load: load, Routers: 14, Warmup: warmup, Length: warmup + length}
 	with := func(name string, edit func(*Scenario)) Scenario {
 		s := base
@@ -414,6 +447,10 @@
 			s.Routers = 200
 			s.Fault = func(r *Run) { r.Slow(1, 10) }
 		}),
+		with("straggler, 2 routers", func(s *Scenario) {
+			s.Routers = 2
+			s.Fault = func(r *Run) { r.Slow(1, 10) }
+		}),
 		with("fail-fast", func(s *Scenario) { s.Fault = func(r *Run) { r.FailFast(1) } }),
 		with("reports 1 s old", func(s *Scenario) { s.ReportDelay = time.Second }),
 		with("straggler, reports 1 s old", func(s *Scenario) {
--- a/picker/model/model_test.go
+++ b/picker/model/model_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"verbenareel/core"
 	"verbenareel/picker"
 )
@@ -31,3 +33,58 @@
 		}
 	}
 }
+
+// TestExpected guards against a chooser that does worse under a fault than its bounds, which lie above the measured
+// figures, or than the baselines.
+func TestExpected(t *testing.T) {
+	bounds := map[string]struct{ p99, failed float64 }{
+		"steady":           {80, 0},
+		"straggler of 10x": {120, 1},
+		"fail-fast":        {85, 1.5},
+		"reports 1 s old":  {80, 0.01},
+	}
+	for _, s := range Scenarios(0.8, 2*time.Second) {
+		bound, ok := bounds[s.Name]
+		if !ok {
+			continue
+		}
+		t.Run(s.Name, func(t *testing.T) {
+			expected := Simulate(s, 1, choosers[0].build)
+			t.Log(expected)
+			p99, failed := expected.figures()
+			qt.Check(t, p99 <= bound.p99, qt.IsTrue)
+			qt.Check(t, failed <= bound.failed, qt.IsTrue)
+			_, random := Simulate(s, 1, choosers[1].build).figures()
+			qt.Check(t, failed <= random, qt.IsTrue)
+		})
+	}
+}
+
+// figures returns the 99th percentile in milliseconds and the failures in percent.
+func (r *Result) figures() (p99, failed float64) {
+	return float64(r.Latency.ValueAtQuantile(99)) / 1000, 100 * float64(r.Failed) / float64(r.Calls)
+}
+
+// TestShare guards against an instance that keeps its work after it turned bad, or gets none after it recovered.
+func TestShare(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		spoil func(*Run)
+	}{
+		{"straggler", func(r *Run) { r.Slow(1, 10) }},
+		{"fail-fast", func(r *Run) { r.FailFast(1) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := Scenario{Load: 0.5, Routers: 14, Warmup: time.Second, Length: 10 * time.Second}
+			s.Fault = func(r *Run) {
+				test.spoil(r)
+				r.After(3*time.Second, func() { r.Recover(1) })
+			}
+			result := Simulate(s, 1, choosers[0].build)
+			bad := result.Share(1, 1100*time.Millisecond, 4*time.Second)
+			again := result.Share(1, 9*time.Second, 10*time.Second)
+			qt.Check(t, bad <= 0.02, qt.IsTrue, qt.Commentf("share %v while bad", bad))
+			qt.Check(t, again >= 0.08, qt.IsTrue, qt.Commentf("share %v after recovery", again))
+		})
+	}
+}
--- a/picker/view.go
+++ b/picker/view.go
@@ -18,20 +18,12 @@
 	// stateLife is how long the state in a load report overrides a better state in the snapshot. It covers the time
 	// that the lists need to agree.
 	stateLife = time.Second
+	// failureLife is the age at which failures seen by this router count half.
+	failureLife = time.Second
 	// failureWeight is the weight of the newest call in the moving average of failures seen by this router.
 	failureWeight = 1.0 / 8
 )
 
-// Neutral is what is assumed of an instance without a recent report.
-type Neutral struct {
-	// Latency is the usual service time of the service.
-	Latency time.Duration
-	// Limit is the concurrency of an instance about which nothing is known.
-	Limit int
-	// InFlight is the usual number of calls in flight at one instance.
-	InFlight float64
-}
-
 // View is what a router knows of the load of one instance. It is safe for concurrent use; reading it takes no lock.
 type View struct {
 	base      time.Time
@@ -41,7 +33,7 @@
 	neutral   atomic.Pointer[Neutral]
 	inFlight  atomic.Int64
 	oldest    atomic.Int64
-	failures  atomic.Uint64
+	failures  atomic.Pointer[failures]
 	lostCount atomic.Int64
 	avoid     atomic.Int64
 
@@ -57,6 +49,12 @@
 	own      int
 }
 
+// failures is a moving average of the failed calls of this router, as of a time.
+type failures struct {
+	share float64
+	at    time.Time
+}
+
 // Flight is one unanswered call to an instance.
 type Flight struct {
 	start    time.Time
@@ -94,8 +92,14 @@
 // Delay implements core.Candidate.
 func (v *View) Delay() time.Duration { return time.Duration(v.delay.Load()) }
 
-// Failures returns the share of failed calls among the last calls of this router.
-func (v *View) Failures() float64 { return math.Float64frombits(v.failures.Load()) }
+// Failures returns the share of failed calls among the last calls of this router; it decays with time.
+func (v *View) Failures(now time.Time) float64 {
+	f := v.failures.Load()
+	if f == nil {
+		return 0
+	}
+	return f.share * math.Exp2(-float64(now.Sub(f.at))/float64(failureLife))
+}
 
 // Oldest returns how long the oldest unanswered call has waited, or 0.
 func (v *View) Oldest(now time.Time) time.Duration {
@@ -125,7 +129,7 @@
 // Drop discards the report and the failures seen. Unanswered calls stay.
 func (v *View) Drop() {
 	v.report.Store(nil)
-	v.failures.Store(0)
+	v.failures.Store(nil)
 }
 
 // Receive records a load report that arrived with a reply.
@@ -151,16 +155,17 @@
 }
 
 // End records that the call was answered or given up. It is called once for each Flight.
-func (v *View) End(f *Flight, failed bool) {
+func (v *View) End(now time.Time, f *Flight, failed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.inFlight.Add(-1)
 	v.unlink(f)
-	sample := 0.0
+	share := v.Failures(now)
 	if failed {
-		sample = 1
+		v.failures.Store(&failures{share: share + failureWeight*(1-share), at: now})
+	} else if share > 0 {
+		v.failures.Store(&failures{share: share * (1 - failureWeight), at: now})
 	}
-	v.failures.Store(math.Float64bits(v.Failures() + failureWeight*(sample-v.Failures())))
 }
 
 func (v *View) unlink(f *Flight) {
--- a/router/send.go
+++ b/router/send.go
@@ -68,7 +68,7 @@
 	request := c.request(now, view)
 	flight := view.Begin(now)
 	x := r.execute(ctx, view, request)
-	view.End(flight, failed(x.reply))
+	view.End(r.clock.Now(), flight, failed(x.reply))
 	r.observe(view, x)
 	return x
 }
--- a/router/status.go
+++ b/router/status.go
@@ -60,7 +60,7 @@
 		Age:      -1,
 		InFlight: v.InFlight(),
 		Oldest:   v.Oldest(now),
-		Failures: v.Failures(),
+		Failures: v.Failures(now),
 		Delay:    v.Delay(),
 		Latency:  estimate.Latency,
 		Room:     estimate.Room,
@@ -123,7 +123,7 @@
 	estimate := picker.Estimate(now, v)
 	better := 0
 	for _, other := range g.views {
-		if other != v && picker.Estimate(now, other).Better(estimate) {
+		if other != v && picker.Estimate(now, other).Latency < estimate.Latency {
 			better++
 		}
 	}
