--- a/core/core.go
+++ b/core/core.go
@@ -89,6 +89,15 @@
 	Suspects(request *schema.SuspectsRequest) *schema.SuspectsReply
 }
 
+// Suspects is the table of request fingerprints that crashed backend servers, as the exchange between nodes sees it. It
+// is safe for concurrent use.
+type Suspects interface {
+	// Merge takes the records of another node and returns those that changed the table.
+	Merge(now time.Time, records []*schema.Suspect) []*schema.Suspect
+	// Records returns up to max records.
+	Records(now time.Time, max int) []*schema.Suspect
+}
+
 // PeerTransport reaches the Peer of the node at an rpc address. Each error is a *TransportError.
 type PeerTransport interface {
 	Sync(ctx context.Context, address string, request *schema.SyncRequest) (*schema.SyncReply, error)
