Add config: parse documents and settings into messages

Change: TOML to protobuf by reflection over schema/config.proto. Each fault is reported with section, key, line and column. Defaults are applied in one place.

--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,116 @@
+// Package config turns the operators' document and a node's settings into messages, and reports every fault of a text by
+// section, key and line. Field names, types, enumerations and maps come from schema/config.proto alone.
+//
+// Acceptance is a pure function of the text: each node accepts or rejects the same bytes alike.
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+	"google.golang.org/protobuf/proto"
+
+	"verbenareel/schema"
+)
+
+// MaxDocument is the size in bytes up to which a document is accepted; the platform holds values up to 1 MB.
+const MaxDocument = 1 << 20
+
+// ParseDocument returns the accepted document with its defaults, or a *Faults.
+func ParseDocument(text []byte) (*schema.Document, error) {
+	document := &schema.Document{}
+	err := parse(text, document, func(c *checker) {
+		defaultDocument(document, c.present)
+		checkDocument(c, document)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("parse document: %w", err)
+	}
+	return document, nil
+}
+
+// ParseSettings returns the settings of a node with their defaults, or a *Faults.
+func ParseSettings(text []byte) (*schema.Settings, error) {
+	settings := &schema.Settings{}
+	err := parse(text, settings, func(c *checker) {
+		defaultSettings(settings)
+		checkSettings(c, settings)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("parse settings: %w", err)
+	}
+	return settings, nil
+}
+
+// parse decodes text into message and lets check report the faults of its values.
+func parse(text []byte, message proto.Message, check func(*checker)) error {
+	faults := &Faults{}
+	if len(text) > MaxDocument {
+		faults.add(Fault{Line: 1, Column: 1, Message: fmt.Sprintf("has %d bytes; at most %d are accepted", len(text), MaxDocument)})
+		return faults
+	}
+	d := newDecoder(text, faults)
+	d.decode(message.ProtoReflect())
+	check(&checker{source: d.source, partial: d.damaged, rejected: d.rejected})
+	if len(faults.list) == 0 {
+		checkSyntax(d.source)
+	}
+	if len(faults.list) == 0 {
+		return nil
+	}
+	sort.SliceStable(faults.list, func(i, j int) bool {
+		a, b := faults.list[i], faults.list[j]
+		return a.Line < b.Line || a.Line == b.Line && a.Column < b.Column
+	})
+	return faults
+}
+
+// checkSyntax applies the rules of TOML that the expression parser alone does not check, such as a section that extends
+// an inline table.
+func checkSyntax(s *source) {
+	var plain map[string]any
+	err := toml.Unmarshal(s.text, &plain)
+	if err == nil {
+		return
+	}
+	fault := Fault{Line: 1, Column: 1, Message: err.Error()}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		fault.Line, fault.Column = decode.Position()
+	}
+	s.faults.add(fault)
+}
+
+// Sections splits text before each table header. The concatenation of the sections is the text; text before the first
+// header is a section of its own. The part of the text after a syntax error is not split.
+func Sections(text []byte) [][]byte {
+	var sections [][]byte
+	var parser unstable.Parser
+	parser.Reset(text)
+	start := 0
+	for parser.NextExpression() {
+		e := parser.Expression()
+		if e.Kind != unstable.Table && e.Kind != unstable.ArrayTable {
+			continue
+		}
+		key := e.Key()
+		key.Next()
+		cut := bytes.LastIndexByte(text[:key.Node().Raw.Offset], '\n') + 1
+		if cut > start {
+			sections = append(sections, text[start:cut:cut])
+			start = cut
+		}
+	}
+	if start < len(text) {
+		sections = append(sections, text[start:])
+	}
+	return sections
+}
+
+// Hash returns the 64-bit xxHash of text.
+func Hash(text []byte) uint64 { return xxhash.Sum64(text) }
