--- /dev/null
+++ b/peers/exchange_test.go
@@ -0,0 +1,222 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// network is a core.PeerTransport in memory that counts bytes.
+type network struct {
+	mutex sync.RWMutex
+	nodes map[string]core.Peer
+	bytes map[string]*[2]int
+	cut   func(from, to string) bool
+}
+
+type link struct {
+	*network
+	from string
+}
+
+var errCut = errors.New("no path")
+
+func call[Q, R proto.Message](l link, to string, request Q, f func(core.Peer, Q) R) (R, error) {
+	l.mutex.RLock()
+	peer, cut := l.nodes[to], l.cut
+	l.mutex.RUnlock()
+	var none R
+	if peer == nil || cut != nil && cut(l.from, to) {
+		return none, core.NewTransportError(to, schema.Reason_REASON_UNREACHABLE, false, errCut)
+	}
+	reply := f(peer, request)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.bytes[l.from][0] += proto.Size(request)
+	l.bytes[to][0] += proto.Size(reply)
+	l.bytes[l.from][1] += proto.Size(reply)
+	l.bytes[to][1] += proto.Size(request)
+	return reply, nil
+}
+
+func (l link) Sync(_ context.Context, to string, r *schema.SyncRequest) (*schema.SyncReply, error) {
+	return call(l, to, r, core.Peer.Sync)
+}
+
+func (l link) Buckets(_ context.Context, to string, r *schema.BucketsRequest) (*schema.BucketsReply, error) {
+	return call(l, to, r, core.Peer.Buckets)
+}
+
+func (l link) Manifest(_ context.Context, to string, r *schema.ManifestRequest) (*schema.ManifestReply, error) {
+	return call(l, to, r, core.Peer.Manifest)
+}
+
+func (l link) Sections(_ context.Context, to string, r *schema.SectionsRequest) (*schema.SectionsReply, error) {
+	return call(l, to, r, core.Peer.Sections)
+}
+
+func (l link) Suspects(_ context.Context, to string, r *schema.SuspectsRequest) (*schema.SuspectsReply, error) {
+	return call(l, to, r, core.Peer.Suspects)
+}
+
+// service is a core.Platform in memory.
+type service struct {
+	mutex    sync.Mutex
+	changed  chan struct{}
+	revision uint64
+	text     []byte
+	list     []*schema.Member
+	calls    int
+}
+
+func newService() *service { return &service{changed: make(chan struct{})} }
+
+func (p *service) put(text []byte) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.revision++
+	p.text = text
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *service) Document(ctx context.Context, after uint64, wait time.Duration) (uint64, []byte, error) {
+	p.mutex.Lock()
+	p.calls++
+	revision, text, changed := p.revision, p.text, p.changed
+	p.mutex.Unlock()
+	if revision <= after && wait > 0 {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
+		}
+		p.mutex.Lock()
+		revision, text = p.revision, p.text
+		p.mutex.Unlock()
+	}
+	if revision <= after {
+		return revision, nil, nil
+	}
+	return revision, text, nil
+}
+
+func (p *service) Members(context.Context) ([]*schema.Member, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.calls++
+	return p.list, nil
+}
+
+func nodeRecord(i int) *schema.Member {
+	return schema.Member_builder{
+		Instance: fmt.Sprintf("sheets-%d", i), Service: "sheets", Domain: fmt.Sprintf("domain-%d", i%4),
+		Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), Incarnation: uint64(i + 1),
+	}.Build()
+}
+
+// testDocument returns a valid document that differs by its note and has about the given number of rules.
+func testDocument(note, rules int) []byte {
+	text := fmt.Sprintf("deployment = \"test %d\"\n[places.regions.r]\ndelay = \"1ms\"\n", note)
+	for i := range 4 {
+		text += fmt.Sprintf("[places.domains.domain-%d]\nregion = \"r\"\n", i)
+	}
+	text += "[services.sheets]\nslots = 18\ncold_limit = 3\nwarm_time = \"10s\"\nconnections = 260\nprobes_per_second = 10\n"
+	for i := range rules {
+		text += fmt.Sprintf("[[rules]]\npath = \"/sheets/%d/\"\nservice = \"sheets\"\nrepeatable = true\n", i)
+	}
+	return []byte(text + "[[rules]]\npath = \"/\"\nservice = \"sheets\"\n")
+}
+
+// fleet is a group of running exchanges.
+type fleet struct {
+	network *network
+	nodes   []*Exchange
+	cancel  context.CancelFunc
+	group   conc.WaitGroup
+}
+
+func startFleet(n int, platform func(i int) core.Platform, opts func(i int) []Option) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{network: &network{nodes: make(map[string]core.Peer), bytes: make(map[string]*[2]int)}, cancel: cancel}
+	for i := range n {
+		record := nodeRecord(i)
+		l := link{network: f.network, from: record.GetAddress()}
+		f.network.bytes[l.from] = &[2]int{}
+		e := New(record, platform(i), l, clockwork.NewRealClock(), opts(i)...)
+		f.network.nodes[l.from] = e
+		f.nodes = append(f.nodes, e)
+	}
+	for _, e := range f.nodes {
+		f.group.Go(func() { _ = e.Run(ctx) })
+	}
+	return f
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	f.group.Wait()
+}
+
+// eventually waits until each node satisfies the condition and returns the time that took.
+func (f *fleet) eventually(c *qt.C, limit time.Duration, what string, condition func(*Exchange) bool) time.Duration {
+	c.Helper()
+	start := time.Now()
+	for {
+		met := 0
+		for _, e := range f.nodes {
+			if condition(e) {
+				met++
+			}
+		}
+		if met == len(f.nodes) {
+			return time.Since(start)
+		}
+		if time.Since(start) > limit {
+			c.Fatalf("%s: %d of %d nodes after %v", what, met, len(f.nodes), limit)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func atRevision(revision uint64) func(*Exchange) bool {
+	return func(e *Exchange) bool { return e.Snapshot() != nil && e.Snapshot().Revision() == revision }
+}
+
+// Guards against a change that only the nodes that read the platform learn of, and against members that are not spread.
+func TestExchangeSpreads(t *testing.T) {
+	c := qt.New(t)
+	platform := newService()
+	platform.put(testDocument(1, 20))
+	seeds := []string{nodeRecord(0).GetAddress()}
+	f := startFleet(14, func(i int) core.Platform {
+		if i >= 2 {
+			return nil
+		}
+		return platform
+	}, func(int) []Option { return []Option{WithSeeds(seeds)} })
+	defer f.stop()
+	f.eventually(c, 10*time.Second, "first revision", atRevision(1))
+	f.eventually(c, 10*time.Second, "members", func(e *Exchange) bool { return len(e.Snapshot().Instances("sheets")) == 14 })
+	platform.put(testDocument(2, 20))
+	c.Log("change in force after", f.eventually(c, 4*time.Second, "second revision", atRevision(2)))
+	f.nodes[3].Announce(schema.InstanceState_INSTANCE_STATE_LEAVING)
+	c.Log("leaving known after", f.eventually(c, 3*time.Second, "leaving", func(e *Exchange) bool {
+		return e.Snapshot().Instance("sheets-3").State() == schema.InstanceState_INSTANCE_STATE_LEAVING
+	}))
+}
--- /dev/null
+++ b/peers/status.go
@@ -0,0 +1,94 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"verbenareel/schema"
+)
+
+// Status is a picture of the exchange at one time.
+type Status struct {
+	// Revision is the accepted revision, or 0; Manifest is the hash of its block hashes.
+	Revision, Manifest uint64
+	// Rejected is the last revision that was not accepted, or 0; Faults says why, as a *config.Faults in its chain.
+	Rejected   uint64
+	RejectedAt time.Time
+	Faults     error
+	// Members lists the records in force by name.
+	Members []*schema.Member
+	// Contacts holds the time of the last direct exchange with each other member, or of its first record.
+	Contacts map[string]time.Time
+	// Contact is the last exchange with any peer; Confirmed the last time at which the platform is known to have held
+	// no higher revision.
+	Contact, Confirmed time.Time
+	// Reader tells whether the node watches the platform on behalf of its failure domain.
+	Reader   bool
+	Fresh    bool
+	Counters Counters
+}
+
+// Status returns a picture of the state.
+func (s *State) Status(now time.Time) Status {
+	status := Status{
+		Revision: s.Revision(), Manifest: s.manifest(),
+		Rejected: s.rejected.revision, RejectedAt: s.rejected.at, Faults: s.rejected.faults,
+		Members: s.table.effective(), Contacts: make(map[string]time.Time, len(s.table.order)),
+		Contact: s.contact, Confirmed: s.confirmed, Reader: s.platform && s.reader(now), Fresh: s.Fresh(now),
+		Counters: s.counters,
+	}
+	for _, m := range s.table.order {
+		if m.name != s.self.GetInstance() {
+			status.Contacts[m.name] = m.contact
+		}
+	}
+	return status
+}
+
+// list returns the counters by the names that metrics give them.
+func (c *Counters) list() map[string]uint64 {
+	return map[string]uint64{
+		"syncs_sent": c.SyncsSent, "syncs_failed": c.SyncsFailed, "syncs_received": c.SyncsReceived,
+		"announcements": c.Announcements, "pulls": c.Pulls, "pulls_failed": c.PullsFailed,
+		"documents_accepted": c.Accepted, "documents_rejected": c.Rejected, "documents_lower": c.Lower,
+		"documents_conflicting": c.Conflicts, "platform_calls": c.PlatformCalls, "platform_failures": c.PlatformFailures,
+		"platform_held": c.PlatformHeld, "platform_stale": c.PlatformStale, "pauses": c.Pauses,
+		"members_removed": c.Removed, "snapshots_published": c.Published, "dropped": c.Dropped,
+	}
+}
+
+// collector gives the counters and gauges of an exchange to Prometheus.
+type collector struct {
+	exchange *Exchange
+	events   *prometheus.Desc
+	revision *prometheus.Desc
+	members  *prometheus.Desc
+}
+
+func newCollector(e *Exchange) *collector {
+	return &collector{
+		exchange: e,
+		events: prometheus.NewDesc("verbenareel_peers_events_total",
+			"Events of the exchange between nodes.", []string{"event"}, nil),
+		revision: prometheus.NewDesc("verbenareel_peers_revision", "Accepted revision of the document.", nil, nil),
+		members:  prometheus.NewDesc("verbenareel_peers_members", "Known members.", nil, nil),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(out chan<- *prometheus.Desc) {
+	out <- c.events
+	out <- c.revision
+	out <- c.members
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	status := c.exchange.Status()
+	for name, n := range status.Counters.list() {
+		out <- prometheus.MustNewConstMetric(c.events, prometheus.CounterValue, float64(n), name)
+	}
+	out <- prometheus.MustNewConstMetric(c.revision, prometheus.GaugeValue, float64(status.Revision))
+	out <- prometheus.MustNewConstMetric(c.members, prometheus.GaugeValue, float64(len(status.Members)))
+}
