--- a/picker/view.go
+++ b/picker/view.go
@@ -160,6 +160,17 @@
 	defer v.mu.Unlock()
 	v.inFlight.Add(-1)
 	v.unlink(f)
+	v.record(now, failed)
+}
+
+// Fail records a failure without an unanswered call, such as a call that a hedge overtook.
+func (v *View) Fail(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.record(now, true)
+}
+
+func (v *View) record(now time.Time, failed bool) {
 	share := v.Failures(now)
 	if failed {
 		v.failures.Store(&failures{share: share + failureWeight*(1-share), at: now})
--- a/router/call.go
+++ b/router/call.go
@@ -22,6 +22,8 @@
 	fingerprint uint64
 	ticket      *schema.Ticket
 	suspect     bool
+	// refusal is the reason of the last refusal of a ticket.
+	refusal schema.Reason
 	// tried holds the instances that the call was sent to.
 	tried []*picker.View
 	// possible is the reply of an attempt that ran or may have run. Once it is set, the call cannot end as not run.
@@ -38,7 +40,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, c.deadline.Sub(start))
 	defer stop()
-	c.group.usage.called(c.rule.GetRepeatable())
+	c.group.usage.called(start, c.rule.GetRepeatable())
 	reply := r.run(ctx, c)
 	r.metrics.finished(c.rule.GetService(), reply, r.clock.Now().Sub(start))
 	return reply
@@ -59,7 +61,7 @@
 func (r *Router) accept(now time.Time, input *core.Call) (*call, *schema.ExecuteReply) {
 	t := r.current(now)
 	if t.snapshot == nil {
-		return nil, core.NotRun(schema.Reason_REASON_NO_CONFIGURATION)
+		return nil, final(core.NotRun(schema.Reason_REASON_NO_CONFIGURATION))
 	}
 	if input.Depth >= core.MaxDepth {
 		return nil, final(core.NotRun(schema.Reason_REASON_DEPTH))
@@ -67,17 +69,17 @@
 	rule := t.snapshot.Route(input.Method, input.Path)
 	g := t.groups[rule.GetService()]
 	if g == nil {
-		return nil, core.NotRun(schema.Reason_REASON_NO_RULE)
+		return nil, final(core.NotRun(schema.Reason_REASON_NO_RULE))
 	}
 	if bound := g.settings.GetMaxBody(); bound > 0 && len(input.Body) > int(bound) {
-		return nil, core.NotRun(schema.Reason_REASON_TOO_LARGE)
+		return nil, final(core.NotRun(schema.Reason_REASON_TOO_LARGE))
 	}
 	timeout := g.settings.GetTimeout().AsDuration()
 	if input.Timeout > 0 {
 		timeout = min(timeout, input.Timeout)
 	}
 	c := &call{input: input, rule: rule, group: g, deadline: now.Add(timeout)}
-	c.fingerprint = fingerprint(rule.GetService(), input)
+	c.fingerprint = core.Fingerprint(rule.GetService(), input.Method, input.URI, input.Body)
 	if !rule.GetRepeatable() {
 		c.ticket = input.Ticket
 	}
@@ -100,7 +102,17 @@
 		if attempt > 0 {
 			r.metrics.retried(c.rule.GetService(), last.GetReason())
 		}
-		last = r.attempt(ctx, c, view)
+		begin := r.clock.Now()
+		if attempt == 0 {
+			last = r.hedged(ctx, c, view)
+		} else {
+			last = r.attempt(ctx, c, view)
+		}
+		now := r.clock.Now()
+		if succeeded(last) {
+			c.group.usage.answered(now.Sub(begin))
+		}
+		c.group.usage.refused(now, last.GetReason())
 		if ctx.Err() != nil || !retryable(last) {
 			break
 		}
--- a/router/metric.go
+++ b/router/metric.go
@@ -40,8 +40,8 @@
 		}, []string{"service"}),
 		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenareel_router_hedges_total",
-			Help: "Hedges by service and by whether the hedge replied first.",
-		}, []string{"service", "result"}),
+			Help: "Hedges by service and by the attempt whose reply was used.",
+		}, []string{"service", "winner"}),
 	}
 }
 
@@ -68,6 +68,10 @@
 	m.retries.WithLabelValues(service, core.ReasonName(reason)).Inc()
 }
 
+func (m *metrics) hedged(service, winner string) {
+	m.hedges.WithLabelValues(service, winner).Inc()
+}
+
 func (m *metrics) budgetSpent(service string) {
 	m.denied.WithLabelValues(service).Inc()
 }
--- a/router/router.go
+++ b/router/router.go
@@ -35,9 +35,12 @@
 	chooser   core.Chooser
 	logger    *zap.Logger
 	metrics   *metrics
-	tasks     conc.WaitGroup
 	done      chan struct{}
 
+	spawning sync.Mutex
+	stopped  bool
+	tasks    conc.WaitGroup
+
 	table  atomic.Pointer[table]
 	mu     sync.Mutex
 	views  map[string]*picker.View
@@ -94,8 +97,7 @@
 // Run ticks until ctx ends and then waits for cancelled hedges. It discards the view of load after a pause of the
 // process and keeps the neutral values and the hedging delay current.
 func (r *Router) Run(ctx context.Context) error {
-	defer close(r.done)
-	defer r.tasks.Wait()
+	defer r.stop()
 	last := r.clock.Now()
 	for {
 		select {
@@ -190,7 +192,7 @@
 		g.usage = &usage{}
 		r.usages[name] = g.usage
 	}
-	g.usage.configure(now, settings)
+	g.usage.configure(settings)
 	g.refresh(now)
 	return g
 }
--- a/router/send.go
+++ b/router/send.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"verbenareel/core"
 	"verbenareel/picker"
 	"verbenareel/schema"
@@ -26,9 +24,12 @@
 	replied bool
 }
 
-// request returns the message for one send of the call, with a fresh attempt number.
+// request returns the message for one send of the call, with a fresh attempt number, or nil if too little time is left.
 func (c *call) request(now time.Time, view *picker.View) *schema.ExecuteRequest {
 	remaining := c.deadline.Sub(now) - view.Delay()
+	if remaining <= 0 {
+		return nil
+	}
 	return schema.ExecuteRequest_builder{
 		Attempt:     rand.Uint64(),
 		Instance:    view.Instance().Name(),
@@ -48,25 +49,17 @@
 	}.Build()
 }
 
-// fingerprint returns the hash of service, method, uri and body.
-func fingerprint(service string, input *core.Call) uint64 {
-	d := xxhash.New()
-	for _, field := range []string{service, input.Method, input.URI} {
-		_, _ = d.WriteString(field)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(input.Body)
-	return d.Sum64()
-}
-
 // send sends the call to one instance and records what the reply says of its load.
 func (r *Router) send(ctx context.Context, c *call, view *picker.View) exchange {
-	now := r.clock.Now()
-	if c.deadline.Sub(now) <= view.Delay() {
+	return r.sendRequest(ctx, view, c.request(r.clock.Now(), view))
+}
+
+// sendRequest sends a message to the instance; a nil message is out of time.
+func (r *Router) sendRequest(ctx context.Context, view *picker.View, request *schema.ExecuteRequest) exchange {
+	if request == nil {
 		return exchange{reply: core.NotRun(schema.Reason_REASON_DEADLINE)}
 	}
-	request := c.request(now, view)
-	flight := view.Begin(now)
+	flight := view.Begin(r.clock.Now())
 	x := r.execute(ctx, view, request)
 	view.End(r.clock.Now(), flight, failed(x.reply))
 	r.observe(view, x)
@@ -86,11 +79,19 @@
 
 // observe updates the view from a reply.
 func (r *Router) observe(view *picker.View, x exchange) {
-	if x.replied {
-		view.Reached()
+	if !x.replied {
+		return
 	}
-	if x.reply.HasLoad() {
-		view.Receive(r.clock.Now(), core.NewLoadReport(x.reply.GetLoad()))
+	now := r.clock.Now()
+	view.Reached()
+	switch x.reply.GetReason() {
+	case schema.Reason_REASON_WRONG_INSTANCE, schema.Reason_REASON_NO_CONFIGURATION, schema.Reason_REASON_PAUSED:
+		// The node answers, but not yet for this instance.
+		view.Lost(now)
+	default:
+		if x.reply.HasLoad() {
+			view.Receive(now, core.NewLoadReport(x.reply.GetLoad()))
+		}
 	}
 }
 
@@ -142,10 +143,7 @@
 
 // cancel withdraws a sent call whose time is up and returns its outcome: it did not run only if the guard says so.
 func (r *Router) cancel(ctx context.Context, view *picker.View, request *schema.ExecuteRequest) *schema.ExecuteReply {
-	reason := schema.Reason_REASON_CANCELLED
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = schema.Reason_REASON_DEADLINE
-	}
+	reason := endReason(ctx)
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout+view.Delay())
 	defer stop()
 	message := schema.CancelRequest_builder{Attempt: request.GetAttempt()}.Build()
@@ -155,3 +153,11 @@
 	}
 	return core.Unknown(reason)
 }
+
+// endReason returns why a context has ended.
+func endReason(ctx context.Context) schema.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return schema.Reason_REASON_DEADLINE
+	}
+	return schema.Reason_REASON_CANCELLED
+}
