Join the parts to nodes, with command line, demonstration and process tests

Cause: the whole path has to run end to end through separate processes before its parts are refined. Change: package node (wiring, status, graceful shutdown), package trial (fleet, demonstration, scenarios), the command line, and tests that build the binary and run node and stand-in processes.

--- /dev/null
+++ b/cmd/verbenareel/commands.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	stdio "io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"verbenareel/config"
+	"verbenareel/load"
+	"verbenareel/node"
+	"verbenareel/trial"
+)
+
+// statusTimeout bounds a request to a node's status address.
+const statusTimeout = 5 * time.Second
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run one node beside its backend server",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "TOML settings `FILE` of the node"},
+		},
+		Action: runNode,
+	}
+}
+
+func runNode(ctx context.Context, c *cli.Command) error {
+	text, err := os.ReadFile(c.String("settings"))
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	settings, err := config.ParseSettings(text)
+	if err != nil {
+		return fmt.Errorf("settings %s: %w", c.String("settings"), err)
+	}
+	logger, err := newLogger(settings.GetLogLevel())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = logger.Sync() }()
+	n, err := node.New(settings, node.WithLogger(logger))
+	if err != nil {
+		return fmt.Errorf("start the node: %w", err)
+	}
+	return n.Run(ctx)
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check configuration documents or settings files and list every fault",
+		ArgsUsage: "FILE...",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "settings", Usage: "the files are settings of a node, not documents"},
+		},
+		Action: runCheck,
+	}
+}
+
+// faultyError reports the number of files with faults; the faults themselves were printed.
+type faultyError struct {
+	files int
+}
+
+// Error implements error.
+func (e *faultyError) Error() string { return fmt.Sprintf("%d files have faults", e.files) }
+
+func runCheck(_ context.Context, c *cli.Command) error {
+	if c.NArg() == 0 {
+		return &usageError{err: errors.New("check needs at least one file")}
+	}
+	faulty := 0
+	for _, path := range c.Args().Slice() {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		if c.Bool("settings") {
+			_, err = config.ParseSettings(text)
+		} else {
+			_, err = config.ParseDocument(text)
+		}
+		if err != nil {
+			faulty++
+			_, _ = fmt.Fprintf(c.Root().Writer, "%s:\n%v\n", path, err)
+			continue
+		}
+		_, _ = fmt.Fprintf(c.Root().Writer, "%s: ok\n", path)
+	}
+	if faulty > 0 {
+		return &faultyError{files: faulty}
+	}
+	return nil
+}
+
+func addressFlag() cli.Flag {
+	return &cli.StringFlag{Name: "address", Aliases: []string{"a"}, Required: true, Usage: "status `IP:PORT` of a node"}
+}
+
+// fetch returns the body of a page of a node's status address.
+func fetch(ctx context.Context, address, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("status address: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("ask the node: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := stdio.ReadAll(response.Body)
+	if err != nil {
+		return nil, fmt.Errorf("read the node's answer: %w", err)
+	}
+	return body, nil
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show a node's view: revision, state and limit of each instance",
+		Flags: []cli.Flag{addressFlag(), &cli.BoolFlag{Name: "json", Usage: "print JSON"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			body, err := fetch(ctx, c.String("address"), "/status")
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				_, _ = fmt.Fprintln(c.Root().Writer, string(body))
+				return nil
+			}
+			var report node.Report
+			if err := json.Unmarshal(body, &report); err != nil {
+				return fmt.Errorf("decode the node's status: %w", err)
+			}
+			return writeStatus(c.Root().Writer, report)
+		},
+	}
+}
+
+func writeStatus(w stdio.Writer, r node.Report) error {
+	_, _ = fmt.Fprintf(w, "instance %s  service %s  failure domain %s\nrevision %d  state %s  in flight %d  queued %d  limit %d\n",
+		r.Instance, r.Service, r.Domain, r.Revision, r.State, r.InFlight, r.Queued, r.Limit)
+	if r.Rejected != "" {
+		_, _ = fmt.Fprintf(w, "rejected document: %s\n", r.Rejected)
+	}
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "instance\tservice\tfailure domain\tstate\twhy")
+	for _, i := range r.Instances {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", i.Instance, i.Service, i.Domain, i.State, i.Why)
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write the status: %w", err)
+	}
+	return nil
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "say why an instance gets work from a node, or none",
+		ArgsUsage: "INSTANCE",
+		Flags:     []cli.Flag{addressFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.NArg() != 1 {
+				return &usageError{err: errors.New("explain needs the name of one instance")}
+			}
+			body, err := fetch(ctx, c.String("address"), "/explain/"+c.Args().First())
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprint(c.Root().Writer, string(body))
+			return nil
+		},
+	}
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run 14 nodes with stand-ins in this process, break things, and check the promises",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warn or error"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			logger, err := newLogger(c.String("log-level"))
+			if err != nil {
+				return err
+			}
+			return trial.Demo(ctx, c.Root().Writer, logger)
+		},
+	}
+}
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "send calls to nodes in an open loop and print outcomes and percentiles",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "target", Aliases: []string{"t"}, Required: true, Usage: "HTTP `IP:PORT` of a node; repeat for more"},
+			&cli.StringSliceFlag{Name: "get", Usage: "path of repeatable calls; repeat for more"},
+			&cli.StringSliceFlag{Name: "post", Usage: "path of calls that may not repeat; repeat for more"},
+			&cli.Float64Flag{Name: "rate", Value: 100, Usage: "calls a second"},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "time in which calls arrive"},
+			&cli.DurationFlag{Name: "timeout", Value: 2 * time.Second, Usage: "time allowed for an attempt"},
+			&cli.IntFlag{Name: "resends", Value: 3, Usage: "resends of a call with an unknown outcome"},
+			&cli.IntFlag{Name: "body", Usage: "bytes in the body of each call"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx context.Context, c *cli.Command) error {
+	plan := load.Plan{
+		Targets:  c.StringSlice("target"),
+		Rate:     c.Float64("rate"),
+		Duration: c.Duration("duration"),
+		Timeout:  c.Duration("timeout"),
+		Resends:  c.Int("resends"),
+	}
+	for _, path := range c.StringSlice("get") {
+		plan.Classes = append(plan.Classes, newClass("GET", path, true, c.Int("body")))
+	}
+	for _, path := range c.StringSlice("post") {
+		plan.Classes = append(plan.Classes, newClass("POST", path, false, c.Int("body")))
+	}
+	summary, err := load.Run(ctx, plan)
+	if err != nil {
+		return err
+	}
+	if !c.Bool("json") {
+		return summary.WriteTable(c.Root().Writer)
+	}
+	encoder := json.NewEncoder(c.Root().Writer)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(summary.Records()); err != nil {
+		return fmt.Errorf("write JSON: %w", err)
+	}
+	return nil
+}
+
+func newClass(method, path string, repeatable bool, body int) load.Class {
+	name := method + " " + strings.TrimSuffix(path, "/")
+	return load.Class{Name: name, Method: method, Path: path, Weight: 1, Repeatable: repeatable, BodySize: body}
+}
--- /dev/null
+++ b/cmd/verbenareel/main.go
@@ -0,0 +1,77 @@
+// Command verbenareel runs a node of the load balancer, checks its configuration, shows its state and measures it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := newCommand().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "verbenareel:", err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "verbenareel",
+		Usage: "load balancer for backend servers whose load shifts in milliseconds",
+		Description: "Each backend server instance has one node beside it. Callers send HTTP requests to any node.\n" +
+			"Start with: verbenareel demo",
+		Commands: []*cli.Command{
+			nodeCommand(),
+			checkCommand(),
+			statusCommand(),
+			explainCommand(),
+			demoCommand(),
+			loadCommand(),
+			trialCommand(),
+			fakeCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &usageError{err: err}
+		},
+	}
+}
+
+// usageError reports wrong flags or arguments in one line.
+type usageError struct {
+	err error
+}
+
+// Error implements error.
+func (e *usageError) Error() string { return e.err.Error() + " (see --help)" }
+
+// Unwrap returns the cause.
+func (e *usageError) Unwrap() error { return e.err }
+
+// newLogger returns a logger that writes JSON lines to standard error.
+func newLogger(level string) (*zap.Logger, error) {
+	if level == "" {
+		level = "info"
+	}
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(parsed)
+	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	logger, err := config.Build()
+	if err != nil {
+		return nil, fmt.Errorf("build the logger: %w", err)
+	}
+	return logger, nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,268 @@
+// Package node joins the parts of one node: guard, router, exchange with peers, and the listeners.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"verbenareel/core"
+	"verbenareel/guard"
+	"verbenareel/io"
+	"verbenareel/peers"
+	"verbenareel/plat"
+	"verbenareel/poison"
+	"verbenareel/router"
+	"verbenareel/schema"
+	"verbenareel/ticket"
+)
+
+const (
+	// suspectCapacity bounds the table of suspect requests.
+	suspectCapacity = 1024
+	// suspectLife is the time for which a suspect or refused request is remembered.
+	suspectLife = 10 * time.Minute
+	// pushedSuspects bounds the records in one push; the latest come first, so those of a new crash are among them.
+	pushedSuspects = 64
+	// freshInterval is the time between two looks at whether the exchange has caught up after a pause.
+	freshInterval = 5 * time.Millisecond
+	// stateInterval is the time between two comparisons of the guard's state with the announced one.
+	stateInterval = 100 * time.Millisecond
+	// defaultDrainTimeout bounds a graceful shutdown if the settings give no time.
+	defaultDrainTimeout = 30 * time.Second
+)
+
+// Node is one process of the system, beside one backend server.
+type Node struct {
+	settings  *schema.Settings
+	self      *schema.Member
+	clock     core.Clock
+	logger    *zap.Logger
+	registry  *prometheus.Registry
+	guard     *guard.Guard
+	router    *router.Router
+	exchange  *peers.Exchange
+	backend   *io.Backend
+	transport *io.Transport
+	server    *io.Server
+	front     *io.Front
+	status    *status
+	chooser   core.Chooser
+	done      chan struct{}
+}
+
+// Option changes a Node at its creation.
+type Option func(*Node)
+
+// WithLogger sets the logger; the default logs nothing.
+func WithLogger(logger *zap.Logger) Option {
+	return func(n *Node) { n.logger = logger }
+}
+
+// WithClock sets the clock.
+func WithClock(clock core.Clock) Option {
+	return func(n *Node) { n.clock = clock }
+}
+
+// WithChooser replaces the chooser of the router, for comparisons.
+func WithChooser(chooser core.Chooser) Option {
+	return func(n *Node) { n.chooser = chooser }
+}
+
+// New opens the listeners of a node and joins its parts. Run starts it.
+func New(settings *schema.Settings, opts ...Option) (*Node, error) {
+	n := &Node{
+		settings: settings,
+		clock:    clockwork.NewRealClock(),
+		logger:   zap.NewNop(),
+		registry: prometheus.NewRegistry(),
+		done:     make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(n)
+	}
+	n.logger = n.logger.With(zap.String("instance", settings.GetInstance()))
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if err := n.listen(); err != nil {
+		n.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// listen builds the parts. The rpc listener comes first: its port belongs to the node's own member record.
+func (n *Node) listen() error {
+	now := n.clock.Now()
+	incarnation := rand.Uint64()
+	n.self = schema.Member_builder{
+		Instance:    n.settings.GetInstance(),
+		Service:     n.settings.GetService(),
+		Domain:      n.settings.GetDomain(),
+		Address:     n.settings.GetRpcAddress(),
+		Incarnation: incarnation,
+		Version:     uint64(now.UnixMilli()),
+		State:       schema.InstanceState_INSTANCE_STATE_SERVING,
+	}.Build()
+	suspects := poison.New(suspectCapacity, suspectLife)
+	n.transport = io.NewTransport(n.clock, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+	n.backend = io.NewBackend(n.settings.GetBackendAddress(), io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+	n.exchange = peers.New(n.self, n.platform(), n.transport, n.clock, peers.WithSeeds(n.settings.GetSeeds()),
+		peers.WithLogger(n.logger), peers.WithRegisterer(n.registry), peers.WithSuspects(suspects))
+	store := ticket.New(n.settings.GetInstance(), incarnation, now)
+	n.guard = guard.New(n.self, n.exchange, n.backend, store, n.clock, guard.WithLogger(n.logger),
+		guard.WithRegisterer(n.registry), guard.WithSuspects(suspects), guard.WithRecheck(n.waitFresh),
+		guard.WithSuspectPush(func(ctx context.Context, _ []uint64) {
+			records := suspects.Records(n.clock.Now(), pushedSuspects)
+			n.exchange.PushSuspects(ctx, n.settings.GetService(), records)
+		}))
+	routerOptions := []router.Option{router.WithLogger(n.logger), router.WithRegisterer(n.registry)}
+	if n.chooser != nil {
+		routerOptions = append(routerOptions, router.WithChooser(n.chooser))
+	}
+	n.router = router.New(n.self, n.exchange, n.guard, n.transport, n.clock, routerOptions...)
+
+	var err error
+	n.server, err = io.NewServer(n.settings.GetRpcAddress(), n.guard, n.exchange, io.WithLogger(n.logger))
+	if err != nil {
+		return fmt.Errorf("open the rpc listener: %w", err)
+	}
+	n.front, err = io.NewFront(n.settings.GetHttpAddress(), n.router, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+	if err != nil {
+		return fmt.Errorf("open the HTTP listener: %w", err)
+	}
+	n.status, err = newStatus(n.settings.GetStatusAddress(), n)
+	if err != nil {
+		return fmt.Errorf("open the status listener: %w", err)
+	}
+	return nil
+}
+
+func (n *Node) platform() core.Platform {
+	if n.settings.GetPlatformUrl() == "" {
+		return nil
+	}
+	return plat.New(n.settings.GetPlatformUrl(), n.clock)
+}
+
+// HTTPAddress returns the address for callers.
+func (n *Node) HTTPAddress() string { return n.front.Addr() }
+
+// RPCAddress returns the address for other nodes.
+func (n *Node) RPCAddress() string { return n.server.Addr() }
+
+// StatusAddress returns the address of metrics and status.
+func (n *Node) StatusAddress() string { return n.status.Addr() }
+
+// Exchange returns the node's configuration and members.
+func (n *Node) Exchange() *peers.Exchange { return n.exchange }
+
+// Guard returns the guard of the node's backend server.
+func (n *Node) Guard() *guard.Guard { return n.guard }
+
+// Registry returns the node's metrics.
+func (n *Node) Registry() *prometheus.Registry { return n.registry }
+
+// Done is closed when Run has returned.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Run serves until ctx ends, then shuts down gracefully: requests in progress are finished first.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	defer n.close()
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer stop()
+	failures := make(chan error, 8)
+	start := func(name string, run func(context.Context) error) {
+		group.Go(func() {
+			if err := run(running); err != nil && !errors.Is(err, context.Canceled) {
+				failures <- fmt.Errorf("%s: %w", name, err)
+			}
+		})
+	}
+	start("exchange with peers", n.exchange.Run)
+	start("guard", n.guard.Run)
+	start("router", n.router.Run)
+	start("rpc server", n.server.Serve)
+	start("HTTP front", n.front.Serve)
+	start("status server", n.status.Serve)
+	start("state watch", n.watchState)
+	n.logger.Info("node started", zap.String("http", n.HTTPAddress()), zap.String("rpc", n.RPCAddress()),
+		zap.String("status", n.StatusAddress()))
+	select {
+	case <-ctx.Done():
+		return n.shutdown()
+	case err := <-failures:
+		return err
+	}
+}
+
+// shutdown announces that the instance leaves, finishes what runs and closes the listeners.
+func (n *Node) shutdown() error {
+	n.logger.Info("graceful shutdown started")
+	limit := n.settings.GetDrainTimeout().AsDuration()
+	if limit <= 0 {
+		limit = defaultDrainTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	n.exchange.Announce(schema.InstanceState_INSTANCE_STATE_LEAVING)
+	if err := n.guard.Drain(ctx); err != nil {
+		return fmt.Errorf("drain the guard: %w", err)
+	}
+	if err := n.front.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down the HTTP front: %w", err)
+	}
+	if err := n.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down the rpc server: %w", err)
+	}
+	n.logger.Info("graceful shutdown finished")
+	return nil
+}
+
+// watchState announces when the backend server begins or stops leaving.
+func (n *Node) watchState(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.clock.After(stateInterval):
+		}
+		state := schema.InstanceState_INSTANCE_STATE_SERVING
+		if n.guard.Load().State == schema.InstanceState_INSTANCE_STATE_LEAVING {
+			state = schema.InstanceState_INSTANCE_STATE_LEAVING
+		}
+		n.exchange.Announce(state)
+	}
+}
+
+// waitFresh waits until the exchange has caught up after a pause of the process.
+func (n *Node) waitFresh(ctx context.Context) error {
+	for !n.exchange.Fresh() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the exchange: %w", ctx.Err())
+		case <-n.clock.After(freshInterval):
+		}
+	}
+	return nil
+}
+
+// close releases what New opened.
+func (n *Node) close() {
+	if n.transport != nil {
+		_ = n.transport.Close()
+	}
+	if n.backend != nil {
+		_ = n.backend.Close()
+	}
+}
--- /dev/null
+++ b/proof/config_test.go
@@ -0,0 +1,154 @@
+package proof
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+
+	"verbenareel/fakes"
+	"verbenareel/load"
+	"verbenareel/trial"
+)
+
+// inForceLimit is the promised time from a change at the platform to its effect on every node.
+const inForceLimit = 4 * time.Second
+
+// TestConfigurationInForce guards against a revision that takes longer than 4 s to reach a node, with every node
+// connected to the platform, with half of them cut off, and with the platform stale for half of them.
+func TestConfigurationInForce(t *testing.T) {
+	cuts := map[string]func(*fleet){
+		"connected": func(*fleet) {},
+		"half cut off": func(f *fleet) {
+			for k, i := range f.instances {
+				if k%2 == 0 {
+					i.platformURL = "http://" + freeAddress(f.t)
+				}
+			}
+		},
+		"stale for half": func(f *fleet) {
+			stale, err := fakes.NewPlatform("127.0.0.1:0", 0)
+			qt.Assert(f.t, err, qt.IsNil)
+			f.serve(stale)
+			stale.Publish(f.shape.Document())
+			for k, i := range f.instances {
+				if k%2 == 0 {
+					i.platformURL = stale.URL()
+				}
+			}
+		},
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, trial.Kitami(), cut)
+			slowest := time.Duration(0)
+			for range 20 {
+				revision := f.platform.Publish(f.shape.Document())
+				slowest = max(slowest, waitRevision(t, f.instances, revision))
+			}
+			t.Logf("slowest of 20 changes: %v", slowest)
+			checkCallBudget(t, f)
+		})
+	}
+}
+
+// checkCallBudget compares the calls at the platform with 2,000 a second for 840 nodes.
+func checkCallBudget(t *testing.T, f *fleet) {
+	t.Helper()
+	before := f.platform.Calls()
+	time.Sleep(3 * time.Second)
+	rate := float64(f.platform.Calls()-before) / 3
+	limit := 2000.0 / 840 * float64(len(f.instances))
+	t.Logf("platform calls: %.1f a second, limit %.1f", rate, limit)
+	qt.Check(t, rate <= limit, qt.IsTrue)
+}
+
+// TestRevisionNeverFalls guards against a node that goes back to an older document when the platform serves one, also
+// after the node was frozen, and when its process is replaced while the platform is stale.
+func TestRevisionNeverFalls(t *testing.T) {
+	f := startFleet(t, small(2))
+	newest := f.platform.Publish(f.shape.Document())
+	waitRevision(t, f.instances, newest)
+
+	frozen := f.instances[1]
+	frozen.node.signal(syscall.SIGSTOP)
+	newest = f.platform.Publish(f.shape.Document())
+	others := append([]*instance{f.instances[0]}, f.instances[2:]...)
+	waitRevision(t, others, newest)
+	f.platform.SetMode(fakes.ModeDown)
+	frozen.node.signal(syscall.SIGCONT)
+	waitRevision(t, f.instances, newest)
+
+	replaced := f.instances[2]
+	replaced.node.signal(syscall.SIGKILL)
+	<-replaced.node.exited
+	f.startNode(replaced)
+	waitRevision(t, f.instances, newest)
+}
+
+// TestFailureDomainOut guards against new work in a failure domain 3 s after it was taken out of service, from any node,
+// also from one that was frozen during the change.
+func TestFailureDomainOut(t *testing.T) {
+	f := startFleet(t, trial.Kitami())
+	var group conc.WaitGroup
+	var summary *load.Summary
+	group.Go(func() {
+		summary, _ = load.Run(context.Background(), load.Plan{
+			Targets: f.targets(), Classes: trial.KitamiClasses(), Rate: 400, Duration: 9 * time.Second, Resends: 3, Timeout: 2 * time.Second,
+		})
+	})
+	time.Sleep(2 * time.Second)
+	frozen := f.instances[0]
+	frozen.node.signal(syscall.SIGSTOP)
+	const out = "asahikawa"
+	f.platform.Publish(f.shape.Document(out))
+	limit := time.Now().Add(3 * time.Second)
+	time.Sleep(time.Until(limit) + 500*time.Millisecond)
+	frozen.node.signal(syscall.SIGCONT)
+	group.Wait()
+	for _, i := range f.instances {
+		last := time.UnixMilli(i.stats(t).LastRun)
+		if i.domain == out {
+			qt.Check(t, last.After(limit), qt.IsFalse, qt.Commentf("%s began a call %v after the limit", i.name, last.Sub(limit)))
+		}
+	}
+	t.Logf("answered %d of %d", summary.Count(load.OutcomeAnswered), summary.Total())
+}
+
+// TestGracefulShutdown guards against calls that a planned stop cuts off, and against a stop that hangs or fails.
+func TestGracefulShutdown(t *testing.T) {
+	shape := small(3)
+	shape.ServiceTime = 60
+	f := startFleet(t, shape)
+	var group conc.WaitGroup
+	var summary *load.Summary
+	stopped := f.instances[0]
+	group.Go(func() {
+		summary, _ = load.Run(context.Background(), load.Plan{
+			Targets: f.targets()[1:], Classes: trial.KitamiClasses(), Rate: 60, Duration: 5 * time.Second, Resends: 0, Timeout: 2 * time.Second,
+		})
+	})
+	time.Sleep(2 * time.Second)
+	stopped.node.signal(syscall.SIGTERM)
+	select {
+	case <-stopped.node.exited:
+		qt.Check(t, stopped.node.err, qt.IsNil)
+	case <-time.After(10 * time.Second):
+		t.Error("the node did not stop within 10 s")
+	}
+	limit := time.Now().Add(3 * time.Second)
+	group.Wait()
+	stats := stopped.stats(t)
+	qt.Check(t, stats.Completed, qt.Equals, stats.Runs)
+	qt.Check(t, time.UnixMilli(stats.LastRun).Before(limit), qt.IsTrue)
+	var reasons []any
+	for _, c := range summary.Classes() {
+		for reason, n := range c.Reasons() {
+			reasons = append(reasons, reason, n)
+		}
+	}
+	qt.Check(t, summary.Count(load.OutcomeUnknown)+summary.Count(load.OutcomeError), qt.Equals, 0, qt.Commentf("%v", reasons))
+}
--- /dev/null
+++ b/proof/fleet_test.go
@@ -0,0 +1,311 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+
+	"verbenareel/fakes"
+	"verbenareel/node"
+	"verbenareel/trial"
+)
+
+// binary is the program under test, built once by TestMain.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "verbenareel")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "verbenareel")
+	build := exec.Command("go", "build", "-o", binary, "verbenareel/cmd/verbenareel")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is a running program of the test.
+type process struct {
+	command *exec.Cmd
+	output  bytes.Buffer
+	mu      sync.Mutex
+	exited  chan struct{}
+	err     error
+}
+
+// startProcess starts the program and ends it with the test.
+func startProcess(t testing.TB, arguments ...string) (*process, *bufio.Reader) {
+	t.Helper()
+	p := &process{command: exec.Command(binary, arguments...), exited: make(chan struct{})}
+	stdout, err := p.command.StdoutPipe()
+	qt.Assert(t, err, qt.IsNil)
+	stderr, err := p.command.StderrPipe()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.command.Start(), qt.IsNil)
+	var group conc.WaitGroup
+	group.Go(func() {
+		lines := bufio.NewScanner(stderr)
+		for lines.Scan() {
+			p.mu.Lock()
+			p.output.WriteString(lines.Text() + "\n")
+			p.mu.Unlock()
+		}
+		p.err = p.command.Wait()
+		close(p.exited)
+	})
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		group.Wait()
+		if t.Failed() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			tail := p.output.Bytes()
+			t.Logf("%s: %s", strings.Join(arguments, " "), tail[max(0, len(tail)-2000):])
+		}
+	})
+	return p, bufio.NewReader(stdout)
+}
+
+func (p *process) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
+
+// instance is one instance of a fleet of processes.
+type instance struct {
+	name, service, domain      string
+	http, rpc, status, backend string
+	settings                   string
+	node, server               *process
+	platformURL                string
+	serverArguments            []string
+}
+
+// fleet is a set of node processes with stand-ins; the platform runs in the test's own process.
+type fleet struct {
+	t         testing.TB
+	platform  *fakes.Platform
+	shape     trial.Shape
+	instances []*instance
+}
+
+// fleetOption changes a fleet before its processes start.
+type fleetOption func(*fleet)
+
+// startFleet starts a platform, and a backend server and a node process for each instance of the shape.
+func startFleet(t testing.TB, shape trial.Shape, opts ...fleetOption) *fleet {
+	t.Helper()
+	platform, err := fakes.NewPlatform("127.0.0.1:0", 500*time.Millisecond)
+	qt.Assert(t, err, qt.IsNil)
+	f := &fleet{t: t, platform: platform, shape: shape}
+	f.serve(platform)
+	platform.Publish(shape.Document())
+	for _, g := range shape.Groups {
+		for i := range g.Count {
+			f.instances = append(f.instances, f.plan(g.Service, i))
+		}
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	f.list()
+	for _, i := range f.instances {
+		f.startServer(i)
+		f.startNode(i)
+	}
+	f.waitReady(f.instances)
+	return f
+}
+
+// serve runs the platform until the test ends.
+func (f *fleet) serve(platform *fakes.Platform) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = platform.Serve(ctx) })
+	f.t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+}
+
+func (f *fleet) plan(service string, index int) *instance {
+	i := &instance{
+		name:        fmt.Sprintf("%s-%d", service, index+1),
+		service:     service,
+		domain:      f.shape.Domains[index%len(f.shape.Domains)],
+		http:        freeAddress(f.t),
+		rpc:         freeAddress(f.t),
+		status:      freeAddress(f.t),
+		backend:     freeAddress(f.t),
+		platformURL: f.platform.URL(),
+	}
+	i.settings = filepath.Join(f.t.TempDir(), i.name+".toml")
+	i.serverArguments = []string{"--service-time", fmt.Sprint(f.shape.ServiceTime)}
+	return i
+}
+
+func freeAddress(t testing.TB) string {
+	address, err := fakes.NewAddress()
+	qt.Assert(t, err, qt.IsNil)
+	return address
+}
+
+// list publishes the list of all instances as live.
+func (f *fleet) list() {
+	var entries []fakes.Entry
+	for _, i := range f.instances {
+		entries = append(entries, fakes.Entry{Instance: i.name, Service: i.service, Domain: i.domain, Address: i.rpc, State: "live"})
+	}
+	f.platform.List(entries)
+}
+
+// startServer starts the stand-in backend server of an instance.
+func (f *fleet) startServer(i *instance) {
+	arguments := append([]string{"fake", "backend", "--name", i.name, "--address", i.backend, "--node", i.http,
+		"--slots", fmt.Sprint(f.shape.Slots), "--cold", fmt.Sprint(f.shape.ColdLimit), "--warm-time", f.shape.WarmTime.String()},
+		i.serverArguments...)
+	var stdout *bufio.Reader
+	i.server, stdout = startProcess(f.t, arguments...)
+	_, err := stdout.ReadString('\n')
+	qt.Assert(f.t, err, qt.IsNil)
+}
+
+// startNode starts the node of an instance.
+func (f *fleet) startNode(i *instance) {
+	text := fmt.Sprintf("instance = %q\nservice = %q\ndomain = %q\nhttp_address = %q\nrpc_address = %q\n"+
+		"status_address = %q\nbackend_address = %q\nplatform_url = %q\nlog_level = \"info\"\ndrain_timeout = \"10s\"\nseeds = [%s]\n",
+		i.name, i.service, i.domain, i.http, i.rpc, i.status, i.backend, i.platformURL, f.seeds(i))
+	qt.Assert(f.t, os.WriteFile(i.settings, []byte(text), 0o600), qt.IsNil)
+	i.node, _ = startProcess(f.t, "node", "--settings", i.settings)
+}
+
+// seeds returns the rpc addresses of up to 3 other instances.
+func (f *fleet) seeds(self *instance) string {
+	var seeds []string
+	for _, i := range f.instances {
+		if i != self && len(seeds) < 3 {
+			seeds = append(seeds, fmt.Sprintf("%q", i.rpc))
+		}
+	}
+	return strings.Join(seeds, ", ")
+}
+
+// report returns a node's status.
+func (i *instance) report() (node.Report, error) {
+	var report node.Report
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + i.status + "/status")
+	if err != nil {
+		return report, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return report, json.NewDecoder(response.Body).Decode(&report)
+}
+
+// waitReady waits until each of the nodes has a configuration and knows each instance of the fleet as serving.
+func (f *fleet) waitReady(nodes []*instance) {
+	f.t.Helper()
+	waitFor(f.t, 15*time.Second, "nodes are ready", func() bool {
+		for _, i := range nodes {
+			report, err := i.report()
+			if err != nil || report.Revision == 0 || serving(report) < len(f.instances) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func serving(report node.Report) int {
+	count := 0
+	for _, i := range report.Instances {
+		if i.State == "serving" || i.State == "cold" {
+			count++
+		}
+	}
+	return count
+}
+
+// waitRevision waits until each of the nodes has the revision in force and returns the time that it took.
+func waitRevision(t testing.TB, nodes []*instance, revision uint64) time.Duration {
+	t.Helper()
+	start := time.Now()
+	waitFor(t, inForceLimit, fmt.Sprintf("revision %d is in force on %d nodes", revision, len(nodes)), func() bool {
+		for _, i := range nodes {
+			report, err := i.report()
+			if err != nil || report.Revision < revision {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(start)
+}
+
+// waitFor polls a condition and fails the test if it doesn't hold within the limit.
+func waitFor(t testing.TB, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// stats returns the counts of an instance's stand-in.
+func (i *instance) stats(t testing.TB) fakes.Stats {
+	var stats fakes.Stats
+	i.fetch(t, "/fake/stats", &stats)
+	return stats
+}
+
+// runs returns how often the request ran on the instance's stand-in.
+func (i *instance) runs(t testing.TB, id string) int {
+	var runs int
+	i.fetch(t, "/fake/stats?id="+id, &runs)
+	return runs
+}
+
+func (i *instance) fetch(t testing.TB, path string, value any) {
+	t.Helper()
+	response, err := http.Get("http://" + i.backend + path)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	qt.Assert(t, json.NewDecoder(response.Body).Decode(value), qt.IsNil)
+}
+
+// runsOf returns how often a request ran over all stand-ins.
+func (f *fleet) runsOf(id string) int {
+	runs := 0
+	for _, i := range f.instances {
+		runs += i.runs(f.t, id)
+	}
+	return runs
+}
+
+// targets returns the HTTP addresses of all nodes.
+func (f *fleet) targets() []string {
+	var targets []string
+	for _, i := range f.instances {
+		targets = append(targets, i.http)
+	}
+	return targets
+}
--- /dev/null
+++ b/trial/fleet.go
@@ -0,0 +1,382 @@
+// Package trial runs a small fleet of nodes and stand-ins on loopback, and the scenarios that measure it.
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"verbenareel/core"
+	"verbenareel/fakes"
+	"verbenareel/node"
+	"verbenareel/schema"
+)
+
+// platformLag is the age of the platform's instance list.
+const platformLag = 500 * time.Millisecond
+
+// Group is the instances of one service.
+type Group struct {
+	Service string
+	Count   int
+}
+
+// Shape describes a fleet.
+type Shape struct {
+	Deployment string
+	Domains    []string
+	Groups     []Group
+	Slots      int
+	ColdLimit  int
+	WarmTime   time.Duration
+	// Service is text for each service section, after the sizes.
+	Service string
+	// Rules is the text of the rules.
+	Rules string
+	// Warm starts the backend servers warm.
+	Warm bool
+	// ServiceTime is the mean service time in milliseconds.
+	ServiceTime float64
+}
+
+// Kitami returns the shape of the Kitami deployment: 4 failure domains, 6+4+4 servers of 18 slots.
+func Kitami() Shape {
+	return Shape{
+		Deployment:  "Fitting Orders Mesh",
+		Domains:     []string{"sapporo", "asahikawa", "hakodate", "kushiro"},
+		Groups:      []Group{{"sheets", 6}, {"fitting-slot", 4}, {"cutting-room", 4}},
+		Slots:       18,
+		ColdLimit:   2,
+		WarmTime:    2 * time.Second,
+		ServiceTime: 5,
+		Rules: `
+[[rules]]
+method = "GET"
+path = "/sheets/"
+service = "sheets"
+repeatable = true
+
+[[rules]]
+method = "GET"
+path = "/slots/"
+service = "fitting-slot"
+repeatable = true
+
+[[rules]]
+method = "POST"
+path = "/deposits/"
+service = "fitting-slot"
+repeatable = false
+
+[[rules]]
+method = "POST"
+path = "/orders/"
+service = "cutting-room"
+repeatable = false
+`,
+	}
+}
+
+// Document returns the text of the fleet's document, with the named failure domains out of service.
+func (s Shape) Document(out ...string) []byte {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "deployment = %q\n\n[places.regions.home]\ndelay = \"500us\"\nremote_delay = \"10ms\"\n", s.Deployment)
+	for _, d := range s.Domains {
+		_, _ = fmt.Fprintf(&b, "\n[places.domains.%s]\nregion = \"home\"\n", d)
+		for _, o := range out {
+			if o == d {
+				b.WriteString("out_of_service = true\n")
+			}
+		}
+	}
+	for _, g := range s.Groups {
+		_, _ = fmt.Fprintf(&b, "\n[services.%s]\nslots = %d\ncold_limit = %d\nwarm_time = %q\nconnections = 260\nprobes_per_second = 2.0\n"+
+			"retry_ratio = 0.1\nretry_floor = 5.0\ntimeout = \"2s\"\n%s",
+			g.Service, s.Slots, s.ColdLimit, s.WarmTime, s.Service)
+	}
+	b.WriteString(s.Rules)
+	return []byte(b.String())
+}
+
+// Member is one instance of a fleet: its stand-in backend server and its node.
+type Member struct {
+	name    string
+	service string
+	domain  string
+	backend *fakes.Backend
+	node    *node.Node
+	stop    context.CancelFunc
+}
+
+// Name returns the name of the instance.
+func (m *Member) Name() string { return m.name }
+
+// Service returns the service of the instance.
+func (m *Member) Service() string { return m.service }
+
+// Domain returns the failure domain of the instance.
+func (m *Member) Domain() string { return m.domain }
+
+// Backend returns the stand-in.
+func (m *Member) Backend() *fakes.Backend { return m.backend }
+
+// Node returns the node.
+func (m *Member) Node() *node.Node { return m.node }
+
+// Fleet is a running fleet in one process.
+type Fleet struct {
+	shape    Shape
+	platform *fakes.Platform
+	members  []*Member
+	group    conc.WaitGroup
+	stop     context.CancelFunc
+
+	mu     sync.Mutex
+	errors []error
+}
+
+// Start starts a fleet and waits until each node has the configuration and knows each instance.
+func Start(ctx context.Context, shape Shape, logger *zap.Logger, opts ...node.Option) (*Fleet, error) {
+	platform, err := fakes.NewPlatform("127.0.0.1:0", platformLag)
+	if err != nil {
+		return nil, fmt.Errorf("start the platform: %w", err)
+	}
+	running, stop := context.WithCancel(ctx)
+	f := &Fleet{shape: shape, platform: platform, stop: stop}
+	platform.Publish(shape.Document())
+	f.run(func() error { return platform.Serve(running) })
+	opts = append([]node.Option{node.WithLogger(logger)}, opts...)
+	var entries []fakes.Entry
+	for _, g := range shape.Groups {
+		for i := range g.Count {
+			m, err := f.add(running, g.Service, i, opts)
+			if err != nil {
+				return nil, errors.Join(err, f.Stop())
+			}
+			entries = append(entries, fakes.Entry{
+				Instance: m.name, Service: m.service, Domain: m.domain, Address: m.node.RPCAddress(), State: "live",
+			})
+		}
+	}
+	platform.List(entries)
+	if err := f.waitReady(ctx, 10*time.Second); err != nil {
+		return nil, errors.Join(err, f.Stop())
+	}
+	return f, nil
+}
+
+// add starts the backend server and the node of one instance.
+func (f *Fleet) add(ctx context.Context, service string, index int, opts []node.Option) (*Member, error) {
+	shape := f.shape
+	name := fmt.Sprintf("%s-%d", service, index+1)
+	httpAddress, err := fakes.NewAddress()
+	if err != nil {
+		return nil, fmt.Errorf("find an address: %w", err)
+	}
+	rpcAddress, err := fakes.NewAddress()
+	if err != nil {
+		return nil, fmt.Errorf("find an address: %w", err)
+	}
+	backendOptions := []fakes.BackendOption{
+		fakes.WithSlots(shape.Slots, shape.ColdLimit, shape.WarmTime),
+		fakes.WithControl(fakes.Control{ServiceTime: shape.ServiceTime, Factor: 1}),
+		fakes.WithNode(httpAddress),
+	}
+	if shape.Warm {
+		backendOptions = append(backendOptions, fakes.WithWarm())
+	}
+	backend, err := fakes.NewBackend(name, "127.0.0.1:0", backendOptions...)
+	if err != nil {
+		return nil, fmt.Errorf("start the backend server of %s: %w", name, err)
+	}
+	m := &Member{name: name, service: service, domain: shape.Domains[index%len(shape.Domains)], backend: backend}
+	m.node, err = node.New(schema.Settings_builder{
+		Instance:       name,
+		Service:        service,
+		Domain:         m.domain,
+		HttpAddress:    httpAddress,
+		RpcAddress:     rpcAddress,
+		StatusAddress:  "127.0.0.1:0",
+		BackendAddress: backend.Address(),
+		PlatformUrl:    f.platform.URL(),
+		DrainTimeout:   durationpb.New(5 * time.Second),
+	}.Build(), opts...)
+	if err != nil {
+		return nil, fmt.Errorf("start the node of %s: %w", name, err)
+	}
+	f.members = append(f.members, m)
+	running, stop := context.WithCancel(ctx)
+	m.stop = stop
+	f.run(func() error { return backend.Serve(ctx) })
+	f.run(func() error { return m.node.Run(running) })
+	return m, nil
+}
+
+// run starts a part in the fleet's group and keeps its error.
+func (f *Fleet) run(part func() error) {
+	f.group.Go(func() {
+		if err := part(); err != nil && !errors.Is(err, context.Canceled) {
+			f.mu.Lock()
+			f.errors = append(f.errors, err)
+			f.mu.Unlock()
+		}
+	})
+}
+
+// ReadyError reports that a fleet did not become ready in time.
+type ReadyError struct {
+	instance string
+	missing  string
+}
+
+// Error implements error.
+func (e *ReadyError) Error() string {
+	return "instance " + e.instance + " is not ready: " + e.missing
+}
+
+// waitReady waits until each node knows each instance with the address of its node.
+func (f *Fleet) waitReady(ctx context.Context, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := f.checkReady()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the fleet: %w", ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (f *Fleet) checkReady() error {
+	for _, m := range f.members {
+		snapshot := m.node.Exchange().Snapshot()
+		if snapshot == nil {
+			return &ReadyError{instance: m.name, missing: "no configuration"}
+		}
+		for _, other := range f.members {
+			if known := snapshot.Instance(other.name); known == nil || !known.Eligible() {
+				return &ReadyError{instance: m.name, missing: "does not know " + other.name}
+			}
+		}
+	}
+	return nil
+}
+
+// Platform returns the stand-in for the platform.
+func (f *Fleet) Platform() *fakes.Platform { return f.platform }
+
+// Members returns the instances.
+func (f *Fleet) Members() []*Member { return f.members }
+
+// Service returns the instances of a service.
+func (f *Fleet) Service(name string) []*Member {
+	var list []*Member
+	for _, m := range f.members {
+		if m.service == name {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Targets returns the HTTP addresses of all nodes.
+func (f *Fleet) Targets() []string {
+	var targets []string
+	for _, m := range f.members {
+		targets = append(targets, m.node.HTTPAddress())
+	}
+	return targets
+}
+
+// TakeOut publishes the document with the failure domains out of service; none returns all to service.
+func (f *Fleet) TakeOut(domains ...string) uint64 {
+	return f.platform.Publish(f.shape.Document(domains...))
+}
+
+// WaitRevision waits until each node has the revision in force and returns the time that it took.
+func (f *Fleet) WaitRevision(revision uint64, limit time.Duration) (time.Duration, error) {
+	start := time.Now()
+	for {
+		behind := f.behind(revision)
+		if behind == "" {
+			return time.Since(start), nil
+		}
+		if time.Since(start) > limit {
+			return 0, &ReadyError{instance: behind, missing: fmt.Sprintf("revision %d is not in force", revision)}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// behind returns the name of an instance that does not have the revision, or "".
+func (f *Fleet) behind(revision uint64) string {
+	for _, m := range f.members {
+		if s := m.node.Exchange().Snapshot(); s == nil || s.Revision() < revision {
+			return m.name
+		}
+	}
+	return ""
+}
+
+// Stop shuts the nodes down gracefully, then the stand-ins, and returns the errors of all parts.
+func (f *Fleet) Stop() error {
+	for _, m := range f.members {
+		if m.stop != nil {
+			m.stop()
+		}
+	}
+	for _, m := range f.members {
+		if m.stop != nil {
+			<-m.node.Done()
+		}
+	}
+	f.stop()
+	f.group.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return errors.Join(f.errors...)
+}
+
+// Stats adds up the counts of the backend servers of a service, or of all for "".
+func (f *Fleet) Stats(service string) fakes.Stats {
+	var total fakes.Stats
+	for _, m := range f.members {
+		if service != "" && m.service != service {
+			continue
+		}
+		s := m.backend.Stats()
+		total.Runs += s.Runs
+		total.Doubled += s.Doubled
+		total.Completed += s.Completed
+		total.Cancelled += s.Cancelled
+		total.Shed += s.Shed
+		total.Crashes += s.Crashes
+		total.Probes += s.Probes
+		total.Overloads += s.Overloads
+		total.ColdExcess = max(total.ColdExcess, s.ColdExcess)
+		total.MaxInFlight = max(total.MaxInFlight, s.MaxInFlight)
+	}
+	return total
+}
+
+// RunsOf returns how often a request ran over all backend servers.
+func (f *Fleet) RunsOf(id string) int {
+	runs := 0
+	for _, m := range f.members {
+		runs += m.backend.Runs(id)
+	}
+	return runs
+}
+
+// Load returns the guard's report of an instance.
+func (m *Member) Load() core.LoadReport { return m.node.Guard().Load() }
