--- a/admit/admit.go
+++ b/admit/admit.go
@@ -14,6 +14,10 @@
 	ranks = 2 * (int(schema.Priority_PRIORITY_HIGH) + 1)
 	// serviceWeight is the weight of one call in the moving average of the time that a slot is held.
 	serviceWeight = 0.1
+	// patienceFactor times the average service time, but at least minPatience, is how long other calls are held back
+	// until a suspect can run alone.
+	patienceFactor = 4
+	minPatience    = 100 * time.Millisecond
 )
 
 // state is where a call is in its life.
@@ -89,7 +93,9 @@
 	suspects list
 	// turns is the number of other calls that may start before the next suspect: a stream of suspects must not starve
 	// them.
-	turns   int
+	turns int
+	// barrier is the time since which other calls are held back for the first suspect, or zero.
+	barrier time.Time
 	service time.Duration
 	events  []Event
 }
@@ -136,7 +142,7 @@
 	c.learn(now.Sub(call.started))
 	if call.Alone {
 		c.exclusive = false
-		c.turns = min(c.queued, c.limiter.Limit(now))
+		c.passTurn(now)
 	}
 	c.start(now)
 	return c.events
@@ -150,6 +156,7 @@
 	}
 	c.dequeue(call)
 	c.refuse(call, reason)
+	c.forgo(now, call)
 	c.start(now)
 	return true, c.events
 }
@@ -176,7 +183,7 @@
 // Open accepts calls again after Close.
 func (c *Controller) Open() { c.closed = schema.Reason_REASON_NONE }
 
-// Pause starts nothing until Resume. Calls that wait go on waiting, new ones are refused.
+// Pause starts nothing until Resume. New calls wait in the queue within its bounds.
 func (c *Controller) Pause() { c.paused = true }
 
 // Resume ends a pause.
@@ -191,8 +198,6 @@
 	switch {
 	case c.closed != schema.Reason_REASON_NONE:
 		return c.closed
-	case c.paused:
-		return schema.Reason_REASON_PAUSED
 	case !now.Before(call.Deadline):
 		return schema.Reason_REASON_DEADLINE
 	case c.startable(now, call):
@@ -218,7 +223,7 @@
 
 // startable reports whether the call starts at once, ahead of all that waits.
 func (c *Controller) startable(now time.Time, call *Call) bool {
-	if c.exclusive || c.suspects.length > 0 {
+	if c.paused || c.exclusive || c.suspects.length > 0 {
 		return false
 	}
 	if call.Alone {
@@ -261,6 +266,7 @@
 		return
 	}
 	for !c.exclusive {
+		c.checkBarrier(now)
 		call := c.choose(now)
 		if call == nil {
 			return
@@ -274,14 +280,50 @@
 	}
 }
 
-// choose returns the next call to start, or nil. While a suspect waits and has its turn, no other call starts, so that
-// the calls in flight end and the suspect does not starve.
+// suspectNext reports whether the first suspect has its turn. Until it has run, no other call starts, so that the calls
+// in flight end and the suspect does not starve.
+func (c *Controller) suspectNext() bool {
+	return c.suspects.first != nil && (c.turns == 0 || c.queued == 0)
+}
+
+// passTurn lets other calls start before the next suspect.
+func (c *Controller) passTurn(now time.Time) {
+	c.turns = max(c.limiter.Limit(now), 1)
+	c.barrier = time.Time{}
+}
+
+// forgo passes the turn of a suspect that leaves the queue without a run.
+func (c *Controller) forgo(now time.Time, call *Call) {
+	if call.Alone {
+		c.passTurn(now)
+	}
+}
+
+// checkBarrier refuses the first suspect if the calls in flight do not end in time: one that hangs would otherwise hold
+// back all others for as long.
+func (c *Controller) checkBarrier(now time.Time) {
+	if !c.suspectNext() || c.inFlight == 0 {
+		return
+	}
+	if c.barrier.IsZero() {
+		c.barrier = now
+	}
+	if now.Sub(c.barrier) < max(patienceFactor*c.service, minPatience) {
+		return
+	}
+	suspect := c.suspects.first
+	c.dequeue(suspect)
+	c.refuse(suspect, schema.Reason_REASON_SUSPECT)
+	c.passTurn(now)
+}
+
+// choose returns the next call to start, or nil.
 func (c *Controller) choose(now time.Time) *Call {
-	if suspect := c.suspects.first; suspect != nil && (c.turns == 0 || c.queued == 0) {
+	if c.suspectNext() {
 		if c.inFlight > 0 {
 			return nil
 		}
-		return suspect
+		return c.suspects.first
 	}
 	if c.inFlight >= c.limiter.Limit(now) {
 		return nil
@@ -300,6 +342,7 @@
 	c.inFlight++
 	call.inFlight = c.inFlight
 	c.exclusive = call.Alone
+	c.barrier = time.Time{}
 	if !call.Alone && c.turns > 0 {
 		c.turns--
 	}
@@ -325,6 +368,7 @@
 		if !now.Before(call.Deadline) {
 			c.dequeue(call)
 			c.refuse(call, schema.Reason_REASON_DEADLINE)
+			c.forgo(now, call)
 		}
 		call = next
 	}
--- a/guard/call.go
+++ b/guard/call.go
@@ -7,6 +7,7 @@
 
 	"verbenareel/admit"
 	"verbenareel/core"
+	"verbenareel/poison"
 	"verbenareel/schema"
 )
 
@@ -19,6 +20,9 @@
 	// with a ticket, which runs to its end.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// index is the position in Guard.running, and sampled tells that the age of the call was observed as a latency.
+	index   int
+	sampled bool
 	// outcome receives the reply exactly once.
 	outcome chan *schema.ExecuteReply
 }
@@ -159,8 +163,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.refresh(now)
+	g.unsettled++
 	g.checkPause(now)
+	g.refresh(now)
 	if g.cancelled.remove(c.request.GetAttempt()) {
 		reason = schema.Reason_REASON_CANCELLED
 	}
@@ -188,7 +193,7 @@
 		return schema.Reason_REASON_TOO_LARGE
 	}
 	crashes := g.suspects.Crashes(g.clock.Now(), c.fingerprint)
-	if crashes >= poisonedCrashes {
+	if crashes >= poison.Condemned {
 		return schema.Reason_REASON_POISONED
 	}
 	c.admit.Alone = crashes > 0 || r.GetSuspect()
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -45,6 +45,9 @@
 	controller *admit.Controller
 	limiter    core.Limiter
 	server     server
+	crash      crash
+	running    []*call
+	unsettled  int
 	applied    *core.Snapshot
 	ineligible schema.Reason
 	draining   bool
@@ -130,10 +133,14 @@
 }
 
 func (g *Guard) load(now time.Time) core.LoadReport {
+	limit := 0
+	if g.controller.Closed() == schema.Reason_REASON_NONE {
+		limit = g.limiter.Limit(now)
+	}
 	return core.LoadReport{
 		InFlight:    g.controller.InFlight(),
 		Queued:      g.controller.Queued(),
-		Limit:       g.limiter.Limit(now),
+		Limit:       limit,
 		Latency:     g.server.latency,
 		FailureRate: g.server.failures,
 		State:       g.state(now),
@@ -149,16 +156,19 @@
 	return g.applied.Revision()
 }
 
-// state returns the state that the guard reports to routers.
+// state returns the state that the guard reports to routers. Conditions that pass without an operator are reported as
+// cold, with the limit 0.
 func (g *Guard) state(now time.Time) schema.InstanceState {
 	switch g.controller.Closed() {
 	case schema.Reason_REASON_NONE:
 	case schema.Reason_REASON_LEAVING:
 		return schema.InstanceState_INSTANCE_STATE_LEAVING
-	default:
+	case schema.Reason_REASON_OUT_OF_SERVICE:
 		return schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
+	default:
+		return schema.InstanceState_INSTANCE_STATE_COLD
 	}
-	if a, ok := g.limiter.(*limit.Adaptive); ok && !a.Warm(now) {
+	if !g.warm(now) {
 		return schema.InstanceState_INSTANCE_STATE_COLD
 	}
 	return schema.InstanceState_INSTANCE_STATE_SERVING
@@ -189,9 +199,9 @@
 	return g.idle
 }
 
-// checkIdle tells Drain once the last running call has ended.
+// checkIdle tells Drain once the last running call has ended and each outcome was given.
 func (g *Guard) checkIdle() {
-	if !g.draining || g.controller.InFlight() > 0 {
+	if !g.draining || g.controller.InFlight() > 0 || g.unsettled > 0 {
 		return
 	}
 	select {
@@ -205,7 +215,7 @@
 // a call.
 func (g *Guard) refresh(now time.Time) {
 	if snapshot := g.snapshots.Snapshot(); snapshot != g.applied {
-		g.apply(now, snapshot)
+		g.apply(snapshot)
 	}
 	reason := g.closedReason(now)
 	switch closed := g.controller.Closed(); {
@@ -221,7 +231,7 @@
 }
 
 // apply takes the settings of the service from a snapshot.
-func (g *Guard) apply(now time.Time, snapshot *core.Snapshot) {
+func (g *Guard) apply(snapshot *core.Snapshot) {
 	g.applied = snapshot
 	g.ineligible = ineligible(g.self, snapshot)
 	service := snapshot.Service(g.self.GetService())
@@ -229,7 +239,7 @@
 		return
 	}
 	g.controller.SetCapacity(int(service.GetQueue()))
-	g.probes.configure(now, service.GetProbesPerSecond())
+	g.probes.configure(service.GetProbesPerSecond())
 	if a, ok := g.limiter.(*limit.Adaptive); ok {
 		a.Configure(limit.Bounds{
 			Cold:     int(service.GetColdLimit()),
@@ -241,10 +251,17 @@
 
 // closedReason returns why the guard accepts no work, or REASON_NONE.
 func (g *Guard) closedReason(now time.Time) schema.Reason {
-	if g.draining || now.Before(g.server.drainingUntil) {
+	switch {
+	case g.draining || now.Before(g.server.drainingUntil):
 		return schema.Reason_REASON_LEAVING
+	case g.ineligible != schema.Reason_REASON_NONE:
+		return g.ineligible
+	case g.pause.failed:
+		return schema.Reason_REASON_PAUSED
+	case g.server.down:
+		return schema.Reason_REASON_CONNECT
 	}
-	return g.ineligible
+	return schema.Reason_REASON_NONE
 }
 
 // ineligible returns why an instance may receive no new work by a snapshot, or REASON_NONE.
--- a/guard/run.go
+++ b/guard/run.go
@@ -9,6 +9,8 @@
 
 	"verbenareel/admit"
 	"verbenareel/core"
+	"verbenareel/limit"
+	"verbenareel/poison"
 	"verbenareel/schema"
 )
 
@@ -21,19 +23,25 @@
 	// resetWindow and resetCount define several resets together.
 	resetWindow = 100 * time.Millisecond
 	resetCount  = 2
-	// poisonedCrashes is the number of crashes at which a request is refused everywhere.
-	poisonedCrashes = 2
 )
 
 // server is what the guard knows of its backend server.
 type server struct {
-	latency       time.Duration
-	failures      float64
+	latency  time.Duration
+	failures float64
+	// cold is whether the last report said so.
+	cold          bool
 	incarnation   uint64
 	drainingUntil time.Time
 	reported      time.Time
 	reset         time.Time
 	resets        int
+	// down tells that no connection can be opened. doubted asks the next tick to try one.
+	down        bool
+	doubted     bool
+	connecting  bool
+	nextConnect time.Time
+	backoff     time.Duration
 }
 
 // handle carries out the decisions of the controller. It is called with mu held.
@@ -44,18 +52,23 @@
 			g.settle(now, c, core.NotRun(e.Reason))
 			continue
 		}
+		c.index = len(g.running)
+		g.running = append(g.running, c)
 		g.calls.Go(func() { g.send(c) })
 	}
 }
 
 // settle records the outcome of a call and hands it to the goroutine that waits for it.
 func (g *Guard) settle(now time.Time, c *call, reply *schema.ExecuteReply) {
+	delete(g.attempts, c.request.GetAttempt())
 	if c.request.HasTicket() {
 		g.tickets.Lock()
 		g.store.Finish(now, c.request.GetTicket(), reply)
 		g.tickets.Unlock()
 	}
 	c.outcome <- reply
+	g.unsettled--
+	g.checkIdle()
 }
 
 // send runs a call that was started by the controller.
@@ -96,7 +109,7 @@
 		return schema.Reason_REASON_CANCELLED
 	}
 	crashes := g.suspects.Crashes(now, c.fingerprint)
-	if crashes >= poisonedCrashes {
+	if crashes >= poison.Condemned {
 		return schema.Reason_REASON_POISONED
 	}
 	if crashes > 0 && !c.admit.Alone {
@@ -110,8 +123,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.refresh(now)
 	g.checkPause(now)
+	g.refresh(now)
 	g.release(now, c)
 	g.settle(now, c, core.NotRun(reason))
 }
@@ -123,8 +136,13 @@
 	now := g.clock.Now()
 	reply := outcome(result)
 	g.observe(now, c, result, reply)
-	g.refresh(now)
 	g.checkPause(now)
+	g.refresh(now)
+	if result.Reset && reply.GetStatus() == schema.Status_STATUS_UNKNOWN {
+		g.holdReset(c)
+		g.release(now, c)
+		return
+	}
 	g.release(now, c)
 	g.settle(now, c, reply)
 }
@@ -132,6 +150,11 @@
 // release gives the slot of a call to others.
 func (g *Guard) release(now time.Time, c *call) {
 	delete(g.attempts, c.request.GetAttempt())
+	last := g.running[len(g.running)-1]
+	g.running[c.index] = last
+	last.index = c.index
+	g.running[len(g.running)-1] = nil
+	g.running = g.running[:len(g.running)-1]
 	g.handle(now, g.controller.Finish(now, &c.admit))
 	g.checkIdle()
 }
@@ -185,8 +208,12 @@
 		g.countReset(now)
 	}
 	if reply.GetStatus() == schema.Status_STATUS_NOT_RUN {
+		g.server.doubted = g.server.doubted || reply.GetReason() == schema.Reason_REASON_CONNECT
 		return
 	}
+	if c.admit.Alone && reply.GetStatus() == schema.Status_STATUS_ANSWERED {
+		g.suspects.Clear(now, c.fingerprint)
+	}
 	latency := now.Sub(c.admit.Started())
 	failed := reply.GetStatus() == schema.Status_STATUS_UNKNOWN || result.Code >= http.StatusInternalServerError
 	g.server.measure(latency, failed)
@@ -206,7 +233,9 @@
 	s.failures += latencyWeight * (outcome - s.failures)
 }
 
-// report takes over what the backend server says of itself. It can lower the limit, never raise it.
+// report takes over what the backend server says of itself. It can lower the limit, never raise it. A server reports
+// cold during the whole of its ramp; the first such report starts the ramp of the limiter, and the following ones
+// restart it only if it has ended.
 func (g *Guard) report(now time.Time, report *core.ServerReport) {
 	g.server.reported = now
 	g.limiter.Bound(now, report.Limit)
@@ -214,9 +243,10 @@
 	if report.Incarnation != 0 {
 		g.server.incarnation = report.Incarnation
 	}
-	if report.Cold || restarted {
+	if restarted || report.Cold && (!g.server.cold || g.warm(now)) {
 		g.cool(now, "report of the backend server")
 	}
+	g.server.cold = report.Cold
 	g.server.drainingUntil = time.Time{}
 	if report.Draining {
 		g.server.drainingUntil = now.Add(drainingTime)
@@ -235,6 +265,12 @@
 	}
 }
 
+// warm reports whether the ramp of the limiter has ended.
+func (g *Guard) warm(now time.Time) bool {
+	a, ok := g.limiter.(*limit.Adaptive)
+	return !ok || a.Warm(now)
+}
+
 func (g *Guard) cool(now time.Time, cause string) {
 	g.logger.Debug("returning to the cold limit", zap.String("cause", cause))
 	g.limiter.Cool(now)
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+
+	"verbenareel/budget"
+	"verbenareel/core"
 )
 
 const (
@@ -16,59 +20,46 @@
 	checkTimeout = time.Second
 	// reportAge is the age of the last report at which a probe is worth its cost; responses carry reports too.
 	reportAge = time.Second
+	// minBackoff and maxBackoff bound the time between attempts to connect to a server that is down.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = time.Second
+	// ageFactor is the age of a running call, relative to the average latency, at which it counts as a slow one before
+	// it has ended. A server that turned cold under load may answer only after seconds.
+	ageFactor = 4
 )
 
 // pause is the state of pause detection.
 type pause struct {
 	// count is the number of pauses so far.
-	count    int
+	count int
+	// pending tells that the checks after a pause have not succeeded yet, failed that they failed at least once.
+	pending  bool
+	failed   bool
 	checking bool
 	// ticked is the last tick before the latest pause, so that each pause counts once.
 	ticked int64
 }
 
-// bucket limits the rate of probes.
-type bucket interface {
-	Take(now time.Time) bool
-}
-
 // probes is the probe budget.
 type probes struct {
 	rate    float64
-	bucket  bucket
+	bucket  *budget.Bucket
 	running bool
 }
 
-func (p *probes) configure(now time.Time, rate float64) {
+// configure sets the rate. The bucket never holds more than one token, and a new one is empty.
+func (p *probes) configure(rate float64) {
 	if p.bucket != nil && rate == p.rate {
 		return
 	}
 	p.rate = rate
-	p.bucket = &tokens{rate: rate, updated: now}
+	p.bucket = budget.New(rate, 1)
 }
 
 func (p *probes) take(now time.Time) bool {
 	return p.bucket != nil && !p.running && p.bucket.Take(now)
 }
 
-// tokens is a token bucket that starts empty and holds at most one token.
-type tokens struct {
-	rate    float64
-	held    float64
-	updated time.Time
-}
-
-// Take reports whether a token was there, and removes it.
-func (t *tokens) Take(now time.Time) bool {
-	t.held = min(t.held+t.rate*now.Sub(t.updated).Seconds(), 1)
-	t.updated = now
-	if t.held < 1 {
-		return false
-	}
-	t.held--
-	return true
-}
-
 // Run measures the backend server, detects pauses and expires what has outlived its time, until ctx ends.
 func (g *Guard) Run(ctx context.Context) error {
 	defer close(g.done)
@@ -85,27 +76,44 @@
 }
 
 func (g *Guard) tick(ctx context.Context, checks *conc.WaitGroup) {
-	now := g.clock.Now()
 	g.tickets.Lock()
-	g.store.Expire(now)
+	g.store.Expire(g.clock.Now())
 	g.tickets.Unlock()
 
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.clock.Now()
 	g.checkPause(now)
 	g.ticked.Store(int64(now.Sub(g.epoch)))
 	g.refresh(now)
+	g.observeAges(now)
 	g.handle(now, g.controller.Tick(now))
-	if g.controller.Paused() {
+	switch {
+	case g.pause.pending:
 		g.startRecheck(ctx, now, checks)
-		return
-	}
-	if now.Sub(g.server.reported) >= reportAge && g.probes.take(now) {
+	case g.server.doubted || g.server.down:
+		g.startConnect(ctx, now, checks)
+	case now.Sub(g.server.reported) >= reportAge && g.probes.take(now):
 		g.probes.running = true
 		checks.Go(func() { _ = g.probe(ctx) })
 	}
 }
 
+// observeAges tells the limiter of running calls that already take far longer than the average.
+func (g *Guard) observeAges(now time.Time) {
+	if g.server.latency == 0 {
+		return
+	}
+	for _, c := range g.running {
+		age := now.Sub(c.admit.Started())
+		if c.sampled || age < ageFactor*g.server.latency {
+			continue
+		}
+		c.sampled = true
+		g.limiter.Observe(now, core.Sample{Latency: age, InFlight: c.admit.InFlight()})
+	}
+}
+
 // gap returns the time since the last tick.
 func (g *Guard) gap(now time.Time) time.Duration {
 	return now.Sub(g.epoch) - time.Duration(g.ticked.Load())
@@ -114,13 +122,14 @@
 // checkPause stops all starts if the process was paused.
 func (g *Guard) checkPause(now time.Time) {
 	gap := g.gap(now)
-	if gap <= maxGap || g.controller.Paused() && g.pause.ticked == g.ticked.Load() {
+	if gap <= maxGap || g.pause.pending && g.pause.ticked == g.ticked.Load() {
 		return
 	}
-	g.pause.ticked = g.ticked.Load()
 	g.logger.Warn("process was paused", zap.Duration("gap", gap))
 	g.metrics.pauses.Inc()
 	g.pause.count++
+	g.pause.pending = true
+	g.pause.ticked = g.ticked.Load()
 	g.controller.Pause()
 }
 
@@ -141,40 +150,45 @@
 	err := g.recheckAll(ctx, probe)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.clock.Now()
 	g.pause.checking = false
+	g.checkPause(now)
+	if err == nil && count == g.pause.count {
+		g.pause.pending = false
+	}
 	if err != nil {
 		g.logger.Warn("state not confirmed after a pause", zap.Error(err))
-		return
 	}
-	now := g.clock.Now()
+	g.pause.failed = err != nil
 	g.refresh(now)
-	g.checkPause(now)
-	if count == g.pause.count {
-		g.handle(now, g.controller.Resume(now))
-	}
+	g.resumeStarts(now)
 }
 
 // recheckAll confirms the snapshot, then the backend server: by a probe if the budget allows one, else by opening a
 // connection.
 func (g *Guard) recheckAll(ctx context.Context, probe bool) error {
-	if probe {
-		defer func() {
-			g.mu.Lock()
-			g.probes.running = false
-			g.mu.Unlock()
-		}()
-	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
 	if g.recheck != nil {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+		defer cancel()
 		if err := g.recheck(ctx); err != nil {
-			return err
+			g.endProbe(probe)
+			return fmt.Errorf("confirm the snapshot: %w", err)
 		}
 	}
 	if probe {
 		return g.probe(ctx)
 	}
-	return g.backend.Connect(ctx)
+	return g.connect(ctx)
+}
+
+// endProbe gives up a probe that was granted by the budget.
+func (g *Guard) endProbe(granted bool) {
+	if !granted {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.probes.running = false
 }
 
 // probe asks the backend server for its report.
@@ -186,11 +200,58 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.probes.running = false
-	now := g.clock.Now()
 	if err != nil {
-		return err
+		g.server.doubted = true
+		return fmt.Errorf("probe the backend server: %w", err)
 	}
+	now := g.clock.Now()
 	g.report(now, report)
 	g.refresh(now)
 	return nil
 }
+
+func (g *Guard) connect(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if err := g.backend.Connect(ctx); err != nil {
+		return fmt.Errorf("connect to the backend server: %w", err)
+	}
+	return nil
+}
+
+// startConnect tries a connection to a server that is down or in doubt, with exponential backoff.
+func (g *Guard) startConnect(ctx context.Context, now time.Time, checks *conc.WaitGroup) {
+	if g.server.connecting || now.Before(g.server.nextConnect) {
+		return
+	}
+	g.server.connecting = true
+	checks.Go(func() { g.reconnect(ctx) })
+}
+
+func (g *Guard) reconnect(ctx context.Context) {
+	err := g.connect(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.server.connecting = false
+	g.server.doubted = false
+	if err != nil {
+		g.serverDown(now, err)
+	} else {
+		g.server.down = false
+		g.server.backoff = 0
+		g.server.nextConnect = time.Time{}
+	}
+	g.checkPause(now)
+	g.refresh(now)
+}
+
+// serverDown records that no connection can be opened; calls are refused until one can.
+func (g *Guard) serverDown(now time.Time, err error) {
+	if !g.server.down {
+		g.logger.Warn("backend server is down", zap.Error(err))
+	}
+	g.server.down = true
+	g.server.backoff = min(max(2*g.server.backoff, minBackoff), maxBackoff)
+	g.server.nextConnect = now.Add(g.server.backoff)
+}
