limit: follow mean latency, test against an oracle and a simulation

Cause: the baseline fell with each fast sample and rose only with a time constant of 60 s, so it settled near the fastest calls. With service times that are half fixed and half exponential, normal latency was about twice the baseline. Change: the baseline follows the mean with a time constant of 2 s at normal latency. The limit may lie above the ramp inside the limiter; Limit applies the ramp. A server that turns cold unnoticed gets no call in excess beyond those that run at that moment. A slow phase that does not depend on load costs throughput, since it looks like a cold server.

--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -19,14 +19,17 @@
 	jumpFactor = 3.0
 	// dropFactor multiplies the limit at high latency.
 	dropFactor = 0.7
-	// lowLoadRecovery is the time constant with which the baseline rises while the backend server has no more calls
-	// than its cold limit: latency at so few calls is not caused by them.
-	lowLoadRecovery = time.Second
-	// highLoadRecovery is the time constant at higher load, where latency may be caused by the calls. It is long, so
-	// that overload does not become the baseline.
-	highLoadRecovery = time.Minute
-	// baselineFall is the weight of a sample below the baseline.
-	baselineFall = 0.05
+	// normalTime is the time constant of the baseline at normal latency. Rise and fall have the same weight: a baseline
+	// that follows the fastest calls makes the average look high for each service whose calls differ.
+	normalTime = 2 * time.Second
+	// lowLoadTime is the time constant at high latency while the backend server has no more calls than its cold limit:
+	// latency at so few calls is not caused by them.
+	lowLoadTime = time.Second
+	// highLoadTime is the time constant at high latency and higher load, where latency may be caused by the calls. It is
+	// long, so that overload does not become the baseline.
+	highLoadTime = time.Minute
+	// maxBaselineWeight bounds the weight of one sample when samples are rare.
+	maxBaselineWeight = 0.05
 )
 
 // Adaptive is a limit that rises additively with completed work at normal latency and drops multiplicatively at high
@@ -93,7 +96,8 @@
 		a.recent = latency
 		a.sampled = now
 	}
-	a.recent += recentWeight * (math.Min(latency, clipFactor*a.baseline) - a.recent)
+	latency = math.Min(latency, clipFactor*a.baseline)
+	a.recent += recentWeight * (latency - a.recent)
 	a.adjust(now, sample)
 	a.learn(now, latency, sample.InFlight)
 }
@@ -106,7 +110,7 @@
 	case a.recent > highFactor*a.baseline:
 		a.drop(now, sample)
 	case !sample.Failed:
-		a.limit = math.Min(a.limit+1/a.limit, a.ramp(now))
+		a.limit += 1 / a.limit
 	}
 	a.clamp()
 }
@@ -120,20 +124,20 @@
 	a.limit = math.Min(a.limit, a.ramp(now)) * dropFactor
 }
 
-// learn moves the baseline: down by samples below it, up with time.
+// learn moves the baseline towards a latency.
 func (a *Adaptive) learn(now time.Time, latency float64, inFlight int) {
 	elapsed := now.Sub(a.sampled)
 	a.sampled = now
-	if latency < a.baseline {
-		a.baseline += baselineFall * (latency - a.baseline)
-		return
-	}
-	constant := highLoadRecovery
-	if inFlight <= a.bounds.Cold {
-		constant = lowLoadRecovery
+	constant := normalTime
+	switch {
+	case a.recent <= highFactor*a.baseline:
+	case inFlight <= a.bounds.Cold:
+		constant = lowLoadTime
+	default:
+		constant = highLoadTime
 	}
 	weight := 1 - math.Exp(-elapsed.Seconds()/constant.Seconds())
-	a.baseline += weight * (latency - a.baseline)
+	a.baseline += math.Min(weight, maxBaselineWeight) * (latency - a.baseline)
 }
 
 // ramp returns the highest limit that the last cold start allows at now.
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,111 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"verbenareel/core"
+	"verbenareel/limit"
+)
+
+var bounds = limit.Bounds{Cold: cold, Slots: slots, WarmTime: warmTime}
+
+// rampAt is the oracle of the ramp.
+func rampAt(cooled, now time.Time) int {
+	warm := min(now.Sub(cooled), warmTime)
+	return cold + int((slots-cold)*warm/warmTime)
+}
+
+// TestAdaptiveBounds guards against a limit above the slots or the ramp, a limit that ignores Cool or Bound, and one that
+// stays low after a slow phase has passed.
+func TestAdaptiveBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, cooled, bound := epoch, epoch, 0
+		a := limit.NewAdaptive(now, bounds)
+		limitIs := func() int { return a.Limit(now) }
+		observe := func(latency time.Duration, failed bool, inFlight int) {
+			a.Observe(now, core.Sample{Latency: latency, Failed: failed, InFlight: inFlight})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"observe": func(t *rapid.T) {
+				latency := time.Duration(rapid.IntRange(0, 500).Draw(t, "latency")) * time.Millisecond
+				failed := rapid.Bool().Draw(t, "failed")
+				for range rapid.IntRange(1, 200).Draw(t, "count") {
+					now = now.Add(time.Millisecond)
+					observe(latency, failed, limitIs())
+				}
+			},
+			"cool": func(*rapid.T) {
+				a.Cool(now)
+				cooled = now
+			},
+			"bound": func(t *rapid.T) {
+				bound = rapid.IntRange(0, 2*slots).Draw(t, "bound")
+				a.Bound(now, bound)
+			},
+			"": func(t *rapid.T) {
+				got := limitIs()
+				highest := rampAt(cooled, now)
+				lowest := cold
+				if bound > 0 {
+					highest, lowest = min(highest, bound), min(lowest, bound)
+				}
+				if got > highest || got < lowest {
+					t.Fatalf("limit %d is not within %d and %d", got, lowest, highest)
+				}
+			},
+		})
+		a.Bound(now, 0)
+		for range 20_000 {
+			now = now.Add(time.Millisecond)
+			observe(20*time.Millisecond, false, limitIs())
+		}
+		if got := limitIs(); got != slots {
+			t.Fatalf("limit %d after 20 s of normal latency", got)
+		}
+	})
+}
+
+// TestAgainstFixed guards against a limiter that overloads a cold server, that gives up throughput for it, or that does
+// not return to the full limit. The server is simulated; 1,500 calls/s are 83% of its capacity when warm.
+func TestAgainstFixed(t *testing.T) {
+	warm := func(s *simulation) { s.coldSince = epoch.Add(-time.Hour) }
+	tests := []struct {
+		name   string
+		change func(*simulation)
+		// excess is the highest number of calls that may start while the server has no capacity for them, and share the
+		// lowest throughput relative to a fixed limit.
+		excess int
+		share  float64
+	}{
+		{name: "cold start", change: func(*simulation) {}, excess: 0, share: 1},
+		{name: "warm", change: warm, excess: 0, share: 0.85},
+		{name: "turns cold unnoticed", excess: slots, share: 0.85, change: func(s *simulation) {
+			warm(s)
+			s.at(6*time.Second, func() { s.coldSince = s.now })
+		}},
+		{name: "slow for 2 s", excess: 0, share: 0.75, change: func(s *simulation) {
+			warm(s)
+			s.at(6*time.Second, func() { s.factor = 5 })
+			s.at(8*time.Second, func() { s.factor = 1 })
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			adaptive := simulate(limit.NewAdaptive(epoch, bounds), test.change)
+			fixed := simulate(limit.NewFixed(slots), test.change)
+			t.Logf("adaptive: %v", adaptive)
+			t.Logf("fixed:    %v", fixed)
+			c.Check(adaptive.excess <= test.excess, qt.IsTrue)
+			c.Check(float64(adaptive.completed) >= test.share*float64(fixed.completed), qt.IsTrue)
+			c.Check(adaptive.limiter.Limit(adaptive.now), qt.Equals, slots)
+		})
+	}
+}
