--- a/ticket/store.go
+++ b/ticket/store.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"crypto/rand"
+	"encoding/base64"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"verbenareel/core"
 	"verbenareel/schema"
 )
@@ -203,7 +206,7 @@
 }
 
 // Supersede records the successor of a refused ticket, or closes a refused or unused one if successor is nil. The
-// first request wins, and the reply gives the state in force.
+// first request wins, and the reply gives the state in force. A successor that is malformed is not recorded.
 func (s *Store) Supersede(now time.Time, ticket, successor *schema.Ticket) *schema.SupersedeReply {
 	s.Expire(now)
 	e, _ := s.find(ticket)
@@ -216,7 +219,7 @@
 		s.settle(e, closed)
 	case successor == nil && e.state == refused:
 		e.state = closed
-	case successor != nil && e.state == refused:
+	case successor != nil && e.state == refused && linkable(ticket, successor):
 		e.successor = successor
 		e.state = superseded
 	}
@@ -261,6 +264,14 @@
 	return e, nil
 }
 
+// linkable reports whether successor may succeed ticket: it is another ticket for the same service, and it is no larger
+// than an encoded ticket may be, which bounds the memory of a superseded entry.
+func linkable(ticket, successor *schema.Ticket) bool {
+	same := successor.GetIncarnation() == ticket.GetIncarnation() && successor.GetSerial() == ticket.GetSerial()
+	return !same && successor.GetService() == ticket.GetService() &&
+		base64.RawURLEncoding.EncodedLen(proto.Size(successor)) <= MaxEncoded
+}
+
 // settle records a state without an answer, for the life of an outcome.
 func (s *Store) settle(e *entry, state state) {
 	e.state = state
