--- a/ticket/store.go
+++ b/ticket/store.go
@@ -76,11 +76,12 @@
 	now     time.Duration
 	serial  uint64
 	entries map[uint64]*entry
-	// unused, finished and settled hold the entries in the order of their expiry: those issued, those done, and those
-	// refused, superseded or closed.
+	// The lists hold the entries in the order of their expiry. unused: issued; finished: done; settled: refused or
+	// superseded; ended: closed. Running entries are in none.
 	unused   list
 	finished list
 	settled  list
+	ended    list
 	// oldest is the first entry in finished whose answer is retained.
 	oldest      *entry
 	answerBytes int
@@ -136,9 +137,13 @@
 // AnswerBytes returns the size of the retained answers.
 func (s *Store) AnswerBytes() int { return s.answerBytes }
 
-// Issue returns a new ticket and reserves its entry, or REASON_TICKETS_FULL.
+// Issue returns a new ticket and reserves its entry, or REASON_TICKETS_FULL. In a full table it evicts the closed entry
+// that is oldest; otherwise 220 refusals a second, each kept for 5 min, would fill the table of an overloaded guard.
 func (s *Store) Issue(now time.Time, service string) (*schema.Ticket, schema.Reason) {
 	s.Expire(now)
+	if len(s.entries) >= s.capacity && s.ended.first != nil {
+		s.evict(&s.ended)
+	}
 	if len(s.entries) >= s.capacity {
 		return nil, schema.Reason_REASON_TICKETS_FULL
 	}
@@ -195,7 +200,7 @@
 	if reply.GetStatus() == schema.Status_STATUS_NOT_RUN {
 		e.reason = reply.GetReason()
 		e.retried = reply.GetRetried()
-		s.settle(e, refused)
+		s.settle(e, refused, &s.settled)
 	} else {
 		s.complete(e, reply)
 	}
@@ -216,9 +221,10 @@
 	switch {
 	case successor == nil && e.state == issued:
 		s.unused.remove(e)
-		s.settle(e, closed)
+		s.settle(e, closed, &s.ended)
 	case successor == nil && e.state == refused:
-		e.state = closed
+		s.settled.remove(e)
+		s.settle(e, closed, &s.ended)
 	case successor != nil && e.state == refused && linkable(ticket, successor):
 		e.successor = successor
 		e.state = superseded
@@ -229,23 +235,23 @@
 // Expire removes entries whose life has ended. Its time grows with the number of removed entries only.
 func (s *Store) Expire(now time.Time) {
 	s.now = max(s.now, now.Sub(s.start))
-	for e := s.unused.first; e != nil && e.expires <= s.now; e = s.unused.first {
-		s.unused.remove(e)
-		delete(s.entries, e.serial)
-	}
-	for e := s.settled.first; e != nil && e.expires <= s.now; e = s.settled.first {
-		s.settled.remove(e)
-		delete(s.entries, e.serial)
-	}
-	for e := s.finished.first; e != nil && e.expires <= s.now; e = s.finished.first {
-		if e == s.oldest {
-			s.dropOldest()
+	for _, l := range []*list{&s.unused, &s.finished, &s.settled, &s.ended} {
+		for l.first != nil && l.first.expires <= s.now {
+			s.evict(l)
 		}
-		s.finished.remove(e)
-		delete(s.entries, e.serial)
 	}
 }
 
+// evict removes the first entry of a list.
+func (s *Store) evict(l *list) {
+	e := l.first
+	if e == s.oldest {
+		s.dropOldest()
+	}
+	l.remove(e)
+	delete(s.entries, e.serial)
+}
+
 // find returns the entry of a ticket, or the reply to a ticket without one.
 func (s *Store) find(ticket *schema.Ticket) (*entry, *schema.ExecuteReply) {
 	if ticket == nil {
@@ -273,10 +279,10 @@
 }
 
 // settle records a state without an answer, for the life of an outcome.
-func (s *Store) settle(e *entry, state state) {
+func (s *Store) settle(e *entry, state state, to *list) {
 	e.state = state
 	e.expires = s.now + s.outcomeLife
-	s.settled.push(e)
+	to.push(e)
 }
 
 // complete retains the outcome of a run, and drops the oldest answers that exceed the bound.
--- a/ticket/store_test.go
+++ b/ticket/store_test.go
@@ -120,6 +120,7 @@
 	checkReply(c, s, late, done, 1, "paid")
 	checkReply(c, s, late, refused, 1, "not-run busy")
 	c.Assert(s.Len(), qt.Equals, 3)
+	c.Assert(mustIssue(c, s, epoch).GetExpiresMs(), qt.Equals, 2*ticket.DefaultTicketLife.Milliseconds())
 
 	late = epoch.Add(ticket.DefaultOutcomeLife)
 	checkReply(c, s, late, done, 1, "unknown ticket-expired")
@@ -154,6 +155,39 @@
 	c.Assert(s.AnswerBytes(), qt.Equals, 0)
 }
 
+// TestStoreEvictsClosed guards against refusals that fill the table of an overloaded guard, and against an eviction
+// that lets a closed ticket run.
+func TestStoreEvictsClosed(t *testing.T) {
+	c := qt.New(t)
+	s := newStore(ticket.WithCapacity(3))
+	kept := mustRun(c, s, epoch, core.NotRun(schema.Reason_REASON_BUSY))
+	first := mustRun(c, s, epoch, core.NotRun(schema.Reason_REASON_BUSY))
+	second := mustIssue(c, s, epoch)
+	for _, closed := range []*schema.Ticket{first, second} {
+		state := s.Supersede(epoch, closed, nil).GetState()
+		c.Assert(state, qt.Equals, schema.SupersedeState_SUPERSEDE_STATE_CLOSED)
+	}
+	mustIssue(c, s, epoch)
+	checkReply(c, s, epoch, first, 1, "unknown ticket-expired")
+	checkReply(c, s, epoch, second, 1, "not-run ticket-closed")
+	checkReply(c, s, epoch, kept, 1, "not-run busy")
+}
+
+// TestStoreSuccessor guards against a chain that loops, leaves its service, or fills memory.
+func TestStoreSuccessor(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	refused := mustRun(c, s, epoch, core.NotRun(schema.Reason_REASON_BUSY))
+	for _, wrong := range []*schema.Ticket{
+		refused,
+		schema.Ticket_builder{Serial: 9, Service: "booking"}.Build(),
+		schema.Ticket_builder{Serial: 9, Service: "payout", Mac: make([]byte, ticket.MaxEncoded)}.Build(),
+	} {
+		state := s.Supersede(epoch, refused, wrong).GetState()
+		c.Check(state, qt.Equals, schema.SupersedeState_SUPERSEDE_STATE_ACTIVE)
+	}
+}
+
 // TestStoreAnswer guards against a resend that gets the load or the next ticket of the first response, or a reply that
 // another caller has changed.
 func TestStoreAnswer(t *testing.T) {
@@ -171,7 +205,8 @@
 	issued, _ := newStore().Issue(epoch, "payout")
 	f.Add(ticket.Encode(issued))
 	f.Add("")
-	f.Add(strings.Repeat("A", ticket.MaxEncoded+1))
+	issued.SetService(strings.Repeat("A", ticket.MaxEncoded))
+	f.Add(ticket.Encode(issued))
 	f.Fuzz(func(t *testing.T, text string) {
 		decoded, err := ticket.Decode(text)
 		if err != nil {
@@ -179,10 +214,11 @@
 			qt.New(t).Assert(err, qt.ErrorAs, &failure)
 			return
 		}
-		again, err := ticket.Decode(ticket.Encode(decoded))
-		if len(ticket.Encode(decoded)) <= ticket.MaxEncoded {
+		qt.New(t).Assert(len(text) <= ticket.MaxEncoded, qt.IsTrue)
+		if encoded := ticket.Encode(decoded); len(encoded) <= ticket.MaxEncoded {
+			again, err := ticket.Decode(encoded)
 			qt.New(t).Assert(err, qt.IsNil)
-			qt.New(t).Assert(ticket.Encode(again), qt.Equals, ticket.Encode(decoded))
+			qt.New(t).Assert(ticket.Encode(again), qt.Equals, encoded)
 		}
 		s := newStore()
 		if claim := s.Begin(epoch, decoded, 1); claim.State != core.ClaimReply {
