--- a/config/check.go
+++ b/config/check.go
@@ -104,7 +104,7 @@
 
 // report adds a fault at a key, or at its section if the text does not have the key.
 func (c *checker) report(section, key, format string, args ...any) {
-	if c.rejected[join(section, key)] {
+	if c.rejected[section] || c.rejected[join(section, key)] {
 		return
 	}
 	offset, ok := c.places[join(section, key)]
--- a/config/decode.go
+++ b/config/decode.go
@@ -164,11 +164,11 @@
 		s = d.enter(s, p)
 	}
 	field := d.field(s, key[last])
-	if field == nil {
-		return scope{path: join(s.path, key[last].name)}
-	}
-	if !field.IsList() || field.Message() == nil {
+	if s.table != nil || field != nil && (!field.IsList() || field.Message() == nil) {
 		d.fault(key[last].offset, s.path, key[last].name, "is not a list of sections; write [%s]", join(s.path, key[last].name))
+		return d.enter(s, key[last])
+	}
+	if field == nil {
 		return scope{path: join(s.path, key[last].name)}
 	}
 	list := s.message.Mutable(field).List()
@@ -203,7 +203,11 @@
 	case field.IsMap():
 		return scope{table: s.message.Mutable(field).Map(), path: unknown.path}
 	case field.IsList() || field.Message() == nil || isDuration(field):
-		d.fault(p.offset, s.path, p.name, "is not a section; expected %s", expected(field))
+		what := expected(field)
+		if field.IsList() {
+			what = "a list of sections, [[" + unknown.path + "]]"
+		}
+		d.fault(p.offset, s.path, p.name, "is not a section; expected %s", what)
 		return unknown
 	}
 	return scope{message: s.message.Mutable(field).Message(), path: unknown.path}
@@ -253,9 +257,9 @@
 	if s.message == nil {
 		return nil
 	}
-	fields := s.message.Descriptor().Fields()
-	field := fields.ByName(protoreflect.Name(p.name))
+	field := d.lookup(s, p)
 	if field == nil {
+		fields := s.message.Descriptor().Fields()
 		names := make([]string, 0, fields.Len())
 		for i := range fields.Len() {
 			names = append(names, string(fields.Get(i).Name()))
@@ -265,6 +269,13 @@
 	return field
 }
 
+func (d *decoder) lookup(s scope, p part) protoreflect.FieldDescriptor {
+	if s.message == nil {
+		return nil
+	}
+	return s.message.Descriptor().Fields().ByName(protoreflect.Name(p.name))
+}
+
 // assign sets the value of a key, which may be dotted.
 func (d *decoder) assign(s scope, key []part, value *unstable.Node) {
 	last := len(key) - 1
@@ -319,7 +330,7 @@
 // list reads an array into a repeated field.
 func (d *decoder) list(s scope, field protoreflect.FieldDescriptor, p part, value *unstable.Node) {
 	if value.Kind != unstable.Array {
-		d.reject(s, p, "has a value of type %s; expected %s", kindName(value.Kind), expected(field))
+		d.reject(s, p, "has a value of type %s; expected a list", kindName(value.Kind))
 		return
 	}
 	list := s.message.Mutable(field).List()
@@ -340,9 +351,11 @@
 	}
 }
 
-// reject reports a value that cannot be used.
+// reject reports a value that cannot be used. Other elements of a list can.
 func (d *decoder) reject(s scope, p part, format string, args ...any) {
-	d.rejected[join(s.path, p.name)] = true
+	if field := d.lookup(s, p); field == nil || !field.IsList() {
+		d.rejected[join(s.path, p.name)] = true
+	}
 	d.fault(p.offset, s.path, p.name, format, args...)
 }
 
@@ -413,12 +426,6 @@
 
 // expected describes the values of a field.
 func expected(field protoreflect.FieldDescriptor) string {
-	if field.IsList() {
-		if field.Message() != nil {
-			return "a list of sections"
-		}
-		return "a list of values"
-	}
 	switch field.Kind() {
 	case protoreflect.BoolKind:
 		return "true or false"
