--- /dev/null
+++ b/plat/plat_test.go
@@ -0,0 +1,163 @@
+package plat
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+var _ core.Platform = (*Client)(nil)
+
+// The server of the test leaves two goroutines behind: its clock, and the cleaner of a stopped worker pool, which sleeps.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+// serve starts a platform with the handler and returns a client for it.
+func serve(c *qt.C, handler fasthttp.RequestHandler) *Client {
+	c.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := &fasthttp.Server{Handler: handler, Logger: quiet{}}
+	var group conc.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	client := New("http://"+listener.Addr().String()+"/", clockwork.NewRealClock(), WithTimeout(300*time.Millisecond))
+	c.Cleanup(func() {
+		client.Close()
+		c.Assert(server.Shutdown(), qt.IsNil)
+		group.Wait()
+	})
+	return client
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Guards against a client that departs from the conventions of the platform: parameters, 304, and the revision header.
+func TestDocument(t *testing.T) {
+	c := qt.New(t)
+	client := serve(c, func(ctx *fasthttp.RequestCtx) {
+		c.Check(string(ctx.Path()), qt.Equals, "/v1/document")
+		after, err := strconv.Atoi(string(ctx.QueryArgs().Peek("after")))
+		c.Check(err, qt.IsNil)
+		c.Check(string(ctx.QueryArgs().Peek("wait")), qt.Equals, "250")
+		switch after {
+		case 7:
+			ctx.SetStatusCode(fasthttp.StatusNotModified)
+		case 8:
+			ctx.SetBodyString("no header")
+		default:
+			ctx.Response.Header.Set(RevisionHeader, "7")
+			ctx.SetBodyString("text")
+		}
+	})
+	revision, text, err := client.Document(context.Background(), 3, 250*time.Millisecond)
+	c.Assert(err, qt.IsNil)
+	c.Assert(revision, qt.Equals, uint64(7))
+	c.Assert(string(text), qt.Equals, "text")
+	revision, text, err = client.Document(context.Background(), 7, 250*time.Millisecond)
+	c.Assert(err, qt.IsNil)
+	c.Assert(revision, qt.Equals, uint64(7))
+	c.Assert(text, qt.IsNil)
+	_, _, err = client.Document(context.Background(), 8, 250*time.Millisecond)
+	c.Assert(err, qt.ErrorMatches, ".*Platform-Revision.*")
+	c.Assert(client.Calls(), qt.Equals, uint64(3))
+	c.Assert(client.Answered().IsZero(), qt.IsFalse)
+}
+
+// Guards against one malformed entry that makes the whole list unusable, and against states that are mixed up.
+func TestMembers(t *testing.T) {
+	c := qt.New(t)
+	client := serve(c, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBodyString(`{"instances":[
+			{"instance":"sheets-1","service":"sheets","domain":"sapporo","address":"127.0.0.1:7101","state":"live"},
+			{"instance":"sheets-2","service":"sheets","domain":"sapporo","address":"127.0.0.1:7201","state":"leaving"},
+			{"instance":"sheets-3","service":"sheets","domain":"sapporo","address":"nowhere","state":"live"},
+			{"instance":"sheets-4","service":"sheets","domain":"sapporo","address":"127.0.0.1:7401","state":"lost"}]}`)
+	})
+	members, err := client.Members(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(members, qt.HasLen, 2)
+	c.Assert(members[0].GetState(), qt.Equals, schema.InstanceState_INSTANCE_STATE_SERVING)
+	c.Assert(members[1].GetState(), qt.Equals, schema.InstanceState_INSTANCE_STATE_LEAVING)
+	c.Assert(members[1].GetAddress(), qt.Equals, "127.0.0.1:7201")
+	c.Assert(client.Skipped(), qt.Equals, uint64(2))
+}
+
+// Guards against responses that cost unbounded memory, errors that are taken for documents, and calls that never end.
+func TestFailures(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	client := serve(c, func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.QueryArgs().Peek("after")) {
+		case "1":
+			ctx.SetBodyString(strings.Repeat("x", maxBody+1))
+		case "2":
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		case "3":
+			<-release
+		}
+	})
+	read := func(ctx context.Context, after uint64) *Error {
+		_, _, err := client.Document(ctx, after, 0)
+		var failure *Error
+		c.Assert(errors.As(err, &failure), qt.IsTrue)
+		return failure
+	}
+	c.Assert(read(context.Background(), 1), qt.ErrorIs, fasthttp.ErrBodyTooLarge)
+	c.Assert(read(context.Background(), 2).Code(), qt.Equals, 503)
+	start := time.Now()
+	c.Assert(read(context.Background(), 3).Code(), qt.Equals, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	c.Assert(read(ctx, 3).Code(), qt.Equals, 0)
+	c.Assert(time.Since(start) < 5*time.Second, qt.IsTrue)
+	client = New("ftp://127.0.0.1", clockwork.NewRealClock())
+	c.Assert(read(context.Background(), 4).Code(), qt.Equals, 0)
+	c.Assert(client.Calls(), qt.Equals, uint64(0))
+}
+
+// Guards against a read that fails only because the platform closed a kept connection.
+func TestClosedConnection(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			// The connection is closed after one response that promises to keep it.
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = conn.Write([]byte("HTTP/1.1 304 Not Modified\r\nPlatform-Revision: 5\r\n\r\n"))
+			_ = conn.Close()
+		}
+	})
+	client := New("http://"+listener.Addr().String(), clockwork.NewRealClock())
+	for range 3 {
+		revision, _, err := client.Document(context.Background(), 5, 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(revision, qt.Equals, uint64(5))
+	}
+	client.Close()
+	c.Assert(listener.Close(), qt.IsNil)
+	group.Wait()
+}
