--- a/io/backend.go
+++ b/io/backend.go
@@ -8,11 +8,11 @@
 	stdio "io"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"verbenareel/core"
@@ -20,6 +20,8 @@
 )
 
 const (
+	// sweepsPerLife is how often idle connections are looked at in the time that one may live.
+	sweepsPerLife = 4
 	// maxInterim bounds the informational responses before the final one.
 	maxInterim = 16
 	// noLength is what fasthttp gives for a response with neither a length nor chunked framing.
@@ -39,37 +41,76 @@
 	faults  faults
 	address string
 	slots   chan struct{}
-
-	mutex  sync.Mutex
-	idle   []*backendConn
-	open   map[*backendConn]struct{}
-	closed bool
+	group   conc.WaitGroup
+	stopped context.Context
+	stop    context.CancelFunc
+	done    chan struct{}
+	once    sync.Once
+
+	mutex sync.Mutex
+	idle  []*backendConn
+	open  map[*backendConn]struct{}
 }
 
 // NewBackend returns a Backend for the server at address. It opens connections on demand.
 func NewBackend(address string, opts ...Option) *Backend {
 	o := newOptions(opts, defaultBackendIdle, defaultConnections)
-	return &Backend{
+	b := &Backend{
 		options: o,
 		faults:  newFaults(o.registerer, "backend"),
 		address: address,
 		slots:   make(chan struct{}, o.connections),
+		done:    make(chan struct{}),
 		open:    make(map[*backendConn]struct{}),
 	}
+	b.stopped, b.stop = context.WithCancel(context.Background())
+	b.group.Go(b.sweep)
+	return b
 }
 
 // Close closes all connections; requests in progress end as lost.
 func (b *Backend) Close() error {
 	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.closed = true
+	b.stop()
 	for c := range b.open {
 		_ = c.Close()
 	}
 	b.idle = nil
+	b.mutex.Unlock()
+	b.group.Wait()
+	b.once.Do(func() { close(b.done) })
 	return nil
 }
 
+// Done is closed once Close has finished.
+func (b *Backend) Done() <-chan struct{} { return b.done }
+
+// sweep closes the connections that are idle for too long.
+func (b *Backend) sweep() {
+	for {
+		select {
+		case <-b.stopped.Done():
+			return
+		case <-b.clock.After(b.idleTime / sweepsPerLife):
+			b.closeIdle(b.clock.Now())
+		}
+	}
+}
+
+// closeIdle relies on the order of the idle connections, which is that of their last use.
+func (b *Backend) closeIdle(now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	old := 0
+	for old < len(b.idle) && now.Sub(b.idle[old].used) >= b.idleTime {
+		delete(b.open, b.idle[old])
+		_ = b.idle[old].Close()
+		b.idle[old] = nil
+		old++
+	}
+	b.idle = b.idle[old:]
+}
+
 // Connect implements core.Backend.
 func (b *Backend) Connect(ctx context.Context) error {
 	conn, err := b.dial(ctx)
@@ -142,7 +183,7 @@
 	c := newBackendConn(b, conn)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.closed {
+	if b.stopped.Err() != nil {
 		_ = conn.Close()
 		return nil, net.ErrClosed
 	}
@@ -172,26 +213,18 @@
 	return c
 }
 
-// release puts a connection back, or closes it if it cannot be used again. It closes those that are idle for too long.
+// release puts a connection back, or closes it if it cannot be used again.
 func (b *Backend) release(c *backendConn) {
 	if !c.reusable {
 		b.drop(c)
 		return
 	}
-	now := b.clock.Now()
-	c.used = now
+	c.used = b.clock.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.closed {
-		return
+	if b.stopped.Err() == nil {
+		b.idle = append(b.idle, c)
 	}
-	old := 0
-	for old < len(b.idle) && now.Sub(b.idle[old].used) >= b.idleTime {
-		delete(b.open, b.idle[old])
-		_ = b.idle[old].Close()
-		old++
-	}
-	b.idle = append(b.idle[old:], c)
 }
 
 func (b *Backend) drop(c *backendConn) {
@@ -256,23 +289,24 @@
 }
 
 // exchange writes the request and reads the response. When ctx ends it half-closes the connection, which tells the
-// server that the call is cancelled, and goes on reading.
+// server that the call is cancelled and frees a write that is blocked, and goes on reading.
 func (c *backendConn) exchange(ctx context.Context, request *core.Request) *core.Result {
 	c.reusable, c.written, c.read, c.deadline = false, 0, 0, request.Deadline
 	_ = c.SetDeadline(time.Now().Add(c.backend.slotLimit))
+	cancelled := context.AfterFunc(ctx, func() { _ = c.CloseWrite() })
 	if err := c.send(request); err != nil {
-		return c.unsent(err)
+		return c.unsent(ctx, err, !cancelled())
 	}
-	cancelled := context.AfterFunc(ctx, func() { _ = c.CloseWrite() })
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	err := c.receive(response, request.Method == fasthttp.MethodHead)
+	head := request.Method == fasthttp.MethodHead
+	err := c.receive(response, head)
 	running := cancelled()
 	if err != nil {
 		return c.broken(err, running)
 	}
 	c.reusable = running && !response.ConnectionClose() && c.reader.Buffered() == 0
-	return c.result(response, request.Method == fasthttp.MethodHead)
+	return c.result(response, head)
 }
 
 func (c *backendConn) send(request *core.Request) error {
@@ -309,13 +343,17 @@
 }
 
 // unsent maps an error of writing the request.
-func (c *backendConn) unsent(err error) *core.Result {
+func (c *backendConn) unsent(ctx context.Context, err error, cancelled bool) *core.Result {
 	result := &core.Result{Written: c.written > 0, Reason: schema.Reason_REASON_CONNECTION_LOST}
-	if errors.Is(err, errDeadline) {
+	switch {
+	case errors.Is(err, errDeadline):
 		result.Reason = schema.Reason_REASON_DEADLINE
-		return result
+		c.reusable = !cancelled
+	case cancelled && !result.Written:
+		result.Reason = endReason(ctx)
+	default:
+		result.Reset = isReset(err) && !cancelled
 	}
-	result.Reset = isReset(err)
 	return result
 }
 
@@ -323,11 +361,11 @@
 func (c *backendConn) broken(err error, running bool) *core.Result {
 	result := &core.Result{Written: true}
 	var small *fasthttp.ErrSmallBuffer
-	var network net.Error
+	var slow interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
 		result.Reason = schema.Reason_REASON_TOO_LARGE
-	case errors.As(err, &network) && network.Timeout():
+	case errors.As(err, &slow) && slow.Timeout():
 		result.Reason = schema.Reason_REASON_DEADLINE
 	case c.read > 0:
 		result.Reason = schema.Reason_REASON_TRUNCATED
@@ -375,39 +413,32 @@
 
 var errNoFraming = errors.New("response has neither a length nor chunked framing")
 
+// result copies a response.
 func (c *backendConn) result(response *fasthttp.Response, head bool) *core.Result {
-	result := &core.Result{
-		Written: true,
-		Code:    response.StatusCode(),
-		Headers: c.headers(response, head),
-		Body:    response.SwapBody(nil),
-	}
-	if value := response.Header.Peek(core.HeaderLoad); len(value) > 0 {
-		report, ok := parseLoad(string(value))
-		if !ok {
-			c.backend.faults.count("malformed-load")
+	result := &core.Result{Written: true, Code: response.StatusCode(), Body: response.SwapBody(nil)}
+	result.Headers = make([]*schema.Header, 0, response.Header.Len())
+	length := head || result.Code == fasthttp.StatusNotModified
+	for name, value := range response.Header.All() {
+		switch {
+		case isFold(name, core.HeaderLoad):
+			c.setReport(result, string(value))
+			continue
+		case isFold(name, core.HeaderNotRun) && result.Code == fasthttp.StatusServiceUnavailable:
+			result.Reason = schema.Reason_REASON_SHED
+		case isFold(name, fasthttp.HeaderContentLength) && !length:
+			continue
 		}
-		result.Report = report
-	}
-	if result.Code == fasthttp.StatusServiceUnavailable && len(response.Header.Peek(core.HeaderNotRun)) > 0 {
-		result.Reason = schema.Reason_REASON_SHED
+		result.Headers = append(result.Headers, newHeader(name, value))
 	}
+	result.Headers = keepEndToEnd(result.Headers, length)
 	return result
 }
 
-// headers copies the header fields for the caller. The load report is meant for the guard. The length is passed on only
-// where there is no body to derive it from.
-func (c *backendConn) headers(response *fasthttp.Response, head bool) []*schema.Header {
-	headers := make([]*schema.Header, 0, response.Header.Len())
-	length := head || response.StatusCode() == fasthttp.StatusNotModified
-	listed := string(response.Header.Peek("Connection"))
-	for name, value := range response.Header.All() {
-		key := string(name)
-		isLength := length && strings.EqualFold(key, "Content-Length")
-		if (isHopByHop(key) && !isLength) || namedIn(listed, key) || strings.EqualFold(key, core.HeaderLoad) {
-			continue
-		}
-		headers = append(headers, schema.Header_builder{Name: key, Value: append([]byte{}, value...)}.Build())
+// setReport reads the load report, which is meant for the guard and not passed on.
+func (c *backendConn) setReport(result *core.Result, value string) {
+	report, ok := parseLoad(value)
+	if !ok {
+		c.backend.faults.count("malformed-load")
 	}
-	return headers
+	result.Report = report
 }
--- /dev/null
+++ b/io/backend_test.go
@@ -0,0 +1,216 @@
+package io_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	stdio "io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+
+	"verbenareel/core"
+	"verbenareel/io"
+	"verbenareel/schema"
+)
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+// httpServer counts the requests that it reads and lets answer write to the connection; it closes the connection once
+// answer returns false.
+func httpServer(t testing.TB, answer func(conn *net.TCPConn, r *http.Request) bool) (address string, runs *atomic.Int64) {
+	runs = new(atomic.Int64)
+	address = rawServer(t, func(conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = stdio.Copy(stdio.Discard, r.Body)
+			runs.Add(1)
+			if !answer(conn, r) {
+				return
+			}
+		}
+	})
+	return address, runs
+}
+
+func post() *core.Request {
+	return &core.Request{Method: "POST", URI: "/deposit?a=1", Body: []byte("x"), Depth: 3, Deadline: time.Now().Add(time.Second)}
+}
+
+// Guards against a request that runs twice because a library resends it after the connection ended.
+func TestExactlyOneRun(t *testing.T) {
+	t.Run("closed after the request", func(t *testing.T) {
+		address, runs := httpServer(t, func(*net.TCPConn, *http.Request) bool { return false })
+		backend := newBackend(t, address)
+		for i := range 3 {
+			result := backend.Send(t.Context(), post())
+			qt.Check(t, result.Reason, qt.Equals, schema.Reason_REASON_CONNECTION_LOST)
+			qt.Check(t, result.Written && result.Reset, qt.IsTrue)
+			qt.Check(t, runs.Load(), qt.Equals, int64(i+1))
+		}
+	})
+	t.Run("idle connections closed", func(t *testing.T) {
+		address, runs := httpServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+			_, _ = stdio.WriteString(conn, ok)
+			return false
+		})
+		backend := newBackend(t, address)
+		answered := int64(0)
+		for range 200 {
+			result := backend.Send(t.Context(), post())
+			if result.Code == http.StatusOK {
+				answered++
+			} else {
+				// The server closed the connection after the check for closure.
+				qt.Check(t, result.Reason, qt.Equals, schema.Reason_REASON_CONNECTION_LOST)
+			}
+			time.Sleep(100 * time.Microsecond)
+		}
+		qt.Check(t, runs.Load(), qt.Equals, answered)
+		qt.Check(t, answered > 150, qt.IsTrue, qt.Commentf("%d answered", answered))
+	})
+}
+
+// Guards against a part of an answer that is taken for the whole, and checks what is read from whole answers.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, method, answer string
+		reason               schema.Reason
+		code                 int
+		body                 string
+	}{
+		{"length", "POST", ok, 0, 200, "hi"},
+		{"chunked", "POST", "HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n1\r\n!\r\n0\r\n\r\n", 0, 201, "hi!"},
+		{"interim", "POST", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok, 0, 200, "hi"},
+		{"no body", "POST", "HTTP/1.1 204 No Content\r\n\r\n", 0, 204, ""},
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", 0, 200, ""},
+		{"shed", "POST", "HTTP/1.1 503 Busy\r\nverbenareel-not-run: shed\r\nContent-Length: 0\r\n\r\n", schema.Reason_REASON_SHED, 503, ""},
+		{"short length", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", schema.Reason_REASON_TRUNCATED, 0, ""},
+		{"short chunk", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi", schema.Reason_REASON_TRUNCATED, 0, ""},
+		{"no last chunk", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", schema.Reason_REASON_TRUNCATED, 0, ""},
+		{"no end after last chunk", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n", schema.Reason_REASON_TRUNCATED, 0, ""},
+		{"no framing", "POST", "HTTP/1.1 200 OK\r\n\r\nhi", schema.Reason_REASON_TRUNCATED, 0, ""},
+		{"short header", "POST", "HTTP/1.1 200 OK\r\nContent-Le", schema.Reason_REASON_TRUNCATED, 0, ""},
+		{"not HTTP", "POST", "hello\r\n\r\n", schema.Reason_REASON_TRUNCATED, 0, ""},
+		{"long body", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n", schema.Reason_REASON_TOO_LARGE, 0, ""},
+		{"long chunk", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n", schema.Reason_REASON_TOO_LARGE, 0, ""},
+		{"long header", "POST", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 20<<10), schema.Reason_REASON_TOO_LARGE, 0, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address, runs := httpServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+				_, _ = stdio.WriteString(conn, c.answer)
+				return false
+			})
+			backend := newBackend(t, address, io.WithMaxBody(1024))
+			request := post()
+			request.Method = c.method
+			result := backend.Send(t.Context(), request)
+			qt.Check(t, result.Reason, qt.Equals, c.reason)
+			qt.Check(t, result.Code, qt.Equals, c.code)
+			qt.Check(t, string(result.Body), qt.Equals, c.body)
+			qt.Check(t, result.Written, qt.IsTrue)
+			qt.Check(t, runs.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// Guards against header fields that are lost, doubled or passed to the wrong side.
+func TestBackendHeaders(t *testing.T) {
+	address, _ := httpServer(t, func(conn *net.TCPConn, r *http.Request) bool {
+		qt.Check(t, r.Header.Get("Verbenareel-Depth"), qt.Equals, "3")
+		qt.Check(t, r.Header.Values("Verbenareel-Timeout"), qt.HasLen, 1)
+		qt.Check(t, r.Header.Get("Te"), qt.Equals, "")
+		qt.Check(t, r.Header.Values("X-Twice"), qt.DeepEquals, []string{"a", "b"})
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nverbenareel-load: in-flight=3; limit=18; state=cold; incarnation=7\r\n",
+			"x-lower: 1\r\nSet-Cookie: a=1\r\nSet-Cookie: a=2\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	backend := newBackend(t, address)
+	request := post()
+	for _, f := range [][2]string{{"X-Twice", "a"}, {"X-Twice", "b"}, {"TE", "gzip"}, {"verbenareel-timeout", "1"}} {
+		request.Headers = append(request.Headers, schema.Header_builder{Name: f[0], Value: []byte(f[1])}.Build())
+	}
+	result := backend.Send(t.Context(), request)
+	qt.Assert(t, result.Report, qt.DeepEquals, &core.ServerReport{InFlight: 3, Limit: 18, Cold: true, Incarnation: 7})
+	names := ""
+	for _, h := range result.Headers {
+		names += h.GetName() + "=" + string(h.GetValue()) + " "
+	}
+	qt.Check(t, names, qt.Equals, "Set-Cookie=a=1 Set-Cookie=a=2 x-lower=1 ")
+}
+
+// Guards against work sent to a server after the deadline, and counts what reached it.
+func TestDeadlineBeforeFirstByte(t *testing.T) {
+	address, runs := httpServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		_, _ = stdio.WriteString(conn, ok)
+		return true
+	})
+	backend := newBackend(t, address)
+	late := post()
+	late.Deadline = time.Now()
+	for _, request := range []*core.Request{late, post(), late} {
+		result := backend.Send(t.Context(), request)
+		qt.Check(t, result.Written, qt.Equals, request != late)
+		if request == late {
+			qt.Check(t, result.Reason, qt.Equals, schema.Reason_REASON_DEADLINE)
+		}
+	}
+	qt.Check(t, runs.Load(), qt.Equals, int64(1))
+	refused := newBackend(t, "127.0.0.1:1")
+	result := refused.Send(t.Context(), post())
+	qt.Check(t, result.Reason, qt.Equals, schema.Reason_REASON_CONNECT)
+	qt.Check(t, result.Written, qt.IsFalse)
+}
+
+// Guards against a cancelled call whose slot is freed while the server still works on it.
+func TestCancellation(t *testing.T) {
+	cancelled := make(chan struct{}, 2)
+	silent := make(chan struct{})
+	address, runs := httpServer(t, func(conn *net.TCPConn, r *http.Request) bool {
+		// The server must see the end of the request stream (FIN), on which it may stop or still answer.
+		_, err := conn.Read(make([]byte, 1))
+		qt.Check(t, err, qt.Equals, stdio.EOF)
+		cancelled <- struct{}{}
+		if r.Header.Get("X-Silent") != "" {
+			<-silent
+			return false
+		}
+		_, _ = stdio.WriteString(conn, ok)
+		return true
+	})
+	backend := newBackend(t, address, io.WithSlotLimit(200*time.Millisecond), io.WithConnections(1))
+
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	result := backend.Send(ctx, post())
+	<-cancelled
+	qt.Check(t, string(result.Body), qt.Equals, "hi")
+
+	// A server that never answers holds the slot until the time limit.
+	ctx, cancel = context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	start := time.Now()
+	group.Go(func() {
+		request := post()
+		request.Headers = []*schema.Header{schema.Header_builder{Name: "X-Silent", Value: []byte("1")}.Build()}
+		result := backend.Send(ctx, request)
+		qt.Check(t, result.Reason, qt.Equals, schema.Reason_REASON_DEADLINE)
+		qt.Check(t, result.Written, qt.IsTrue)
+	})
+	time.Sleep(20 * time.Millisecond)
+	cancel()
+	group.Wait()
+	qt.Check(t, time.Since(start) >= 200*time.Millisecond, qt.IsTrue)
+	close(silent)
+	qt.Check(t, runs.Load(), qt.Equals, int64(2))
+}
--- a/io/frame.go
+++ b/io/frame.go
@@ -172,6 +172,7 @@
 
 	mutex   sync.Mutex
 	wake    *sync.Cond
+	idled   *sync.Cond
 	queue   []*frame
 	writing bool
 	err     error
@@ -181,6 +182,7 @@
 func newFrameWriter(conn net.Conn, timeout time.Duration, group *conc.WaitGroup, fail func(error)) *frameWriter {
 	w := &frameWriter{conn: conn, timeout: timeout, fail: fail}
 	w.wake = sync.NewCond(&w.mutex)
+	w.idled = sync.NewCond(&w.mutex)
 	group.Go(w.loop)
 	return w
 }
@@ -209,6 +211,15 @@
 	return true
 }
 
+// flush waits until all frames are written or the writer has failed.
+func (w *frameWriter) flush() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for w.err == nil && (len(w.queue) > 0 || w.writing) {
+		w.idled.Wait()
+	}
+}
+
 // idle reports whether all frames are written.
 func (w *frameWriter) idle() bool {
 	w.mutex.Lock()
@@ -248,6 +259,7 @@
 		if w.writing || w.err != nil {
 			return batch
 		}
+		w.idled.Broadcast()
 		w.wake.Wait()
 	}
 }
@@ -293,4 +305,5 @@
 	}
 	w.queue = nil
 	w.wake.Signal()
+	w.idled.Broadcast()
 }
--- a/io/front.go
+++ b/io/front.go
@@ -1,11 +1,14 @@
 package io
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,8 +23,14 @@
 	"verbenareel/ticket"
 )
 
-// retryAfter is the value of Retry-After for a busy service, in seconds.
-const retryAfter = "1"
+const (
+	// retryAfter is the value of Retry-After for a busy service, in seconds.
+	retryAfter = "1"
+	// dateRoom holds a response header with a Date field.
+	dateRoom = 128
+)
+
+var dateReaders = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
 
 // Front serves callers over HTTP.
 //
@@ -69,6 +78,7 @@
 		ErrorHandler:                 f.refuse,
 	})
 	f.app.Use(f.serve)
+	f.app.Server().Handler = f.filter(f.app.Server().Handler)
 	return f, nil
 }
 
@@ -111,6 +121,18 @@
 
 func (f *Front) finish() { f.once.Do(func() { close(f.done) }) }
 
+// filter refuses the methods that fiber does not route, which it would answer without an outcome.
+func (f *Front) filter(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		if slices.Contains(fiber.DefaultMethods, string(c.Method())) {
+			next(c)
+			return
+		}
+		f.faults.count(core.ReasonName(schema.Reason_REASON_MALFORMED))
+		writeOutcome(&c.Response, schema.Status_STATUS_NOT_RUN, schema.Reason_REASON_MALFORMED, "unknown method")
+	}
+}
+
 // FieldError reports a header field of a call that cannot be parsed.
 type FieldError struct {
 	name   string
@@ -129,26 +151,32 @@
 	if err != nil {
 		return err
 	}
-	reply := f.handler.Handle(f.stopped, call)
+	writeReply(c.Response(), f.handler.Handle(f.stopped, call))
+	return nil
+}
+
+// writeReply writes the outcome of a call.
+func writeReply(response *fasthttp.Response, reply *schema.ExecuteReply) {
+	h := &response.Header
+	h.SetNoDefaultContentType(true)
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED {
+		writeAnswer(response, reply)
+	} else {
+		writeOutcome(response, reply.GetStatus(), reply.GetReason(), "")
+	}
 	if reply.GetNextTicket() != nil {
-		c.Response().Header.Set(core.HeaderNextTicket, ticket.Encode(reply.GetNextTicket()))
+		h.Set(core.HeaderNextTicket, ticket.Encode(reply.GetNextTicket()))
 	}
 	if reply.GetRetried() {
-		c.Response().Header.Set(core.HeaderRetried, "1")
+		h.Set(core.HeaderRetried, "1")
 	}
-	if reply.GetStatus() == schema.Status_STATUS_ANSWERED {
-		writeAnswer(c.Response(), reply)
-		return nil
-	}
-	writeOutcome(c.Response(), reply.GetStatus(), reply.GetReason(), "")
-	return nil
 }
 
 // newCall copies a request, since fiber reuses its buffers once the handler has returned.
 func newCall(request *fasthttp.Request) (*core.Call, error) {
 	call := &core.Call{
 		Method:  string(request.Header.Method()),
-		URI:     string(request.RequestURI()),
+		URI:     string(request.Header.RequestURI()),
 		Path:    string(request.URI().Path()),
 		Body:    append([]byte(nil), request.Body()...),
 		Headers: make([]*schema.Header, 0, request.Header.Len()),
@@ -164,10 +192,9 @@
 			}
 			continue
 		}
-		call.Headers = append(call.Headers,
-			schema.Header_builder{Name: key, Value: append([]byte{}, value...)}.Build())
+		call.Headers = append(call.Headers, newHeader(name, value))
 	}
-	call.Headers = keepEndToEnd(call.Headers)
+	call.Headers = keepEndToEnd(call.Headers, false)
 	return call, nil
 }
 
@@ -237,14 +264,37 @@
 func writeAnswer(response *fasthttp.Response, reply *schema.ExecuteReply) {
 	h := &response.Header
 	h.DisableNormalizing()
-	h.SetNoDefaultContentType(true)
-	response.SetStatusCode(int(reply.GetCode()))
+	for _, f := range reply.GetHeaders() {
+		if strings.EqualFold(f.GetName(), fasthttp.HeaderDate) {
+			setDate(response, f.GetValue())
+		}
+	}
 	for _, f := range reply.GetHeaders() {
 		h.AddBytesV(f.GetName(), f.GetValue())
 	}
+	response.SetStatusCode(int(reply.GetCode()))
 	response.SetBodyRaw(reply.GetBody())
 }
 
+// setDate sets the Date of the backend server. fasthttp's setters ignore that field and only its parser sets it. It
+// resets the other fields.
+func setDate(response *fasthttp.Response, value []byte) {
+	text := make([]byte, 0, dateRoom)
+	text = append(text, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nDate: "...)
+	text = append(text, value...)
+	text = append(text, "\r\n\r\n"...)
+	reader := dateReaders.Get().(*bufio.Reader)
+	defer dateReaders.Put(reader)
+	reader.Reset(bytes.NewReader(text))
+	h := &response.Header
+	if err := h.Read(reader); err != nil {
+		h.Reset()
+		h.DisableNormalizing()
+	}
+	h.SetStatusMessage(nil)
+	h.SetProtocol(nil)
+}
+
 // writeOutcome writes a response for a call without an answer.
 func writeOutcome(response *fasthttp.Response, status schema.Status, reason schema.Reason, detail string) {
 	name := core.ReasonName(reason)
--- /dev/null
+++ b/io/front_test.go
@@ -0,0 +1,173 @@
+package io_test
+
+import (
+	"bufio"
+	"context"
+	stdio "io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenareel/core"
+	"verbenareel/io"
+	"verbenareel/schema"
+	"verbenareel/ticket"
+)
+
+// answer is a response as a caller reads it.
+type answer struct {
+	code   int
+	header http.Header
+	body   string
+}
+
+// exchange writes a raw request to address and reads the response.
+func exchange(t testing.TB, address, request string) answer {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	_, err = stdio.WriteString(conn, request)
+	qt.Assert(t, err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	body, err := stdio.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return answer{code: response.StatusCode, header: response.Header, body: string(body)}
+}
+
+func header(name, value string) *schema.Header {
+	return schema.Header_builder{Name: name, Value: []byte(value)}.Build()
+}
+
+// Guards against answers that are changed on the way and against fields of a call that are lost.
+func TestFrontAnswer(t *testing.T) {
+	next := schema.Ticket_builder{Instance: "payout-1", Serial: 7, Mac: make([]byte, 32)}.Build()
+	front := newFront(t, handler(func(call *core.Call) *schema.ExecuteReply {
+		qt.Check(t, call.Method, qt.Equals, "PUT")
+		qt.Check(t, call.URI, qt.Equals, "/a//b/../c%41?x=%2F")
+		qt.Check(t, call.Path, qt.Equals, "/a/cA")
+		qt.Check(t, string(call.Body), qt.Equals, "body")
+		qt.Check(t, call.Timeout, qt.Equals, 1500*time.Millisecond)
+		qt.Check(t, call.Depth, qt.Equals, uint32(2))
+		qt.Check(t, call.Ticket.GetSerial(), qt.Equals, uint64(7))
+		names := ""
+		for _, h := range call.Headers {
+			names += h.GetName() + " "
+		}
+		qt.Check(t, names, qt.Equals, "Host X-Kept ")
+		return schema.ExecuteReply_builder{
+			Status: schema.Status_STATUS_ANSWERED, Code: 418, Body: []byte("\x00tea"), NextTicket: next, Retried: true,
+			Headers: []*schema.Header{
+				header("x-lower", "a"), header("x-lower", "b"), header("Date", "Thu, 01 Jan 1970 00:00:00 GMT"),
+				header("Content-Type", "tea/pot"), header("Set-Cookie", "a=1"), header("Set-Cookie", "a=2"),
+			},
+		}.Build()
+	}))
+	response := exchange(t, front.Addr(), "PUT /a//b/../c%41?x=%2F HTTP/1.1\r\nHost: h\r\nX-Kept: 1\r\nConnection: X-Hop\r\n"+
+		"X-Hop: 1\r\nVerbenareel-Timeout: 1500\r\nverbenareel-depth: 2\r\nVerbenareel-Ticket: "+ticket.Encode(next)+
+		"\r\nContent-Length: 4\r\n\r\nbody")
+	qt.Check(t, response.code, qt.Equals, 418)
+	qt.Check(t, response.body, qt.Equals, "\x00tea")
+	qt.Check(t, response.header, qt.DeepEquals, http.Header{
+		"X-Lower": {"a", "b"}, "Date": {"Thu, 01 Jan 1970 00:00:00 GMT"}, "Content-Type": {"tea/pot"}, "Set-Cookie": {"a=1", "a=2"},
+		"Content-Length": {"4"}, "Verbenareel-Next-Ticket": {ticket.Encode(next)}, "Verbenareel-Retried": {"1"},
+	})
+}
+
+// Guards against a refusal that a caller cannot tell from another outcome.
+func TestFrontOutcomes(t *testing.T) {
+	var reply *schema.ExecuteReply
+	front := newFront(t, handler(func(*core.Call) *schema.ExecuteReply { return reply }), io.WithMaxBody(1024))
+	for _, c := range []struct {
+		reply *schema.ExecuteReply
+		code  int
+	}{
+		{core.NotRun(schema.Reason_REASON_BUSY), 503},
+		{core.NotRun(schema.Reason_REASON_RETRY_BUDGET), 429},
+		{core.NotRun(schema.Reason_REASON_TICKET_REQUIRED), 428},
+		{core.NotRun(schema.Reason_REASON_TICKET_MISMATCH), 422},
+		{core.NotRun(schema.Reason_REASON_TICKET_INVALID), 400},
+		{core.NotRun(schema.Reason_REASON_NO_RULE), 404},
+		{core.Unknown(schema.Reason_REASON_NODE_LOST), 502},
+		{core.Unknown(schema.Reason_REASON_DEADLINE), 504},
+	} {
+		reply = c.reply
+		response := exchange(t, front.Addr(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		name := core.StatusName(c.reply.GetStatus()) + "; reason=" + core.ReasonName(c.reply.GetReason())
+		qt.Check(t, response.code, qt.Equals, c.code)
+		qt.Check(t, response.header.Get("Verbenareel-Outcome"), qt.Equals, name)
+		qt.Check(t, strings.Count(response.body, "\n"), qt.Equals, 1)
+		qt.Check(t, response.header.Get("Retry-After") != "", qt.Equals, c.reply.GetReason() == schema.Reason_REASON_BUSY)
+	}
+	for _, c := range []struct {
+		name, request string
+		code          int
+		text          string
+	}{
+		{"timeout", "GET / HTTP/1.1\r\nHost: h\r\nVerbenareel-Timeout: soon\r\n\r\n", 400, "Verbenareel-Timeout"},
+		{"depth", "GET / HTTP/1.1\r\nHost: h\r\nVerbenareel-Depth: -1\r\n\r\n", 400, "Verbenareel-Depth"},
+		{"ticket", "GET / HTTP/1.1\r\nHost: h\r\nVerbenareel-Ticket: ?\r\n\r\n", 400, "Verbenareel-Ticket"},
+		{"long header", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", 431, "too-large"},
+		{"long body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4096\r\n\r\n", 413, "too-large"},
+		{"method", "BREW / HTTP/1.1\r\nHost: h\r\n\r\n", 400, "method"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			response := exchange(t, front.Addr(), c.request)
+			qt.Check(t, response.code, qt.Equals, c.code)
+			qt.Check(t, response.body, qt.Contains, c.text)
+			qt.Check(t, response.header.Get("Verbenareel-Outcome"), qt.Contains, "not-run; reason=")
+		})
+	}
+}
+
+// Guards against slow clients that hold connections for ever or delay others.
+func TestSlowClient(t *testing.T) {
+	front := newFront(t, handler(func(*core.Call) *schema.ExecuteReply {
+		return schema.ExecuteReply_builder{Status: schema.Status_STATUS_ANSWERED, Code: 200}.Build()
+	}), io.WithReadTimeout(200*time.Millisecond))
+	for _, start := range []string{"POST / HT", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"} {
+		conn, err := net.Dial("tcp", front.Addr())
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		_, _ = stdio.WriteString(conn, start)
+		begin := time.Now()
+		response := exchange(t, front.Addr(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		qt.Check(t, response.code, qt.Equals, 200)
+		qt.Check(t, time.Since(begin) < 100*time.Millisecond, qt.IsTrue)
+		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		answer, err := stdio.ReadAll(conn)
+		qt.Check(t, err, qt.IsNil, qt.Commentf("the connection must be closed"))
+		qt.Check(t, strings.HasPrefix(string(answer), "HTTP/1.1 408"), qt.IsTrue, qt.Commentf("%s", answer))
+	}
+}
+
+// Guards against a graceful shutdown that cuts a call in progress.
+func TestFrontShutdown(t *testing.T) {
+	started := make(chan struct{})
+	var finished atomic.Bool
+	front := newFront(t, handler(func(*core.Call) *schema.ExecuteReply {
+		close(started)
+		time.Sleep(50 * time.Millisecond)
+		finished.Store(true)
+		return schema.ExecuteReply_builder{Status: schema.Status_STATUS_ANSWERED, Code: 200, Body: []byte("whole")}.Build()
+	}))
+	ended := make(chan error, 1)
+	run(t, func(ctx context.Context) error {
+		<-started
+		ended <- front.Shutdown(ctx)
+		qt.Check(t, finished.Load(), qt.IsTrue, qt.Commentf("Shutdown must wait for the call"))
+		return nil
+	})
+	response := exchange(t, front.Addr(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Check(t, response.body, qt.Equals, "whole")
+	qt.Check(t, <-ended, qt.IsNil)
+	<-front.Done()
+}
--- /dev/null
+++ b/io/fuzz_test.go
@@ -0,0 +1,55 @@
+package io
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"verbenareel/schema"
+)
+
+// Guards against frames that crash the reader, make it read beyond its limit or let it run without progress.
+func FuzzFrameReader(f *testing.F) {
+	var good bytes.Buffer
+	_, _ = protodelim.MarshalTo(&good, schema.RpcRequest_builder{Method: "Guard.Execute", Sequence: 3}.Build())
+	f.Add(good.Bytes())
+	f.Add([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\x7f"))
+	f.Add([]byte("\x05hello"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := newFrameReader(bytes.NewReader(data), 1024)
+		for frames := 0; ; frames++ {
+			var header schema.RpcRequest
+			read := reader.read
+			if frames%2 == 1 {
+				if reader.skip() != nil {
+					break
+				}
+				continue
+			}
+			if read(&header) != nil {
+				break
+			}
+			qt.Assert(t, len(header.GetMethod()) <= 1024, qt.IsTrue)
+			qt.Assert(t, frames <= len(data), qt.IsTrue)
+		}
+	})
+}
+
+// Guards against load reports that crash the parser or are read as something that the server did not say.
+func FuzzParseLoad(f *testing.F) {
+	for _, seed := range []string{"in-flight=3; limit=18; state=warm; incarnation=7", "limit=-1", "state=hot", ";;", "x=1", "limit"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		report, ok := parseLoad(value)
+		qt.Assert(t, report != nil, qt.Equals, ok)
+		if ok {
+			qt.Assert(t, report.InFlight >= 0 && report.Limit >= 0, qt.IsTrue)
+			qt.Assert(t, report.Cold && !strings.Contains(value, "cold"), qt.IsFalse)
+			qt.Assert(t, report.Cold && report.Draining, qt.IsFalse)
+		}
+	})
+}
--- a/io/header.go
+++ b/io/header.go
@@ -48,8 +48,9 @@
 	return false
 }
 
-// keepEndToEnd removes the header fields that concern one connection, in place.
-func keepEndToEnd(headers []*schema.Header) []*schema.Header {
+// keepEndToEnd removes the header fields that concern one connection, in place. It keeps the length if keepLength is
+// set, for responses without a body to derive it from.
+func keepEndToEnd(headers []*schema.Header, keepLength bool) []*schema.Header {
 	listed := ""
 	for _, h := range headers {
 		if strings.EqualFold(h.GetName(), "Connection") {
@@ -58,13 +59,25 @@
 	}
 	kept := headers[:0]
 	for _, h := range headers {
-		if !isHopByHop(h.GetName()) && !namedIn(listed, h.GetName()) {
+		name := h.GetName()
+		isLength := keepLength && strings.EqualFold(name, "Content-Length")
+		if isLength || !isHopByHop(name) && !namedIn(listed, name) {
 			kept = append(kept, h)
 		}
 	}
 	return kept
 }
 
+// newHeader copies a header field out of the buffers of fasthttp.
+func newHeader(name, value []byte) *schema.Header {
+	return schema.Header_builder{Name: string(name), Value: append([]byte{}, value...)}.Build()
+}
+
+// isFold reports whether a name of a header field is the given one, without regard to case.
+func isFold(name []byte, field string) bool {
+	return len(name) == len(field) && strings.EqualFold(string(name), field)
+}
+
 // parseLoad parses the value of core.HeaderLoad. Unknown keys are ignored; ok is false if the value is malformed.
 func parseLoad(value string) (report *core.ServerReport, ok bool) {
 	report = &core.ServerReport{}
--- a/io/io_test.go
+++ b/io/io_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
+	"net"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/goleak"
 
@@ -17,10 +18,14 @@
 	"verbenareel/schema"
 )
 
-// leftByFasthttp is the cleaner of fasthttp's worker pool, which notices up to 10 s after the end that it has ended.
-var leftByFasthttp = goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2")
-
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m, leftByFasthttp) }
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		// The cleaner of fasthttp's worker pool notices up to 10 s after the end of its server that it has ended.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		// fasthttp keeps one clock for the Date field in each process.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+	)
+}
 
 // executor answers calls with the function; its other operations answer with empty replies.
 type executor func(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply
@@ -41,63 +46,122 @@
 	return &schema.SupersedeReply{}
 }
 
+type handler func(call *core.Call) *schema.ExecuteReply
+
+func (h handler) Handle(_ context.Context, call *core.Call) *schema.ExecuteReply { return h(call) }
+
+// echo answers a call with its own body.
+func echo(_ context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
+	return schema.ExecuteReply_builder{
+		Status: schema.Status_STATUS_ANSWERED, Code: 200, Headers: request.GetHeaders(), Body: request.GetBody(),
+	}.Build()
+}
+
+// run serves until the end of the test.
+func run(t testing.TB, serve func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+}
+
 func newServer(t testing.TB, e core.Executor, opts ...io.Option) *io.Server {
 	s, err := io.NewServer("127.0.0.1:0", e, nil, opts...)
 	qt.Assert(t, err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	var group conc.WaitGroup
-	group.Go(func() { _ = s.Serve(ctx) })
-	t.Cleanup(func() { cancel(); group.Wait(); <-s.Done() })
+	run(t, s.Serve)
 	return s
 }
 
 func newTransport(t testing.TB, opts ...io.Option) *io.Transport {
 	transport := io.NewTransport(clockwork.NewRealClock(), opts...)
-	t.Cleanup(func() { _ = transport.Close(); <-transport.Done() })
+	t.Cleanup(func() { _ = transport.Close() })
 	return transport
 }
 
-func instanceAt(address string) *core.Instance {
-	return core.NewInstance(schema.Member_builder{Instance: "sheets-1", Address: address}.Build(),
-		schema.InstanceState_INSTANCE_STATE_SERVING)
+func newForwarder(t testing.TB, target string) *fakes.Forwarder {
+	f, err := fakes.NewForwarder(target)
+	qt.Assert(t, err, qt.IsNil)
+	run(t, f.Serve)
+	return f
 }
 
-func TestSmoke(t *testing.T) {
-	b, err := fakes.NewBackend("sheets-1", "127.0.0.1:0")
+func newFront(t testing.TB, h core.Handler, opts ...io.Option) *io.Front {
+	f, err := io.NewFront("127.0.0.1:0", h, opts...)
 	qt.Assert(t, err, qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	var group conc.WaitGroup
-	group.Go(func() { _ = b.Serve(ctx) })
-	defer func() { cancel(); group.Wait() }()
-	backend := io.NewBackend(b.Address())
-	defer func() { _ = backend.Close() }()
-	report, err := backend.Probe(ctx)
+	run(t, f.Serve)
+	return f
+}
+
+func newBackend(t testing.TB, address string, opts ...io.Option) *io.Backend {
+	b := io.NewBackend(address, opts...)
+	t.Cleanup(func() { _ = b.Close() })
+	return b
+}
+
+// rawServer serves each connection with the function and closes it afterwards.
+func rawServer(t testing.TB, serve func(conn *net.TCPConn)) string {
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	qt.Assert(t, err, qt.IsNil)
-	fmt.Printf("%+v\n", *report)
-	server := newServer(t, executor(func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
-		result := backend.Send(ctx, &core.Request{Method: r.GetMethod(), URI: r.GetUri(), Headers: r.GetHeaders(), Body: r.GetBody(), Deadline: time.Now().Add(time.Second)})
-		fmt.Printf("%+v\n", result)
-		return schema.ExecuteReply_builder{Status: schema.Status_STATUS_ANSWERED, Code: uint32(result.Code), Headers: result.Headers, Body: result.Body}.Build()
-	}))
-	transport := newTransport(t)
-	front, err := io.NewFront("127.0.0.1:0", handler(func(ctx context.Context, call *core.Call) *schema.ExecuteReply {
-		reply, err := transport.Execute(ctx, instanceAt(server.Addr()), schema.ExecuteRequest_builder{Method: call.Method, Uri: call.URI, Headers: call.Headers, Body: call.Body}.Build())
-		if err != nil {
-			return core.Unknown(schema.Reason_REASON_NODE_LOST)
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := listener.AcceptTCP()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			})
 		}
-		return reply
-	}))
-	qt.Assert(t, err, qt.IsNil)
-	group.Go(func() { _ = front.Serve(ctx) })
-	sent := io.NewBackend(front.Addr())
-	defer func() { _ = sent.Close() }()
-	result := sent.Send(ctx, &core.Request{Method: "POST", URI: "/x?y=1", Body: []byte("hello")})
-	fmt.Printf("%+v %s\n", result, result.Body)
-	fmt.Println(front.Shutdown(ctx), server.Shutdown(ctx))
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func instanceAt(address string) *core.Instance {
+	return core.NewInstance(schema.Member_builder{Instance: "sheets-1", Address: address}.Build(),
+		schema.InstanceState_INSTANCE_STATE_SERVING)
 }
 
-type handler func(ctx context.Context, call *core.Call) *schema.ExecuteReply
+func withBody(body string) *schema.ExecuteRequest {
+	return schema.ExecuteRequest_builder{Method: "POST", Uri: "/sheets", Body: []byte(body)}.Build()
+}
+
+// checkError asserts the reason of a TransportError and whether bytes of the request may have left.
+func checkError(t testing.TB, err error, reason schema.Reason, sent bool) {
+	t.Helper()
+	var failure *core.TransportError
+	qt.Assert(t, errors.As(err, &failure), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, failure.Reason(), qt.Equals, reason, qt.Commentf("%v", err))
+	qt.Check(t, failure.Sent(), qt.Equals, sent, qt.Commentf("%v", err))
+}
 
-func (h handler) Handle(ctx context.Context, call *core.Call) *schema.ExecuteReply {
-	return h(ctx, call)
+func sentOf(err error) bool {
+	var failure *core.TransportError
+	return errors.As(err, &failure) && failure.Sent()
+}
+
+// counted returns the value of the error counter of a kind, over all parts.
+func counted(t testing.TB, registry *prometheus.Registry, kind string) float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	qt.Assert(t, err, qt.IsNil)
+	total := 0.0
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if l.GetName() == "kind" && l.GetValue() == kind {
+					total += m.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return total
 }
--- a/io/server.go
+++ b/io/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	stdio "io"
+	"math"
 	"net"
 	"net/rpc"
 	"sync"
@@ -24,15 +25,18 @@
 	guardService = "Guard"
 	peerService  = "Peer"
 	nodeService  = "Node"
+	// goodbyeMethod marks a response to no request: the server takes no further calls on the connection.
+	goodbyeMethod = "Node.Goodbye"
 )
 
 const (
 	// serverIdle is twice the idle life on the client's side, so a server closes only connections whose client is gone.
-	serverIdle   = 2 * defaultNodeIdle
-	sweepPeriod  = 5 * time.Second
+	serverIdle  = 2 * defaultNodeIdle
+	sweepPeriod = 5 * time.Second
+	// goodbyeTime covers several round trips between regions, within which a client stops sending after a goodbye.
+	goodbyeTime  = 200 * time.Millisecond
 	drainPeriod  = 2 * time.Millisecond
 	acceptPause  = 10 * time.Millisecond
-	peerStopped  = "connection ended"
 	kindAccept   = "accept"
 	kindWrite    = "write"
 	kindIdle     = "idle"
@@ -40,6 +44,8 @@
 	kindMessages = "message"
 )
 
+var errEnded = errors.New("connection ended")
+
 // Server serves the operations of a guard and of a gossip peer to other nodes.
 type Server struct {
 	options
@@ -171,12 +177,19 @@
 	})
 }
 
-// drain waits until no call is in progress on any connection.
+// drain tells the clients that no further calls are taken, and waits until they have closed their connections. A
+// connection whose client does not know the goodbye is given up once it has no call in progress and goodbyeTime has
+// passed.
 func (s *Server) drain(ctx context.Context) error {
+	for _, c := range s.connections() {
+		c.sayGoodbye()
+	}
+	patient := time.Now().Add(goodbyeTime)
 	for {
+		late := time.Now().After(patient)
 		busy := false
 		for _, c := range s.connections() {
-			busy = busy || !c.drained()
+			busy = busy || !late || !c.drained()
 		}
 		if !busy {
 			return nil
@@ -266,12 +279,25 @@
 	_ = c.conn.Close()
 }
 
+// sayGoodbye tells the client to send no further calls on the connection.
+func (c *serverConn) sayGoodbye() {
+	f, err := newFrame(&schema.PingReply{}, frameRoom)
+	if err != nil {
+		return
+	}
+	header := schema.RpcResponse_builder{Method: goodbyeMethod, Sequence: math.MaxUint64}.Build()
+	if f.seal(header) == nil {
+		_ = c.writer.enqueue(f)
+	}
+}
+
 // drained reports whether all requests read are answered and the answers written.
 func (c *serverConn) drained() bool { return c.calls.Load() == 0 && c.writer.idle() }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverConn) ReadRequestHeader(request *rpc.Request) error {
 	if c.broken {
+		c.cancel()
 		return stdio.EOF
 	}
 	var header schema.RpcRequest
@@ -340,7 +366,8 @@
 
 // Close implements rpc.ServerCodec. It is called once all handlers have returned.
 func (c *serverConn) Close() error {
-	c.end(errors.New(peerStopped))
+	c.writer.flush()
+	c.end(errEnded)
 	return nil
 }
 
--- a/io/transport.go
+++ b/io/transport.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,9 +27,10 @@
 )
 
 var (
-	errClosed = errors.New("transport is closed")
-	errSilent = errors.New("nothing was read on the connection")
-	errIdle   = errors.New("connection was idle")
+	errClosed  = errors.New("transport is closed")
+	errSilent  = errors.New("nothing was read on the connection")
+	errLeaving = errors.New("server is shutting down")
+	errIdle    = errors.New("connection was idle")
 )
 
 // purpose separates the connections of calls from those of the peer exchange, whose messages may be large.
@@ -285,6 +287,8 @@
 
 	mutex   sync.Mutex
 	current *connection
+	// leaving holds connections whose server takes no further calls, until their calls have ended.
+	leaving []*connection
 	dialing *dial
 	used    time.Time
 	retired bool
@@ -325,6 +329,28 @@
 	defer l.mutex.Unlock()
 	c.calls--
 	l.used = clock.Now()
+	l.closeLeaving()
+}
+
+// leave takes a connection out of use for new calls, because its server is shutting down.
+func (l *link) leave(c *connection) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.current == c {
+		l.current = nil
+	}
+	l.leaving = append(l.leaving, c)
+	l.closeLeaving()
+}
+
+// closeLeaving closes the leaving connections whose calls have ended.
+func (l *link) closeLeaving() {
+	l.leaving = slices.DeleteFunc(l.leaving, func(c *connection) bool {
+		if c.calls == 0 {
+			c.end(errLeaving)
+		}
+		return c.calls == 0
+	})
 }
 
 func (l *link) dial() {
@@ -341,7 +367,7 @@
 		attempt.err = errClosed
 	}
 	if attempt.err == nil {
-		l.current = newConnection(t, conn)
+		l.current = newConnection(l, conn)
 	}
 	close(attempt.done)
 }
@@ -353,13 +379,16 @@
 	if l.current != nil {
 		l.current.end(errClosed)
 	}
+	for _, c := range l.leaving {
+		c.end(errClosed)
+	}
 }
 
 // retire marks the link as unusable unless a call came in meanwhile.
 func (l *link) retire() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.retired = l.current == nil && l.dialing == nil
+	l.retired = l.current == nil && l.dialing == nil && len(l.leaving) == 0
 	return l.retired
 }
 
@@ -367,15 +396,15 @@
 func (l *link) check(now time.Time, paused bool) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.leaving = slices.DeleteFunc(l.leaving, func(c *connection) bool { return c.checkSilence(now, paused) })
 	c := l.current
 	idle := now.Sub(l.used) >= l.transport.idleTime
 	if c == nil || c.codec.cause() != nil {
 		l.current = nil
-		return idle && l.dialing == nil
+		return idle
 	}
 	if c.calls > 0 {
 		if c.checkSilence(now, paused) {
-			l.transport.faults.count("silent")
 			l.current = nil
 		}
 		return false
@@ -399,9 +428,11 @@
 	pinged time.Time
 }
 
-func newConnection(t *Transport, conn net.Conn) *connection {
-	codec := newClientCodec(t, conn)
-	return &connection{transport: t, codec: codec, client: rpc.NewClientWithCodec(codec)}
+func newConnection(l *link, conn net.Conn) *connection {
+	c := &connection{transport: l.transport, codec: newClientCodec(l.transport, conn)}
+	c.codec.leave = func() { l.leave(c) }
+	c.client = rpc.NewClientWithCodec(c.codec)
+	return c
 }
 
 // checkSilence pings the connection or closes it and reports whether it closed it.
@@ -422,6 +453,7 @@
 		if now.Sub(c.pinged) < c.transport.silentAfter {
 			return false
 		}
+		c.transport.faults.count("silent")
 		c.end(errSilent)
 		return true
 	case now.Sub(read) >= c.transport.pingAfter:
@@ -456,6 +488,8 @@
 	reader    *frameReader
 	writer    *frameWriter
 	read      atomic.Int64
+	// leave is called when the server takes no further calls.
+	leave func()
 
 	mutex sync.Mutex
 	err   error
@@ -509,6 +543,9 @@
 	if err := c.reader.read(&header); err != nil {
 		return c.lost(err)
 	}
+	if header.GetMethod() == goodbyeMethod {
+		c.leave()
+	}
 	response.Seq = header.GetSequence()
 	response.Error = header.GetError()
 	return nil
