router: answer a call with a ticket as unknown when it is refused before its executor was asked

Cause: a history check of orders that are sent twice at once while nodes are killed found orders that ran although a caller was told not-run/no-configuration: a restarted node without a document refused the resend of a ticket whose first send had run through another node. Ruled out: the ticket store and the transfer, which never saw the resend. Change: a refusal by the router alone becomes unknown if the call carries a ticket; likewise a service mismatch, since rules may have changed between two sends. proof: porcupine history of at-most-once execution under kills, freezes and crashes.

--- a/fakes/server.go
+++ b/fakes/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	stdio "io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -188,6 +189,7 @@
 	mux.HandleFunc(core.ProbePath, b.probe)
 	mux.HandleFunc("/fake/control", b.setControl)
 	mux.HandleFunc("/fake/stats", b.showStats)
+	mux.HandleFunc("/fake/runs", b.showRuns)
 	mux.HandleFunc("/fake/cold", func(w http.ResponseWriter, _ *http.Request) {
 		b.restart()
 		w.WriteHeader(http.StatusNoContent)
@@ -482,12 +484,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// showStats writes the counts, and with ?id= how often one request ran.
-func (b *Backend) showStats(w http.ResponseWriter, r *http.Request) {
+func (b *Backend) showStats(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Stats()) }
+
+// showRuns writes how often each request ran.
+func (b *Backend) showRuns(w http.ResponseWriter, _ *http.Request) {
+	b.mu.Lock()
+	runs := maps.Clone(b.runs)
+	b.mu.Unlock()
+	writeJSON(w, runs)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	if id := r.URL.Query().Get("id"); id != "" {
-		_ = json.NewEncoder(w).Encode(b.Runs(id))
-		return
-	}
-	_ = json.NewEncoder(w).Encode(b.Stats())
+	_ = json.NewEncoder(w).Encode(value)
 }
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -277,13 +277,6 @@
 	return stats
 }
 
-// runs returns how often the request ran on the instance's stand-in.
-func (i *instance) runs(t testing.TB, id string) int {
-	var runs int
-	i.fetch(t, "/fake/stats?id="+id, &runs)
-	return runs
-}
-
 func (i *instance) fetch(t testing.TB, path string, value any) {
 	t.Helper()
 	response, err := http.Get("http://" + i.backend + path)
@@ -292,13 +285,17 @@
 	qt.Assert(t, json.NewDecoder(response.Body).Decode(value), qt.IsNil)
 }
 
-// runsOf returns how often a request ran over all stand-ins.
-func (f *fleet) runsOf(id string) int {
-	runs := 0
+// ledger returns how often each request ran, over all stand-ins.
+func (f *fleet) ledger() map[string]int {
+	total := make(map[string]int)
 	for _, i := range f.instances {
-		runs += i.runs(f.t, id)
+		var runs map[string]int
+		i.fetch(f.t, "/fake/runs", &runs)
+		for id, n := range runs {
+			total[id] += n
+		}
 	}
-	return runs
+	return total
 }
 
 // targets returns the HTTP addresses of all nodes.
--- a/router/call.go
+++ b/router/call.go
@@ -33,6 +33,10 @@
 	start := r.clock.Now()
 	c, refusal := r.accept(start, input)
 	if c == nil {
+		if input.Ticket != nil {
+			// An earlier send of the ticket through another router may have run.
+			refusal = core.Unknown(refusal.GetReason())
+		}
 		r.metrics.finished("", refusal, 0)
 		return refusal
 	}
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -72,7 +72,8 @@
 // runTicket sends a call with a ticket to the instance that the ticket names.
 func (r *Router) runTicket(ctx context.Context, c *call) *schema.ExecuteReply {
 	if c.ticket.GetService() != c.rule.GetService() {
-		return final(core.NotRun(schema.Reason_REASON_TICKET_MISMATCH))
+		// The rules may have changed since an earlier send that ran.
+		return core.Unknown(schema.Reason_REASON_TICKET_MISMATCH)
 	}
 	view := r.executor(c)
 	if view == nil {
