--- a/router/ticket.go
+++ b/router/ticket.go
@@ -90,7 +90,8 @@
 // runTicket runs a call with a ticket, and gets the caller's next ticket at the same time.
 func (r *Router) runTicket(ctx context.Context, c *call) *schema.ExecuteReply {
 	if c.ticket.GetService() != c.rule.GetService() {
-		return final(core.NotRun(schema.Reason_REASON_TICKET_MISMATCH))
+		// The rules may have changed since an earlier send that ran.
+		return core.Unknown(schema.Reason_REASON_TICKET_MISMATCH)
 	}
 	next := r.issueNext(ctx, c)
 	reply := r.transfer(ctx, c)
--- a/ticket/store.go
+++ b/ticket/store.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"crypto/rand"
+	"encoding/base64"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"verbenareel/core"
 	"verbenareel/schema"
 )
@@ -73,11 +76,12 @@
 	now     time.Duration
 	serial  uint64
 	entries map[uint64]*entry
-	// unused, finished and settled hold the entries in the order of their expiry: those issued, those done, and those
-	// refused, superseded or closed.
+	// The lists hold the entries in the order of their expiry. unused: issued; finished: done; settled: refused or
+	// superseded; ended: closed. Running entries are in none.
 	unused   list
 	finished list
 	settled  list
+	ended    list
 	// oldest is the first entry in finished whose answer is retained.
 	oldest      *entry
 	answerBytes int
@@ -133,9 +137,13 @@
 // AnswerBytes returns the size of the retained answers.
 func (s *Store) AnswerBytes() int { return s.answerBytes }
 
-// Issue returns a new ticket and reserves its entry, or REASON_TICKETS_FULL.
+// Issue returns a new ticket and reserves its entry, or REASON_TICKETS_FULL. In a full table it evicts the closed entry
+// that is oldest; otherwise 220 refusals a second, each kept for 5 min, would fill the table of an overloaded guard.
 func (s *Store) Issue(now time.Time, service string) (*schema.Ticket, schema.Reason) {
 	s.Expire(now)
+	if len(s.entries) >= s.capacity && s.ended.first != nil {
+		s.evict(&s.ended)
+	}
 	if len(s.entries) >= s.capacity {
 		return nil, schema.Reason_REASON_TICKETS_FULL
 	}
@@ -192,7 +200,7 @@
 	if reply.GetStatus() == schema.Status_STATUS_NOT_RUN {
 		e.reason = reply.GetReason()
 		e.retried = reply.GetRetried()
-		s.settle(e, refused)
+		s.settle(e, refused, &s.settled)
 	} else {
 		s.complete(e, reply)
 	}
@@ -203,7 +211,7 @@
 }
 
 // Supersede records the successor of a refused ticket, or closes a refused or unused one if successor is nil. The
-// first request wins, and the reply gives the state in force.
+// first request wins, and the reply gives the state in force. A successor that is malformed is not recorded.
 func (s *Store) Supersede(now time.Time, ticket, successor *schema.Ticket) *schema.SupersedeReply {
 	s.Expire(now)
 	e, _ := s.find(ticket)
@@ -213,10 +221,11 @@
 	switch {
 	case successor == nil && e.state == issued:
 		s.unused.remove(e)
-		s.settle(e, closed)
+		s.settle(e, closed, &s.ended)
 	case successor == nil && e.state == refused:
-		e.state = closed
-	case successor != nil && e.state == refused:
+		s.settled.remove(e)
+		s.settle(e, closed, &s.ended)
+	case successor != nil && e.state == refused && linkable(ticket, successor):
 		e.successor = successor
 		e.state = superseded
 	}
@@ -226,23 +235,23 @@
 // Expire removes entries whose life has ended. Its time grows with the number of removed entries only.
 func (s *Store) Expire(now time.Time) {
 	s.now = max(s.now, now.Sub(s.start))
-	for e := s.unused.first; e != nil && e.expires <= s.now; e = s.unused.first {
-		s.unused.remove(e)
-		delete(s.entries, e.serial)
-	}
-	for e := s.settled.first; e != nil && e.expires <= s.now; e = s.settled.first {
-		s.settled.remove(e)
-		delete(s.entries, e.serial)
-	}
-	for e := s.finished.first; e != nil && e.expires <= s.now; e = s.finished.first {
-		if e == s.oldest {
-			s.dropOldest()
+	for _, l := range []*list{&s.unused, &s.finished, &s.settled, &s.ended} {
+		for l.first != nil && l.first.expires <= s.now {
+			s.evict(l)
 		}
-		s.finished.remove(e)
-		delete(s.entries, e.serial)
 	}
 }
 
+// evict removes the first entry of a list.
+func (s *Store) evict(l *list) {
+	e := l.first
+	if e == s.oldest {
+		s.dropOldest()
+	}
+	l.remove(e)
+	delete(s.entries, e.serial)
+}
+
 // find returns the entry of a ticket, or the reply to a ticket without one.
 func (s *Store) find(ticket *schema.Ticket) (*entry, *schema.ExecuteReply) {
 	if ticket == nil {
@@ -261,11 +270,19 @@
 	return e, nil
 }
 
+// linkable reports whether successor may succeed ticket: it is another ticket for the same service, and it is no larger
+// than an encoded ticket may be, which bounds the memory of a superseded entry.
+func linkable(ticket, successor *schema.Ticket) bool {
+	same := successor.GetIncarnation() == ticket.GetIncarnation() && successor.GetSerial() == ticket.GetSerial()
+	return !same && successor.GetService() == ticket.GetService() &&
+		base64.RawURLEncoding.EncodedLen(proto.Size(successor)) <= MaxEncoded
+}
+
 // settle records a state without an answer, for the life of an outcome.
-func (s *Store) settle(e *entry, state state) {
+func (s *Store) settle(e *entry, state state, to *list) {
 	e.state = state
 	e.expires = s.now + s.outcomeLife
-	s.settled.push(e)
+	to.push(e)
 }
 
 // complete retains the outcome of a run, and drops the oldest answers that exceed the bound.
