Compare distinct candidates however few there are

Cause: TestHedge failed in 1 of some 10 runs: with 2 candidates, 3% of the choices compared the same one three times and sent the call to the instance that looked bad. Change: after two equal draws, the next candidate that is not excluded is compared. The tests use a fixed seed.

--- a/picker/expect.go
+++ b/picker/expect.go
@@ -67,14 +67,20 @@
 	return best
 }
 
-// other returns a random index other than best, as far as two draws find one. Comparing the same candidate three times
-// would send 1 in n^2 of the calls to an instance that looks bad.
+// other returns a random index other than best, or best if it is the only one left. Comparing a candidate with itself
+// would send part of the calls to an instance that looks bad.
 func (e *Expected) other(n, best int, exclude func(index int) bool) int {
-	index := e.source.draw(n, exclude)
-	if index == best {
-		return e.source.draw(n, exclude)
+	for range 2 {
+		if index := e.source.draw(n, exclude); index != best {
+			return index
+		}
+	}
+	for i := range n {
+		if index := (best + i + 1) % n; !exclude(index) {
+			return index
+		}
 	}
-	return index
+	return best
 }
 
 // trial reports whether the call is sent to the candidate to measure it, whatever its estimate.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"verbenareel/core"
+	"verbenareel/picker"
 	"verbenareel/schema"
 )
 
@@ -164,7 +166,8 @@
 	snapshots := &fixed{}
 	snapshots.set(core.NewSnapshot(1, document(edit), list))
 	self := schema.Member_builder{Instance: "front-1", Domain: "a"}.Build()
-	return New(self, snapshots, nil, transport, clockwork.NewRealClock()), transport, snapshots
+	chooser := picker.NewExpected(rand.NewPCG(1, 1).Uint64)
+	return New(self, snapshots, nil, transport, clockwork.NewRealClock(), WithChooser(chooser)), transport, snapshots
 }
 
 func look(r *Router) *schema.ExecuteReply {
