--- a/admit/admit.go
+++ b/admit/admit.go
@@ -120,10 +120,11 @@
 // Paused reports whether nothing starts.
 func (c *Controller) Paused() bool { return c.paused }
 
-// Offer starts, queues or refuses a new call.
+// Offer starts, queues or refuses a new call, after those that could have started before it.
 func (c *Controller) Offer(now time.Time, call *Call) []Event {
 	c.events = c.events[:0]
 	c.expire(now)
+	c.start(now)
 	if reason := c.admit(now, call); reason != schema.Reason_REASON_NONE {
 		c.refuse(call, reason)
 	}
--- a/guard/run.go
+++ b/guard/run.go
@@ -80,19 +80,20 @@
 		g.abandon(c, reason)
 		return
 	}
+	// The slot is released even if the backend client panics.
+	result := &core.Result{Written: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
+	defer func() { g.complete(c, result) }()
 	r := c.request
-	result := g.backend.Send(c.ctx, &core.Request{
+	if sent := g.backend.Send(c.ctx, &core.Request{
 		Method:   r.GetMethod(),
 		URI:      r.GetUri(),
 		Headers:  r.GetHeaders(),
 		Body:     r.GetBody(),
 		Depth:    r.GetDepth(),
 		Deadline: c.admit.Deadline,
-	})
-	if result == nil {
-		result = &core.Result{Written: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
+	}); sent != nil {
+		result = sent
 	}
-	g.complete(c, result)
 }
 
 // lastCheck returns why a call must not be sent after all, or REASON_NONE. Time may have passed since the controller
