poison: shrink a table once for each message and test convergence

Cause: evicting one entry at a time scanned the table for each record of a message. Change: a message is merged into up to twice the capacity and the table is sorted once; Merge reports only records that it kept. Rapid tests of convergence and bound, tests of Clear, expiry and concurrent use.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -12,9 +12,11 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +83,7 @@
 	for _, f := range fingerprints {
 		t.learn(f, crash{id: id}, now.Add(t.life))
 	}
+	t.shrink(t.capacity)
 }
 
 // Clear marks the known crashes of a fingerprint that ran alone without a crash. A condemned fingerprint stays
@@ -114,7 +117,8 @@
 			changed = append(changed, s)
 		}
 	}
-	return changed
+	t.shrink(t.capacity)
+	return slices.DeleteFunc(changed, func(s *schema.Suspect) bool { return t.entries[s.GetFingerprint()] == nil })
 }
 
 // Records returns at most limit records for the exchange: condemned fingerprints first, then the latest ones.
@@ -122,19 +126,14 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.expire(now)
-	entries := make([]*entry, 0, len(t.entries))
-	for _, e := range t.entries {
-		entries = append(entries, e)
-	}
-	sort.Slice(entries, func(i, j int) bool { return entries[j].less(entries[i]) })
 	var records []*schema.Suspect
-	for _, e := range entries {
+	for _, e := range t.sorted() {
 		records = append(records, e.records(now)...)
 		if len(records) >= limit {
-			return records[:max(limit, 0)]
+			break
 		}
 	}
-	return records
+	return records[:max(min(limit, len(records)), 0)]
 }
 
 // Len returns the number of fingerprints in the table.
@@ -148,9 +147,9 @@
 func (t *Table) learn(fingerprint uint64, c crash, expires time.Time) bool {
 	e := t.entries[fingerprint]
 	if e == nil {
-		e = &entry{fingerprint: fingerprint, expires: expires, crashes: []crash{c}}
-		t.entries[fingerprint] = e
-		return t.evict() != e
+		t.shrink(2*t.capacity - 1)
+		t.entries[fingerprint] = &entry{fingerprint: fingerprint, expires: expires, crashes: []crash{c}}
+		return true
 	}
 	if !e.add(c) {
 		return false
@@ -161,19 +160,20 @@
 	return true
 }
 
-// evict removes the least entry of a table that is over its bound and returns it.
-func (t *Table) evict() *entry {
-	if len(t.entries) <= t.capacity {
-		return nil
+// shrink evicts the least entries if there are more than limit, down to the capacity. While a message is merged, the
+// table may hold twice its capacity, so that one sort serves many evictions.
+func (t *Table) shrink(limit int) {
+	if len(t.entries) <= limit {
+		return
 	}
-	var least *entry
-	for _, e := range t.entries {
-		if least == nil || e.less(least) {
-			least = e
-		}
+	for _, e := range t.sorted()[t.capacity:] {
+		delete(t.entries, e.fingerprint)
 	}
-	delete(t.entries, least.fingerprint)
-	return least
+}
+
+// sorted returns the entries, those to be evicted last first.
+func (t *Table) sorted() []*entry {
+	return slices.SortedFunc(maps.Values(t.entries), func(a, b *entry) int { return -a.compare(b) })
 }
 
 func (t *Table) expire(now time.Time) {
@@ -225,16 +225,13 @@
 
 func (e *entry) expired(now time.Time) bool { return !now.Before(e.expires) }
 
-// less orders entries for eviction: those that are not condemned first, then the oldest.
-func (e *entry) less(other *entry) bool {
-	condemned := e.count() >= Condemned
-	if condemned != (other.count() >= Condemned) {
-		return !condemned
-	}
-	if !e.expires.Equal(other.expires) {
-		return e.expires.Before(other.expires)
-	}
-	return e.fingerprint < other.fingerprint
+// compare orders entries for eviction: those that are not condemned first, then the oldest.
+func (e *entry) compare(other *entry) int {
+	return cmp.Or(
+		cmp.Compare(min(e.count(), Condemned)/Condemned, min(other.count(), Condemned)/Condemned),
+		e.expires.Compare(other.expires),
+		cmp.Compare(e.fingerprint, other.fingerprint),
+	)
 }
 
 func (e *entry) records(now time.Time) []*schema.Suspect {
--- /dev/null
+++ b/poison/poison_test.go
@@ -0,0 +1,206 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+	"pgregory.net/rapid"
+
+	"verbenareel/poison"
+	"verbenareel/schema"
+)
+
+const (
+	life     = 5 * time.Minute
+	capacity = 16
+)
+
+var epoch = time.Unix(1000, 0)
+
+// exchange gives each table the records of each other until nothing changes.
+func exchange(now time.Time, tables ...*poison.Table) {
+	for changed := true; changed; {
+		changed = false
+		for _, from := range tables {
+			for _, to := range tables {
+				changed = len(to.Merge(now, from.Records(now, 1000))) > 0 || changed
+			}
+		}
+	}
+}
+
+// assertCrashes compares the count of fingerprint 1 in each table.
+func assertCrashes(c *qt.C, now time.Time, want int, tables ...*poison.Table) {
+	c.Helper()
+	for _, t := range tables {
+		c.Assert(t.Crashes(now, 1), qt.Equals, want)
+	}
+}
+
+// TestMergeConverges guards against tables that disagree after messages were delayed, duplicated and reordered, and
+// against a crash that is counted twice or lost.
+func TestMergeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string, n int) int { return rapid.IntRange(0, n-1).Draw(t, name) }
+		const fingerprints = 4
+		tables := []*poison.Table{poison.New(capacity, life), poison.New(capacity, life), poison.New(capacity, life)}
+		now := epoch
+		var messages [][]*schema.Suspect
+		var crashes, clears [fingerprints]int
+		for range 40 {
+			now = now.Add(time.Duration(draw("milliseconds", 3)) * time.Millisecond)
+			table, fingerprint := tables[draw("table", len(tables))], draw("fingerprint", fingerprints)
+			switch draw("action", 8) {
+			case 0:
+				if crashes[fingerprint] < 3 {
+					crashes[fingerprint]++
+					table.Record(now, []uint64{uint64(fingerprint), uint64(fingerprint)})
+				}
+			case 1:
+				clears[fingerprint]++
+				table.Clear(now, uint64(fingerprint))
+			case 2, 3:
+				messages = append(messages, table.Records(now, 1+draw("limit", 20)))
+			default:
+				if len(messages) > 0 {
+					table.Merge(now, messages[draw("message", len(messages))])
+				}
+			}
+		}
+		exchange(now, tables...)
+		for f := range fingerprints {
+			count := tables[0].Crashes(now, uint64(f))
+			for _, other := range tables[1:] {
+				if other.Crashes(now, uint64(f)) != count {
+					t.Fatalf("tables count %d and %d", count, other.Crashes(now, uint64(f)))
+				}
+			}
+			if count > crashes[f] || (clears[f] == 0 && count != crashes[f]) {
+				t.Fatalf("%d of %d crashes after %d clears", count, crashes[f], clears[f])
+			}
+		}
+	})
+}
+
+// TestClear guards against a clean run that an older record undoes, that wipes out a later crash, or that serves a
+// condemned request.
+func TestClear(t *testing.T) {
+	c := qt.New(t)
+	a, b := poison.New(capacity, life), poison.New(capacity, life)
+	now := epoch
+	a.Record(now, []uint64{1})
+	old := a.Records(now, 10)
+	exchange(now, a, b)
+	b.Clear(now, 1)
+	b.Merge(now, old)
+	exchange(now, a, b)
+	assertCrashes(c, now, 0, a, b)
+
+	a.Record(now, []uint64{1})
+	exchange(now, a, b)
+	assertCrashes(c, now, 1, a, b)
+	b.Record(now, []uint64{1})
+	exchange(now, a, b)
+	assertCrashes(c, now, poison.Condemned, a, b)
+	a.Clear(now, 1)
+	exchange(now, a, b)
+	assertCrashes(c, now, poison.Condemned, a, b)
+	assertCrashes(c, now.Add(life), 0, a, b)
+}
+
+// TestClearOutlivesCopies guards against a clean run that is forgotten before each copy of the crash has expired.
+func TestClearOutlivesCopies(t *testing.T) {
+	c := qt.New(t)
+	origin, remote, late := poison.New(capacity, life), poison.New(capacity, life), poison.New(capacity, life)
+	origin.Record(epoch, []uint64{1})
+	copied := origin.Records(epoch, 10)
+	remote.Merge(epoch, copied)
+	now := epoch.Add(life / 2)
+	remote.Clear(now, 1)
+	late.Merge(now, copied)
+	now = now.Add(life * 3 / 4)
+	assertCrashes(c, now, 1, late)
+	exchange(now, remote, late)
+	assertCrashes(c, now, 0, remote, late)
+}
+
+// TestExpiryEnds guards against a record that circulates for ever between tables that drop and learn it again.
+func TestExpiryEnds(t *testing.T) {
+	c := qt.New(t)
+	a, b := poison.New(capacity, life), poison.New(capacity, life)
+	now := epoch
+	a.Record(now, []uint64{1})
+	for range 2 * 64 {
+		message := a.Records(now, 10)
+		now = now.Add(life)
+		b.Merge(now, message)
+		a, b = b, a
+	}
+	assertCrashes(c, now, 0, a, b)
+	c.Assert(a.Records(now, 10), qt.HasLen, 0)
+}
+
+// TestBound guards against a flood of suspects that outgrows the table or evicts a condemned fingerprint.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, other := poison.New(capacity, life), poison.New(10*capacity, life)
+		now := epoch
+		for range poison.Condemned {
+			table.Record(now, []uint64{1})
+		}
+		for i := range uint64(10) {
+			now = now.Add(time.Second)
+			flood := rapid.SliceOfN(rapid.Uint64Range(1000*i+2, 1000*i+1000), 1, 100)
+			if rapid.Bool().Draw(t, "local") {
+				table.Record(now, flood.Draw(t, "fingerprints"))
+			} else {
+				other.Record(now, flood.Draw(t, "fingerprints"))
+				changed := table.Merge(now, other.Records(now, 1000))
+				if len(table.Merge(now, changed)) > 0 {
+					t.Fatalf("a merge reported records that it didn't keep")
+				}
+			}
+			if table.Len() > capacity || table.Crashes(now, 1) != poison.Condemned {
+				t.Fatalf("%d entries, %d crashes of the condemned", table.Len(), table.Crashes(now, 1))
+			}
+		}
+		newest := uint64(10_001)
+		table.Record(now.Add(time.Second), []uint64{newest})
+		if table.Crashes(now.Add(time.Second), newest) == 0 {
+			t.Fatalf("the newest suspect was evicted before the oldest")
+		}
+	})
+}
+
+// TestConcurrent guards against unlocked access; the race detector reports it.
+func TestConcurrent(t *testing.T) {
+	table := poison.New(capacity, life)
+	var group conc.WaitGroup
+	for i := range 4 {
+		group.Go(func() {
+			for f := range uint64(50) {
+				table.Record(epoch, []uint64{f})
+				table.Clear(epoch, f)
+				table.Merge(epoch, table.Records(epoch, i))
+				table.Crashes(epoch, f)
+			}
+		})
+	}
+	group.Wait()
+	qt.New(t).Assert(table.Len() <= capacity, qt.IsTrue)
+}
+
+// BenchmarkMerge measures a full message into a full table.
+func BenchmarkMerge(b *testing.B) {
+	from, to := poison.New(1024, life), poison.New(1024, life)
+	for f := range uint64(1024) {
+		from.Record(epoch.Add(time.Second), []uint64{f})
+		to.Record(epoch, []uint64{f + 1024})
+	}
+	message := from.Records(epoch, 1024)
+	for b.Loop() {
+		to.Merge(epoch, message)
+	}
+}
