trial: measure the time that a node adds, and give the failure domain scenario room

Cause: with 6 servers in 4 failure domains, taking one domain out left 4 servers at 105% load, so the figures showed lack of capacity rather than the quality of the choice; and nothing measured the overhead of a node. Change: scenario overhead compares direct calls with calls through nodes at a fixed service time; scenario domain has 8 servers.

--- a/fakes/server.go
+++ b/fakes/server.go
@@ -57,6 +57,8 @@
 	ServiceTime float64 `json:"service_time_ms"`
 	// Factor multiplies the service time; 10 makes a straggler.
 	Factor float64 `json:"factor"`
+	// Fixed makes each service time equal to the mean.
+	Fixed bool `json:"fixed"`
 	// FailFast answers each call with 500 at once.
 	FailFast bool `json:"fail_fast"`
 	// Draining is reported to the guard.
@@ -367,6 +369,9 @@
 		}
 	}
 	mean := control.ServiceTime * control.Factor * slow
+	if control.Fixed {
+		return time.Duration(mean * float64(time.Millisecond))
+	}
 	// Half of the service time is fixed and half exponential, so that the tail is not degenerate.
 	return time.Duration((mean/2 + b.seed.ExpFloat64()*mean/2) * float64(time.Millisecond))
 }
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -44,6 +44,8 @@
 	Warm bool
 	// ServiceTime is the mean service time in milliseconds.
 	ServiceTime float64
+	// Fixed makes each service time equal to the mean.
+	Fixed bool
 }
 
 // Kitami returns the shape of the Kitami deployment: 4 failure domains, 6+4+4 servers of 18 slots.
@@ -186,7 +188,7 @@
 	}
 	backendOptions := []fakes.BackendOption{
 		fakes.WithSlots(shape.Slots, shape.ColdLimit, shape.WarmTime),
-		fakes.WithControl(fakes.Control{ServiceTime: shape.ServiceTime, Factor: 1}),
+		fakes.WithControl(fakes.Control{ServiceTime: shape.ServiceTime, Factor: 1, Fixed: shape.Fixed}),
 		fakes.WithNode(httpAddress),
 	}
 	if shape.Warm {
@@ -298,6 +300,15 @@
 	return targets
 }
 
+// BackendTargets returns the addresses of all backend servers.
+func (f *Fleet) BackendTargets() []string {
+	var targets []string
+	for _, m := range f.members {
+		targets = append(targets, m.backend.Address())
+	}
+	return targets
+}
+
 // TakeOut publishes the document with the failure domains out of service; none returns all to service.
 func (f *Fleet) TakeOut(domains ...string) uint64 {
 	return f.platform.Publish(f.shape.Document(domains...))
--- a/trial/scenario.go
+++ b/trial/scenario.go
@@ -55,6 +55,8 @@
 	options func() []node.Option
 	// service is text for the service sections of the document.
 	service string
+	// direct sends to the backend servers without nodes between.
+	direct bool
 }
 
 // Row holds the figures of one variant in one scenario.
@@ -128,6 +130,11 @@
 // Scenarios returns all scenarios.
 func Scenarios() []*Scenario {
 	return []*Scenario{
+		{
+			name: "overhead", about: "fixed service time of 20 ms at 50% of the slots, direct and through nodes", load: 0.5,
+			classes: sheets(), variants: []variant{{name: "direct", options: product().options, direct: true}, product()},
+			change: func(s *Shape) { s.Fixed = true },
+		},
 		{name: "steady-50", about: "steady load at 50% of the slots", load: 0.5, classes: sheets(), variants: choosers()},
 		{name: "steady-80", about: "steady load at 80% of the slots", load: 0.8, classes: sheets(), variants: choosers()},
 		{
@@ -158,6 +165,7 @@
 			variants: choosers(),
 			start:    func(f *Fleet) { f.TakeOut("asahikawa") },
 			end:      func(f *Fleet) { f.TakeOut() },
+			change:   func(s *Shape) { s.Groups[0].Count = 8 },
 		},
 		{
 			name: "platform-down", about: "the platform is down for half of the time, at 50% load", load: 0.5, classes: mixed(),
@@ -227,10 +235,14 @@
 	plan := load.Plan{
 		Targets:  fleet.Targets(),
 		Classes:  s.classes,
-		Rate:     s.load * float64(6*shape.Slots) / (trialServiceTime / 1000.0),
+		Rate:     s.load * float64(shape.Groups[0].Count*shape.Slots) / (trialServiceTime / 1000.0),
 		Duration: settleTime,
 		Timeout:  2 * time.Second,
 		Resends:  3,
+		Direct:   v.direct,
+	}
+	if v.direct {
+		plan.Targets = fleet.BackendTargets()
 	}
 	if _, err := load.Run(ctx, plan); err != nil {
 		return Row{}, fmt.Errorf("settle: %w", err)
