--- a/config/check.go
+++ b/config/check.go
@@ -287,6 +287,9 @@
 	c.address("rpc_address", s.GetRpcAddress(), 0, taken)
 	c.address("status_address", s.GetStatusAddress(), 0, taken)
 	c.address("backend_address", s.GetBackendAddress(), 1, taken)
+	if s.GetAdvertiseAddress() != "" {
+		c.address("advertise_address", s.GetAdvertiseAddress(), 1, make(map[string]string))
+	}
 	seeds := make(map[string]string)
 	for _, seed := range s.GetSeeds() {
 		c.address("seeds", seed, 1, seeds)
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -106,7 +107,7 @@
 		Instance:    n.settings.GetInstance(),
 		Service:     n.settings.GetService(),
 		Domain:      n.settings.GetDomain(),
-		Address:     n.settings.GetRpcAddress(),
+		Address:     cmp.Or(n.settings.GetAdvertiseAddress(), n.settings.GetRpcAddress()),
 		Incarnation: incarnation,
 		Version:     uint64(now.UnixMilli()),
 		State:       schema.InstanceState_INSTANCE_STATE_SERVING,
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -94,7 +95,9 @@
 	settings                   string
 	node, server               *process
 	platformURL                string
-	serverArguments            []string
+	// advertised and nodeBackend replace the addresses at which other nodes reach the node, and the node its server.
+	advertised, nodeBackend string
+	serverArguments         []string
 }
 
 // fleet is a set of node processes with stand-ins; the platform runs in the test's own process.
@@ -170,7 +173,7 @@
 func (f *fleet) list() {
 	var entries []fakes.Entry
 	for _, i := range f.instances {
-		entries = append(entries, fakes.Entry{Instance: i.name, Service: i.service, Domain: i.domain, Address: i.rpc, State: "live"})
+		entries = append(entries, fakes.Entry{Instance: i.name, Service: i.service, Domain: i.domain, Address: cmp.Or(i.advertised, i.rpc), State: "live"})
 	}
 	f.platform.List(entries)
 }
@@ -190,7 +193,10 @@
 func (f *fleet) startNode(i *instance) {
 	text := fmt.Sprintf("instance = %q\nservice = %q\ndomain = %q\nhttp_address = %q\nrpc_address = %q\n"+
 		"status_address = %q\nbackend_address = %q\nplatform_url = %q\nlog_level = \"info\"\ndrain_timeout = \"10s\"\nseeds = [%s]\n",
-		i.name, i.service, i.domain, i.http, i.rpc, i.status, i.backend, i.platformURL, f.seeds(i))
+		i.name, i.service, i.domain, i.http, i.rpc, i.status, cmp.Or(i.nodeBackend, i.backend), i.platformURL, f.seeds(i))
+	if i.advertised != "" {
+		text += fmt.Sprintf("advertise_address = %q\n", i.advertised)
+	}
 	qt.Assert(f.t, os.WriteFile(i.settings, []byte(text), 0o600), qt.IsNil)
 	i.node, _ = startProcess(f.t, "node", "--settings", i.settings)
 }
@@ -200,7 +206,7 @@
 	var seeds []string
 	for _, i := range f.instances {
 		if i != self && len(seeds) < 3 {
-			seeds = append(seeds, fmt.Sprintf("%q", i.rpc))
+			seeds = append(seeds, fmt.Sprintf("%q", cmp.Or(i.advertised, i.rpc)))
 		}
 	}
 	return strings.Join(seeds, ", ")
@@ -298,6 +304,15 @@
 	return total
 }
 
+// doubled returns the number of requests that ran more than once, lookups included unless they carry no ID.
+func (f *fleet) doubled() int {
+	doubled := 0
+	for _, i := range f.instances {
+		doubled += i.stats(f.t).Doubled
+	}
+	return doubled
+}
+
 // targets returns the HTTP addresses of all nodes.
 func (f *fleet) targets() []string {
 	var targets []string
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,14 @@
 	Count   int
 }
 
+// Rule maps requests to a service.
+type Rule struct {
+	Method     string
+	Path       string
+	Service    string
+	Repeatable bool
+}
+
 // Shape describes a fleet.
 type Shape struct {
 	Deployment string
@@ -38,8 +47,8 @@
 	WarmTime   time.Duration
 	// Service is text for each service section, after the sizes.
 	Service string
-	// Rules is the text of the rules.
-	Rules string
+	// Rules map requests to services; those of services without instances are left out.
+	Rules []Rule
 	// Warm starts the backend servers warm.
 	Warm bool
 	// ServiceTime is the mean service time in milliseconds.
@@ -58,31 +67,12 @@
 		ColdLimit:   2,
 		WarmTime:    2 * time.Second,
 		ServiceTime: 5,
-		Rules: `
-[[rules]]
-method = "GET"
-path = "/sheets/"
-service = "sheets"
-repeatable = true
-
-[[rules]]
-method = "GET"
-path = "/slots/"
-service = "fitting-slot"
-repeatable = true
-
-[[rules]]
-method = "POST"
-path = "/deposits/"
-service = "fitting-slot"
-repeatable = false
-
-[[rules]]
-method = "POST"
-path = "/orders/"
-service = "cutting-room"
-repeatable = false
-`,
+		Rules: []Rule{
+			{"GET", "/sheets/", "sheets", true},
+			{"GET", "/slots/", "fitting-slot", true},
+			{"POST", "/deposits/", "fitting-slot", false},
+			{"POST", "/orders/", "cutting-room", false},
+		},
 	}
 }
 
@@ -92,10 +82,8 @@
 	_, _ = fmt.Fprintf(&b, "deployment = %q\n\n[places.regions.home]\ndelay = \"500us\"\nremote_delay = \"10ms\"\n", s.Deployment)
 	for _, d := range s.Domains {
 		_, _ = fmt.Fprintf(&b, "\n[places.domains.%s]\nregion = \"home\"\n", d)
-		for _, o := range out {
-			if o == d {
-				b.WriteString("out_of_service = true\n")
-			}
+		if slices.Contains(out, d) {
+			b.WriteString("out_of_service = true\n")
 		}
 	}
 	for _, g := range s.Groups {
@@ -103,7 +91,12 @@
 			"retry_ratio = 0.1\nretry_floor = 5.0\ntimeout = \"2s\"\n%s",
 			g.Service, s.Slots, s.ColdLimit, s.WarmTime, s.Service)
 	}
-	b.WriteString(s.Rules)
+	for _, r := range s.Rules {
+		if slices.ContainsFunc(s.Groups, func(g Group) bool { return g.Service == r.Service }) {
+			_, _ = fmt.Fprintf(&b, "\n[[rules]]\nmethod = %q\npath = %q\nservice = %q\nrepeatable = %t\n",
+				r.Method, r.Path, r.Service, r.Repeatable)
+		}
+	}
 	return []byte(b.String())
 }
 
--- a/trial/scenario.go
+++ b/trial/scenario.go
@@ -192,19 +192,10 @@
 	shape.ServiceTime = trialServiceTime
 	shape.Warm = true
 	shape.WarmTime = time.Second
-	shape.Rules = `
-[[rules]]
-method = "GET"
-path = "/sheets/"
-service = "sheets"
-repeatable = true
-
-[[rules]]
-method = "POST"
-path = "/sheets/"
-service = "sheets"
-repeatable = false
-`
+	shape.Rules = []Rule{
+		{"GET", "/sheets/", "sheets", true},
+		{"POST", "/sheets/", "sheets", false},
+	}
 	return shape
 }
 
