--- a/picker/expect.go
+++ b/picker/expect.go
@@ -23,9 +23,10 @@
 	// waitWeight weighs the expected wait for a slot. Above 1, since a call above the limit may also be refused.
 	// Preferring instances with room whatever their latency was worse: the only one with room is often the straggler.
 	waitWeight = 2
-	// ownWeight weighs the calls of this router in flight, compared with their mean over the instances. They are the
-	// only part of the view that is never stale, so each router spreads its own calls evenly first.
-	ownWeight = 2
+	// ownWeight weighs the calls of this router in flight, compared with their mean over the instances, by the square of
+	// the utilization of the service. They are the only part of the view that is never stale, so a router spreads its own
+	// calls evenly when slots are scarce; when they are not, it prefers the nearest instances.
+	ownWeight = 3
 	// failurePenalty is what a failed call costs, in usual service times. It is well above 1 so that an instance that
 	// fails at once does not look fast.
 	failurePenalty = 20
@@ -105,7 +106,7 @@
 	if e.limit > 0 {
 		cost *= 1 + waitWeight*max(0, inFlight+1-e.limit)/e.limit
 	}
-	cost *= 1 + ownWeight*e.own/(1+e.meanOwn)
+	cost *= 1 + ownWeight*e.pressure()*e.own/(1+e.meanOwn)
 	return Forecast{
 		Latency: candidate.Delay() + time.Duration(cost),
 		Room:    e.limit - inFlight,
@@ -121,6 +122,17 @@
 	others   float64
 	own      float64
 	meanOwn  float64
+	// meanInFlight is the mean over the instances of the service, negative if it is not known.
+	meanInFlight float64
+}
+
+// pressure returns the square of the utilization of the service, at most 1; 1 if it is not known.
+func (e *evidence) pressure() float64 {
+	if e.limit <= 0 || e.meanInFlight < 0 {
+		return 1
+	}
+	utilization := min(1, e.meanInFlight/e.limit)
+	return utilization * utilization
 }
 
 func gather(now time.Time, candidate core.Candidate) evidence {
@@ -148,17 +160,19 @@
 
 // neutralEvidence returns what is assumed of an instance without a report.
 func neutralEvidence(n *Neutral) evidence {
-	usual := float64(n.Latency)
-	if usual == 0 {
-		usual = float64(fallbackLatency)
+	e := evidence{
+		usual:        float64(n.Latency),
+		limit:        float64(n.Limit),
+		others:       n.InFlight,
+		meanOwn:      n.Own,
+		meanInFlight: n.InFlight,
 	}
-	return evidence{
-		usual:   usual,
-		latency: usual,
-		limit:   float64(n.Limit),
-		others:  n.InFlight,
-		meanOwn: n.Own,
+	if n.Latency == 0 {
+		e.usual = float64(fallbackLatency)
+		e.meanInFlight = -1
 	}
+	e.latency = e.usual
+	return e
 }
 
 // apply takes a report into account, the less the older it is.
