--- a/guard/call.go
+++ b/guard/call.go
@@ -23,6 +23,8 @@
 	// index is the position in Guard.running, and sampled tells that the age of the call was observed as a latency.
 	index   int
 	sampled bool
+	// withdrawn tells that the router or caller gave up a call that runs; its end says nothing about the server.
+	withdrawn bool
 	// outcome receives the reply exactly once.
 	outcome chan *schema.ExecuteReply
 }
@@ -230,6 +232,7 @@
 	now := g.clock.Now()
 	removed, events := g.controller.Cancel(now, &c.admit, reason)
 	g.handle(now, events)
+	c.withdrawn = c.withdrawn || !removed && c.cancel != nil && reason == schema.Reason_REASON_CANCELLED
 	g.mu.Unlock()
 	if !removed && c.cancel != nil {
 		c.cancel()
--- a/guard/crash.go
+++ b/guard/crash.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// crashGrace is the time in which the other connections of a crashed server end too.
-	crashGrace = 5 * time.Millisecond
+	// crashGrace is the time without a further reset after which all connections of a crashed server have ended. It is
+	// awaited at most crashRounds times.
+	crashGrace  = 5 * time.Millisecond
+	crashRounds = 10
 	// crashConnect bounds the attempt to connect that tells a crash from a single reset.
 	crashConnect = 200 * time.Millisecond
 	// pushTimeout is the longest time for which the callers of a crash wait until the suspects were pushed.
@@ -44,7 +46,7 @@
 
 // checkCrash decides whether resets were a crash of the backend server, and answers the calls that were reset.
 func (g *Guard) checkCrash() {
-	<-g.clock.After(crashGrace)
+	g.awaitResets()
 	ctx, cancel := context.WithTimeout(context.Background(), crashConnect)
 	defer cancel()
 	err := g.backend.Connect(ctx)
@@ -55,6 +57,22 @@
 	g.answerHeld(held, len(suspects) > 0)
 }
 
+// awaitResets waits until no further connection is reset. On a busy machine the resets of one crash are noticed over
+// tens of milliseconds.
+func (g *Guard) awaitResets() {
+	count := 1
+	for range crashRounds {
+		<-g.clock.After(crashGrace)
+		g.mu.Lock()
+		held := len(g.crash.held)
+		g.mu.Unlock()
+		if held == count {
+			return
+		}
+		count = held
+	}
+}
+
 // decideCrash returns the calls that were reset and, after a crash, their fingerprints. It was a crash if the backend
 // server refuses a connection, or if it reset every connection with a call in flight.
 func (g *Guard) decideCrash(err error) ([]*call, []uint64) {
@@ -80,7 +98,7 @@
 // fromLastCrash reports whether each of the calls was in flight at the last crash.
 func (g *Guard) fromLastCrash(held []*call) bool {
 	for _, c := range held {
-		if c.admit.Started().After(g.crash.at) {
+		if !c.admit.Started().Before(g.crash.at) {
 			return false
 		}
 	}
--- a/guard/run.go
+++ b/guard/run.go
@@ -209,7 +209,12 @@
 		g.countReset(now)
 	}
 	if reply.GetStatus() == schema.Status_STATUS_NOT_RUN {
-		g.server.doubted = g.server.doubted || reply.GetReason() == schema.Reason_REASON_CONNECT
+		reason := reply.GetReason()
+		lost := reason == schema.Reason_REASON_CONNECT || reason == schema.Reason_REASON_CONNECTION_LOST
+		g.server.doubted = g.server.doubted || lost
+		return
+	}
+	if c.withdrawn && reply.GetStatus() == schema.Status_STATUS_UNKNOWN {
 		return
 	}
 	if c.admit.Alone && reply.GetStatus() == schema.Status_STATUS_ANSWERED {
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -105,6 +105,9 @@
 		return
 	}
 	for _, c := range g.running {
+		if c.withdrawn {
+			continue
+		}
 		age := now.Sub(c.admit.Started())
 		if c.sampled || age < ageFactor*g.server.latency {
 			continue
