--- a/fakes/server.go
+++ b/fakes/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	stdio "io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -56,6 +57,8 @@
 	ServiceTime float64 `json:"service_time_ms"`
 	// Factor multiplies the service time; 10 makes a straggler.
 	Factor float64 `json:"factor"`
+	// Fixed makes each service time equal to the mean.
+	Fixed bool `json:"fixed"`
 	// FailFast answers each call with 500 at once.
 	FailFast bool `json:"fail_fast"`
 	// Draining is reported to the guard.
@@ -188,10 +191,15 @@
 	mux.HandleFunc(core.ProbePath, b.probe)
 	mux.HandleFunc("/fake/control", b.setControl)
 	mux.HandleFunc("/fake/stats", b.showStats)
+	mux.HandleFunc("/fake/runs", b.showRuns)
 	mux.HandleFunc("/fake/cold", func(w http.ResponseWriter, _ *http.Request) {
 		b.restart()
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("/fake/crash", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+		once.Do(func() { close(crash) })
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		b.call(w, r, func() { once.Do(func() { close(crash) }) })
 	})
@@ -361,6 +369,9 @@
 		}
 	}
 	mean := control.ServiceTime * control.Factor * slow
+	if control.Fixed {
+		return time.Duration(mean * float64(time.Millisecond))
+	}
 	// Half of the service time is fixed and half exponential, so that the tail is not degenerate.
 	return time.Duration((mean/2 + b.seed.ExpFloat64()*mean/2) * float64(time.Millisecond))
 }
@@ -478,12 +489,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// showStats writes the counts, and with ?id= how often one request ran.
-func (b *Backend) showStats(w http.ResponseWriter, r *http.Request) {
+func (b *Backend) showStats(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Stats()) }
+
+// showRuns writes how often each request ran.
+func (b *Backend) showRuns(w http.ResponseWriter, _ *http.Request) {
+	b.mu.Lock()
+	runs := maps.Clone(b.runs)
+	b.mu.Unlock()
+	writeJSON(w, runs)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	if id := r.URL.Query().Get("id"); id != "" {
-		_ = json.NewEncoder(w).Encode(b.Runs(id))
-		return
-	}
-	_ = json.NewEncoder(w).Encode(b.Stats())
+	_ = json.NewEncoder(w).Encode(value)
 }
