budget: give the constant rate of a ratio the ratio's own clock

Cause: the constant rate started its clock at the first Take that reached it. A clock that stepped back before that Take let it count the same time again, and time before that Take was lost. Change: Ratio passes elapsed time to its bucket. The tests share one schedule of readings, and cover more steps back.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -41,15 +41,8 @@
 func (b *Bucket) Take(now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.interval == 0 {
-		return false
-	}
 	b.accrue(b.clock.advance(now))
-	if b.credit < b.interval {
-		return false
-	}
-	b.credit -= b.interval
-	return true
+	return b.spend()
 }
 
 func (b *Bucket) accrue(elapsed time.Duration) {
@@ -60,6 +53,14 @@
 	b.credit += elapsed
 }
 
+func (b *Bucket) spend() bool {
+	if b.interval == 0 || b.credit < b.interval {
+		return false
+	}
+	b.credit -= b.interval
+	return true
+}
+
 // clock turns readings into elapsed time that is never negative.
 type clock struct {
 	last    time.Time
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -14,18 +14,27 @@
 
 var epoch = time.Unix(1000, 0)
 
-// pause draws the time between two calls: none, a few nanoseconds, a step back, or long enough to fill a bucket.
-func pause(t *rapid.T, rate float64) time.Duration {
+// drawTimes returns a schedule of clock readings: repeated, a few nanoseconds or intervals apart, with steps back.
+func drawTimes(t *rapid.T, rate float64) []time.Time {
 	interval := int64(float64(time.Second) / rate)
-	drawn := rapid.OneOf(
-		rapid.Just(int64(0)),
-		rapid.Int64Range(-5*interval, 0),
+	pause := rapid.OneOf(
 		rapid.Int64Range(0, 3),
-		rapid.Int64Range(0, 2*interval),
+		rapid.Int64Range(-5*interval, 2*interval),
 		rapid.Int64Range(interval-2, interval+2),
 		rapid.Int64Range(0, 1000*interval),
 	)
-	return time.Duration(drawn.Draw(t, "pause"))
+	times := []time.Time{epoch}
+	for _, p := range rapid.SliceOfN(pause, 300, 300).Draw(t, "pauses") {
+		times = append(times, times[len(times)-1].Add(time.Duration(p)))
+	}
+	return times
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // TestBucketWindows guards against a window of any length that holds more calls than its budget, under any schedule of
@@ -35,101 +44,69 @@
 		rate := rapid.OneOf(rapid.Float64Range(0.01, 10), rapid.Float64Range(10, 1e6)).Draw(t, "rate")
 		burst := rapid.Float64Range(1, 20).Draw(t, "burst")
 		b := budget.New(rate, burst)
-		b.Take(epoch)
-		now, high := epoch, epoch
 		var takes []time.Time
-		for range 300 {
-			now = now.Add(pause(t, rate))
-			if now.After(high) {
-				high = now
+		high := epoch
+		for _, now := range drawTimes(t, rate) {
+			high = later(high, now)
+			if !b.Take(now) {
+				continue
 			}
-			if b.Take(now) {
-				takes = append(takes, high)
-			}
-		}
-		for i := range takes {
-			for j := i; j < len(takes); j++ {
-				window := takes[j].Sub(takes[i]).Seconds()
+			takes = append(takes, high)
+			for i, first := range takes {
 				// The tolerance covers the rounding of this sum; the bucket itself counts whole nanoseconds.
-				if bound := burst + rate*window; float64(j-i+1) > bound*(1+1e-12) {
-					t.Fatalf("%d takes in %v s exceed %v", j-i+1, window, bound)
+				if bound := burst + rate*high.Sub(first).Seconds(); float64(len(takes)-i) > bound*(1+1e-12) {
+					t.Fatalf("%d takes in %v exceed %v", len(takes)-i, high.Sub(first), bound)
 				}
 			}
 		}
 	})
 }
 
-// TestBucketRate guards against a bucket that grants less than its rate, or anything at a rate of zero.
+// TestBucketRate guards against a bucket that grants less than its rate, anything without a rate or a whole token, or
+// one token twice to concurrent callers.
 func TestBucketRate(t *testing.T) {
-	tests := []struct {
-		name        string
-		rate, burst float64
-		want        int
-	}{
-		{"whole", 10, 1, 100},
-		{"fraction", 0.3, 1, 3},
-		{"burst", 10, 5, 100},
-		{"zero rate", 0, 1, 0},
-		{"negative rate", -1, 1, 0},
-		{"tiny rate", 1e-300, 1, 0},
-		{"burst below a token", 10, 0.5, 0},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			b := budget.New(test.rate, test.burst)
-			takes := 0
-			for i := range 10_010 {
-				if b.Take(epoch.Add(time.Duration(i) * time.Millisecond)) {
-					takes++
-				}
-			}
-			qt.New(t).Assert(takes, qt.Equals, test.want)
-		})
-	}
-}
-
-// TestBucketConcurrent guards against concurrent callers that take one token twice.
-func TestBucketConcurrent(t *testing.T) {
-	b := budget.New(1, 3)
-	b.Take(epoch)
-	var takes atomic.Int64
-	var group conc.WaitGroup
-	for range 8 {
-		group.Go(func() {
-			for range 100 {
-				if b.Take(epoch.Add(time.Hour)) {
-					takes.Add(1)
-				}
+	for _, test := range []struct {
+		rate, burst          float64
+		in10Seconds, inBurst int64
+	}{{10, 1, 100, 1}, {0.3, 1, 3, 1}, {10, 5, 100, 5}, {0, 1, 0, 0}, {-1, 1, 0, 0}, {1e-300, 1, 0, 0}, {10, 0.5, 0, 0}} {
+		c := qt.New(t)
+		b := budget.New(test.rate, test.burst)
+		var takes atomic.Int64
+		take := func(now time.Time) {
+			if b.Take(now) {
+				takes.Add(1)
 			}
-		})
+		}
+		for i := range 10_010 {
+			take(epoch.Add(time.Duration(i) * time.Millisecond))
+		}
+		c.Check(takes.Swap(0), qt.Equals, test.in10Seconds, qt.Commentf("%+v", test))
+		var group conc.WaitGroup
+		for range 80 {
+			group.Go(func() { take(epoch.Add(time.Hour)) })
+		}
+		group.Wait()
+		c.Check(takes.Load(), qt.Equals, test.inBurst, qt.Commentf("%+v", test))
 	}
-	group.Wait()
-	qt.New(t).Assert(takes.Load(), qt.Equals, int64(3))
 }
 
 // TestRatioBound guards against retries that exceed the share of calls plus the constant rate.
 func TestRatioBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
-		floor := rapid.Float64Range(0.1, 20).Draw(t, "floor")
+		ratio, floor := rapid.Float64Range(0, 1).Draw(t, "ratio"), rapid.Float64Range(0.1, 20).Draw(t, "floor")
 		r := budget.NewRatio(ratio, floor)
-		r.Take(epoch)
-		now, high := epoch, epoch
-		earns, takes := 0, 0
-		for range 300 {
-			now = now.Add(pause(t, floor))
-			if now.After(high) {
-				high = now
-			}
+		bound, high := 1e-6, epoch
+		for _, now := range drawTimes(t, floor) {
+			bound += floor * later(now, high).Sub(high).Seconds()
+			high = later(now, high)
 			if rapid.Bool().Draw(t, "earn") {
 				r.Earn(now)
-				earns++
+				bound += ratio
 			} else if r.Take(now) {
-				takes++
+				bound--
 			}
-			bound := ratio*float64(earns) + floor*high.Sub(epoch).Seconds()
-			if float64(takes) > bound+1e-6 {
-				t.Fatalf("%d takes exceed %v", takes, bound)
+			if bound < 0 {
+				t.Fatalf("takes exceed the budget by %v", -bound)
 			}
 		}
 	})
@@ -139,24 +116,21 @@
 func TestRatioDecays(t *testing.T) {
 	c := qt.New(t)
 	r := budget.NewRatio(0.5, 0)
-	spend := func(now time.Time) (takes int) {
+	now := epoch
+	for _, test := range []struct {
+		calls       int
+		apart, then time.Duration
+		want        int
+	}{{36_000, 100 * time.Millisecond, 0, 50}, {20, 0, 10 * budget.Memory, 0}, {20, 0, 0, 10}} {
+		for range test.calls {
+			now = now.Add(test.apart)
+			r.Earn(now)
+		}
+		now = now.Add(test.then)
+		takes := 0
 		for r.Take(now) {
 			takes++
 		}
-		return takes
-	}
-	now := epoch
-	for range 36_000 {
-		now = now.Add(100 * time.Millisecond)
-		r.Earn(now)
-	}
-	c.Assert(spend(now), qt.Equals, 50)
-	for range 20 {
-		r.Earn(now)
-	}
-	c.Assert(spend(now.Add(10*budget.Memory)), qt.Equals, 0)
-	for range 20 {
-		r.Earn(now)
+		c.Check(takes, qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
-	c.Assert(spend(now), qt.Equals, 10)
 }
--- a/budget/ratio.go
+++ b/budget/ratio.go
@@ -37,7 +37,7 @@
 func (r *Ratio) Earn(now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.decay(now)
+	r.advance(now)
 	r.earned += r.ratio
 }
 
@@ -45,16 +45,17 @@
 func (r *Ratio) Take(now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.decay(now)
+	r.advance(now)
 	if r.earned >= 1 {
 		r.earned--
 		return true
 	}
-	return r.floor.Take(now)
+	return r.floor.spend()
 }
 
-func (r *Ratio) decay(now time.Time) {
+func (r *Ratio) advance(now time.Time) {
 	elapsed := r.clock.advance(now)
+	r.floor.accrue(elapsed)
 	if elapsed > 0 && r.earned > 0 {
 		r.earned *= math.Exp(-elapsed.Seconds() / Memory.Seconds())
 	}
