io: bounds that follow the configuration, cheaper monitor, separate limit for sections

Cause: connections and max_body of a service come from the document and may change while a node runs; the monitor copied the map of links 40 times a second; a small body limit would also have bounded the sections of a document.

Change: Backend.Configure sets both bounds at any time. The monitor looks at links without calls once a second only. Messages of the peer exchange are bounded by the size of a document, calls by the body limit, each plus 64 KB. Default dial timeout 250 ms, default write timeout to callers 10 s.

--- a/io/backend.go
+++ b/io/backend.go
@@ -7,8 +7,10 @@
 	"fmt"
 	stdio "io"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,12 +42,14 @@
 	options
 	faults  faults
 	address string
-	slots   chan struct{}
+	slots   *slots
 	group   conc.WaitGroup
 	stopped context.Context
 	stop    context.CancelFunc
 	done    chan struct{}
 	once    sync.Once
+	// bodyLimit bounds a response body in bytes.
+	bodyLimit atomic.Int64
 
 	mutex sync.Mutex
 	idle  []*backendConn
@@ -59,10 +63,11 @@
 		options: o,
 		faults:  newFaults(o.registerer, "backend"),
 		address: address,
-		slots:   make(chan struct{}, o.connections),
+		slots:   newSlots(o.connections),
 		done:    make(chan struct{}),
 		open:    make(map[*backendConn]struct{}),
 	}
+	b.bodyLimit.Store(int64(o.maxBody))
 	b.stopped, b.stop = context.WithCancel(context.Background())
 	b.group.Go(b.sweep)
 	return b
@@ -97,12 +102,13 @@
 	}
 }
 
-// closeIdle relies on the order of the idle connections, which is that of their last use.
+// closeIdle closes the connections that are idle for too long, or too many. They are ordered by their last use.
 func (b *Backend) closeIdle(now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	old := 0
-	for old < len(b.idle) && now.Sub(b.idle[old].used) >= b.idleTime {
+	surplus := len(b.open) - b.slots.bound()
+	for old < len(b.idle) && (old < surplus || now.Sub(b.idle[old].used) >= b.idleTime) {
 		delete(b.open, b.idle[old])
 		_ = b.idle[old].Close()
 		b.idle[old] = nil
@@ -122,11 +128,7 @@
 
 // Probe implements core.Backend.
 func (b *Backend) Probe(ctx context.Context) (*core.ServerReport, error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = b.clock.Now().Add(b.slotLimit)
-	}
-	result := b.Send(ctx, &core.Request{Method: fasthttp.MethodGet, URI: core.ProbePath, Deadline: deadline})
+	result := b.Send(ctx, &core.Request{Method: fasthttp.MethodGet, URI: core.ProbePath})
 	switch {
 	case result.Code == 0:
 		return nil, fmt.Errorf("probe %s: %s", b.address, core.ReasonName(result.Reason))
@@ -136,15 +138,19 @@
 	return result.Report, nil
 }
 
-// Send implements core.Backend. A zero Deadline means none.
+// Send implements core.Backend. A zero Deadline means none. Besides the reasons of core.Result it gives CANCELLED if ctx
+// was cancelled before the first byte.
 func (b *Backend) Send(ctx context.Context, request *core.Request) *core.Result {
-	select {
-	case b.slots <- struct{}{}:
-	case <-ctx.Done():
+	if !b.slots.acquire(ctx) {
 		return b.fail(&core.Result{Reason: endReason(ctx)})
 	}
-	defer func() { <-b.slots }()
+	defer b.slots.release()
 	c, err := b.acquire(ctx)
+	if c != nil && ctx.Err() != nil {
+		c.reusable = true
+		b.release(c)
+		err = ctx.Err()
+	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return b.fail(&core.Result{Reason: endReason(ctx)})
@@ -156,6 +162,13 @@
 	return b.fail(result)
 }
 
+// Configure sets the bounds on open connections and on bodies in bytes; both come from the document and may change.
+func (b *Backend) Configure(connections, maxBody int) {
+	b.slots.setLimit(connections)
+	b.bodyLimit.Store(int64(maxBody))
+	b.closeIdle(b.clock.Now())
+}
+
 // fail counts the reason of a result.
 func (b *Backend) fail(result *core.Result) *core.Result {
 	if result.Reason != schema.Reason_REASON_NONE {
@@ -234,6 +247,75 @@
 	delete(b.open, c)
 }
 
+// slots bounds the requests in progress, and with them the open connections. Waiters are served in order.
+type slots struct {
+	mutex   sync.Mutex
+	limit   int
+	used    int
+	waiters []chan struct{}
+}
+
+func newSlots(limit int) *slots { return &slots{limit: limit} }
+
+// acquire waits for a slot and reports whether it got one before ctx ended.
+func (s *slots) acquire(ctx context.Context) bool {
+	s.mutex.Lock()
+	if s.used < s.limit {
+		s.used++
+		s.mutex.Unlock()
+		return true
+	}
+	granted := make(chan struct{})
+	s.waiters = append(s.waiters, granted)
+	s.mutex.Unlock()
+	select {
+	case <-granted:
+		return true
+	case <-ctx.Done():
+		return !s.withdraw(granted)
+	}
+}
+
+// withdraw removes a waiter and reports whether it was still waiting.
+func (s *slots) withdraw(granted chan struct{}) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	at := slices.Index(s.waiters, granted)
+	if at < 0 {
+		return false
+	}
+	s.waiters = slices.Delete(s.waiters, at, at+1)
+	return true
+}
+
+func (s *slots) release() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.used--
+	s.grant()
+}
+
+func (s *slots) setLimit(limit int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limit = limit
+	s.grant()
+}
+
+func (s *slots) bound() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.limit
+}
+
+func (s *slots) grant() {
+	for s.used < s.limit && len(s.waiters) > 0 {
+		close(s.waiters[0])
+		s.waiters = s.waiters[1:]
+		s.used++
+	}
+}
+
 // backendConn is a connection to the backend server. It counts the bytes of the exchange in progress.
 type backendConn struct {
 	*net.TCPConn
@@ -371,7 +453,7 @@
 		result.Reason = schema.Reason_REASON_TRUNCATED
 	default:
 		result.Reason = schema.Reason_REASON_CONNECTION_LOST
-		result.Reset = running
+		result.Reset = running && c.backend.stopped.Err() == nil
 	}
 	return result
 }
@@ -402,7 +484,7 @@
 	if length == noLength || h.StatusCode() < fasthttp.StatusOK {
 		return errNoFraming
 	}
-	if err := response.ReadBody(c.reader, c.backend.maxBody); err != nil {
+	if err := response.ReadBody(c.reader, int(c.backend.bodyLimit.Load())); err != nil {
 		return err
 	}
 	if length == chunkedLength {
--- a/io/backend_test.go
+++ b/io/backend_test.go
@@ -214,3 +214,30 @@
 	close(silent)
 	qt.Check(t, runs.Load(), qt.Equals, int64(2))
 }
+
+// Guards against more connections than the bound, waiters that are forgotten, and a new bound that has no effect.
+func TestConnectionBound(t *testing.T) {
+	release := make(chan struct{})
+	address, runs := httpServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		<-release
+		_, _ = stdio.WriteString(conn, ok)
+		return true
+	})
+	backend := newBackend(t, address, io.WithConnections(2))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	var group conc.WaitGroup
+	for range 6 {
+		group.Go(func() { backend.Send(t.Context(), post()) })
+	}
+	time.Sleep(20 * time.Millisecond)
+	result := backend.Send(ctx, post())
+	qt.Check(t, result.Written, qt.IsFalse)
+	qt.Check(t, runs.Load(), qt.Equals, int64(2))
+	backend.Configure(4, 1024)
+	time.Sleep(20 * time.Millisecond)
+	qt.Check(t, runs.Load(), qt.Equals, int64(4))
+	close(release)
+	group.Wait()
+	qt.Check(t, runs.Load(), qt.Equals, int64(6))
+}
--- a/io/bench_test.go
+++ b/io/bench_test.go
@@ -70,7 +70,7 @@
 
 func BenchmarkRPC(b *testing.B) {
 	transport := newTransport(b)
-	to := instanceAt(newServer(b, executor(echo)).Addr())
+	to := instanceAt(newServer(b, echo).Addr())
 	request := typicalRequest()
 	measure(b, func() bool {
 		reply, err := transport.Execute(context.Background(), to, request)
@@ -91,14 +91,14 @@
 		return schema.ExecuteReply_builder{Status: schema.Status_STATUS_ANSWERED, Code: 200, Body: call.Body}.Build()
 	}))
 	backend := newBackend(b, target.Addr())
-	server := newServer(b, executor(func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
+	server := newServer(b, func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
 		result := backend.Send(ctx, &core.Request{
 			Method: r.GetMethod(), URI: r.GetUri(), Headers: r.GetHeaders(), Body: r.GetBody(), Deadline: time.Now().Add(time.Second),
 		})
 		return schema.ExecuteReply_builder{
 			Status: schema.Status_STATUS_ANSWERED, Code: uint32(result.Code), Headers: result.Headers, Body: result.Body,
 		}.Build()
-	}))
+	})
 	to := instanceAt(server.Addr())
 	transport := newTransport(b)
 	front := newFront(b, handler(func(call *core.Call) *schema.ExecuteReply {
--- a/io/frame.go
+++ b/io/frame.go
@@ -50,11 +50,14 @@
 }
 
 func newFrameReader(r stdio.Reader, limit int) *frameReader {
-	return &frameReader{
-		buffer:  bufio.NewReaderSize(r, readBufferSize),
-		options: protodelim.UnmarshalOptions{MaxSize: int64(limit)},
-		limit:   uint64(limit),
-	}
+	reader := &frameReader{buffer: bufio.NewReaderSize(r, readBufferSize)}
+	reader.setLimit(limit)
+	return reader
+}
+
+// setLimit bounds the messages that are read from now on, in bytes.
+func (r *frameReader) setLimit(limit int) {
+	r.options.MaxSize, r.limit = int64(limit), uint64(limit)
 }
 
 // read reads the next message into message. After an oversize error the stream is out of step and must be closed.
@@ -401,6 +404,9 @@
 	if f.state == frameTaken {
 		return false
 	}
+	if f.state == frameQueued {
+		f.release()
+	}
 	f.state = frameDropped
 	return true
 }
--- a/io/front.go
+++ b/io/front.go
@@ -51,7 +51,7 @@
 
 // NewFront listens on address, whose port may be 0, and serves once Serve is called.
 func NewFront(address string, handler core.Handler, opts ...Option) (*Front, error) {
-	o := newOptions(opts, defaultCallerIdle, fiber.DefaultConcurrency)
+	o := newOptions(append([]Option{WithWriteTimeout(defaultCallerWrite)}, opts...), defaultCallerIdle, fiber.DefaultConcurrency)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("http front: %w", err)
@@ -257,7 +257,8 @@
 	return nil
 }
 
-// writeAnswer writes the response of the backend server as it came.
+// writeAnswer writes the response of the backend server as it came, but for the fields by which a node tells the outcome:
+// a server that copies them from the response to a nested call would make its caller misjudge its own call.
 func writeAnswer(response *fasthttp.Response, reply *schema.ExecuteReply) {
 	h := &response.Header
 	h.DisableNormalizing()
@@ -267,7 +268,9 @@
 		}
 	}
 	for _, f := range reply.GetHeaders() {
-		h.AddBytesV(f.GetName(), f.GetValue())
+		if !isOutcomeField(f.GetName()) {
+			h.AddBytesV(f.GetName(), f.GetValue())
+		}
 	}
 	response.SetStatusCode(int(reply.GetCode()))
 	response.SetBodyRaw(reply.GetBody())
--- a/io/header.go
+++ b/io/header.go
@@ -45,6 +45,17 @@
 	return false
 }
 
+// isOutcomeField reports whether a header field is one by which a node tells the outcome of a call.
+func isOutcomeField(name string) bool {
+	switch len(name) {
+	case len(core.HeaderOutcome):
+		return strings.EqualFold(name, core.HeaderOutcome)
+	case len(core.HeaderNextTicket):
+		return strings.EqualFold(name, core.HeaderNextTicket)
+	}
+	return false
+}
+
 // namedIn reports whether a list of tokens, the value of a Connection field, names the field.
 func namedIn(list, name string) bool {
 	for list != "" {
--- a/io/io_test.go
+++ b/io/io_test.go
@@ -27,23 +27,14 @@
 	)
 }
 
-// executor answers calls with the function; its other operations answer with empty replies.
-type executor func(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply
-
-func (e executor) Execute(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
-	return e(ctx, request)
-}
-
-func (executor) Cancel(context.Context, *schema.CancelRequest) *schema.CancelReply {
-	return &schema.CancelReply{}
-}
-
-func (executor) Issue(context.Context, *schema.IssueRequest) *schema.IssueReply {
-	return &schema.IssueReply{}
+// executor answers calls with execute; it has no other operations.
+type executor struct {
+	core.Executor
+	execute func(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply
 }
 
-func (executor) Supersede(context.Context, *schema.SupersedeRequest) *schema.SupersedeReply {
-	return &schema.SupersedeReply{}
+func (e executor) Execute(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
+	return e.execute(ctx, request)
 }
 
 type handler func(call *core.Call) *schema.ExecuteReply
@@ -68,15 +59,19 @@
 	})
 }
 
-func newServer(t testing.TB, e core.Executor, opts ...io.Option) *io.Server {
-	s, err := io.NewServer("127.0.0.1:0", e, nil, opts...)
+func newServer(t testing.TB, execute func(context.Context, *schema.ExecuteRequest) *schema.ExecuteReply, opts ...io.Option) *io.Server {
+	s, err := io.NewServer("127.0.0.1:0", executor{execute: execute}, nil, opts...)
 	qt.Assert(t, err, qt.IsNil)
 	run(t, s.Serve)
 	return s
 }
 
 func newTransport(t testing.TB, opts ...io.Option) *io.Transport {
-	transport := io.NewTransport(clockwork.NewRealClock(), opts...)
+	return newTransportWith(t, clockwork.NewRealClock(), opts...)
+}
+
+func newTransportWith(t testing.TB, clock core.Clock, opts ...io.Option) *io.Transport {
+	transport := io.NewTransport(clock, opts...)
 	t.Cleanup(func() { _ = transport.Close() })
 	return transport
 }
@@ -143,11 +138,6 @@
 	qt.Check(t, failure.Sent(), qt.Equals, sent, qt.Commentf("%v", err))
 }
 
-func sentOf(err error) bool {
-	var failure *core.TransportError
-	return errors.As(err, &failure) && failure.Sent()
-}
-
 // counted returns the value of the error counter of a kind, over all parts.
 func counted(t testing.TB, registry *prometheus.Registry, kind string) float64 {
 	t.Helper()
--- a/io/option.go
+++ b/io/option.go
@@ -20,9 +20,10 @@
 const (
 	defaultMaxBody        = 1 << 20
 	defaultConnections    = 256
-	defaultDialTimeout    = 500 * time.Millisecond
+	defaultDialTimeout    = 250 * time.Millisecond
 	defaultWriteTimeout   = 2 * time.Second
 	defaultReadTimeout    = 5 * time.Second
+	defaultCallerWrite    = 10 * time.Second
 	defaultSlotLimit      = 30 * time.Second
 	defaultPingAfter      = 250 * time.Millisecond
 	defaultSilentAfter    = 500 * time.Millisecond
@@ -33,6 +34,8 @@
 
 	// maxHeaderBytes bounds the HTTP header fields of a request or response.
 	maxHeaderBytes = 16 << 10
+	// maxDocument bounds the sections that nodes exchange; it is the bound of the platform.
+	maxDocument = 1 << 20
 	// frameRoom is what a message between nodes may hold besides the body.
 	frameRoom = 64 << 10
 )
@@ -71,7 +74,8 @@
 	return func(o *options) { o.clock = clock }
 }
 
-// WithMaxBody bounds request and response bodies in bytes; the default is 1 MB.
+// WithMaxBody bounds request and response bodies in bytes; the default is 1 MB. Messages of calls between nodes may be
+// 64 KB larger; those of the peer exchange are bounded by the size of a document.
 func WithMaxBody(size int) Option {
 	return func(o *options) { o.maxBody = size }
 }
@@ -81,12 +85,12 @@
 	return func(o *options) { o.connections = count }
 }
 
-// WithDialTimeout bounds the time to open a connection; the default is 500 ms.
+// WithDialTimeout bounds the time to open a connection; the default is 250 ms.
 func WithDialTimeout(timeout time.Duration) Option {
 	return func(o *options) { o.dialTimeout = timeout }
 }
 
-// WithWriteTimeout bounds the time of one write to a peer that does not read; the default is 2 s.
+// WithWriteTimeout bounds the time of one write to a node (default 2 s) or caller (default 10 s) that does not read.
 func WithWriteTimeout(timeout time.Duration) Option {
 	return func(o *options) { o.writeTimeout = timeout }
 }
--- a/io/rpc_test.go
+++ b/io/rpc_test.go
@@ -13,20 +13,22 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"verbenareel/core"
 	"verbenareel/io"
 	"verbenareel/schema"
 )
 
 // Guards against replies that are given to another call when they arrive late or out of order.
 func TestRepliesOutOfOrder(t *testing.T) {
-	server := newServer(t, executor(func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
+	server := newServer(t, func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
 		time.Sleep(rand.N(2 * time.Millisecond))
 		return echo(ctx, r)
-	}))
+	})
 	transport := newTransport(t)
 	to := instanceAt(server.Addr())
 	var group conc.WaitGroup
@@ -56,12 +58,12 @@
 // Guards against connections that go silent for ever: calls must fail within 750 ms, and the next call must use a new
 // connection. A slow call on a connection that is alive must not be cut.
 func TestSilentConnection(t *testing.T) {
-	server := newServer(t, executor(func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
+	server := newServer(t, func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
 		if string(r.GetBody()) == "slow" {
 			time.Sleep(1200 * time.Millisecond)
 		}
 		return echo(ctx, r)
-	}))
+	})
 	forwarder := newForwarder(t, server.Addr())
 	transport := newTransport(t)
 	to := instanceAt(forwarder.Addr())
@@ -91,14 +93,14 @@
 func TestTransportErrors(t *testing.T) {
 	release := make(chan struct{})
 	ended := make(chan struct{}, 8)
-	server := newServer(t, executor(func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
+	server := newServer(t, func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
 		select {
 		case <-ctx.Done():
 			ended <- struct{}{}
 		case <-release:
 		}
 		return echo(ctx, r)
-	}))
+	})
 	forwarder := newForwarder(t, server.Addr())
 	transport := newTransport(t)
 	to := instanceAt(forwarder.Addr())
@@ -155,18 +157,32 @@
 	for i := range sent {
 		group.Go(func() {
 			_, err := transport.Execute(t.Context(), instanceAt(address), withBody(body))
-			sent[i] = sentOf(err)
+			var failure *core.TransportError
+			sent[i] = errors.As(err, &failure) && failure.Sent()
 		})
 	}
 	group.Wait()
 	qt.Check(t, sent, qt.Contains, true)
 	qt.Check(t, sent, qt.Contains, false)
+
+	// A write that was blocked for a while must leave no deadline behind.
+	server := newServer(t, echo)
+	for _, size := range []int{16, 1} {
+		for range size {
+			group.Go(func() {
+				_, err := transport.Execute(t.Context(), instanceAt(server.Addr()), withBody(body))
+				qt.Check(t, err, qt.IsNil)
+			})
+		}
+		group.Wait()
+		time.Sleep(350 * time.Millisecond)
+	}
 }
 
 // Guards against bad input that takes the server down or disturbs other connections.
 func TestBadFrames(t *testing.T) {
 	registry := prometheus.NewRegistry()
-	server := newServer(t, executor(echo), io.WithMaxBody(1024), io.WithRegisterer(registry))
+	server := newServer(t, echo, io.WithMaxBody(1024), io.WithRegisterer(registry))
 	transport := newTransport(t)
 	header := schema.RpcRequest_builder{Method: "Guard.Execute", Sequence: 1}.Build()
 	for name, write := range map[string]func(conn net.Conn){
@@ -206,11 +222,11 @@
 // Guards against calls that a graceful shutdown cuts off.
 func TestServerShutdown(t *testing.T) {
 	var calls atomic.Int64
-	server := newServer(t, executor(func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
+	server := newServer(t, func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
 		calls.Add(1)
 		time.Sleep(50 * time.Millisecond)
 		return echo(ctx, r)
-	}))
+	})
 	transport := newTransport(t)
 	var group conc.WaitGroup
 	for range 16 {
@@ -233,3 +249,44 @@
 	group.Wait()
 	<-server.Done()
 }
+
+// Guards against idle connections that live too long, and against a paused process that takes its own pause for silence.
+func TestIdleAndPaused(t *testing.T) {
+	release := make(chan struct{}, 1)
+	server := newServer(t, func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
+		if string(r.GetBody()) == "held" {
+			<-release
+		}
+		return echo(ctx, r)
+	})
+	forwarder := newForwarder(t, server.Addr())
+	clock := clockwork.NewFakeClock()
+	advance := func(steps int, step time.Duration) {
+		for range steps {
+			qt.Check(t, clock.BlockUntilContext(t.Context(), 1), qt.IsNil)
+			clock.Advance(step)
+		}
+		qt.Check(t, clock.BlockUntilContext(t.Context(), 1), qt.IsNil)
+	}
+	transport := newTransportWith(t, clock)
+	call := func(body string, accepted int) {
+		t.Helper()
+		_, err := transport.Execute(t.Context(), instanceAt(forwarder.Addr()), withBody(body))
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, forwarder.Accepted(), qt.Equals, accepted)
+	}
+	call("first", 1)
+	advance(29, time.Second)
+	call("within the idle life", 1)
+	advance(31, time.Second)
+	call("after it", 2)
+
+	forwarder.Silence()
+	var group conc.WaitGroup
+	group.Go(func() { call("held", 2) })
+	time.Sleep(20 * time.Millisecond)
+	advance(4, 2*time.Second)
+	forwarder.Resume()
+	release <- struct{}{}
+	group.Wait()
+}
--- a/io/server.go
+++ b/io/server.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/rpc"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -240,7 +241,7 @@
 	c := &serverConn{server: s, conn: conn}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.read.Store(s.clock.Now().UnixNano())
-	c.reader = newFrameReader(&stampedReader{conn: conn, clock: s.clock, read: &c.read}, s.maxBody+frameRoom)
+	c.reader = newFrameReader(&stampedReader{conn: conn, clock: s.clock, read: &c.read}, frameRoom)
 	c.writer = newFrameWriter(conn, s.writeTimeout, &s.group, func(err error) {
 		s.faults.count(kindWrite)
 		c.end(err)
@@ -319,6 +320,12 @@
 // ReadRequestBody implements rpc.ServerCodec. A malformed body is answered with an error; after an oversize one the
 // connection is closed, since the rest of the stream is not read.
 func (c *serverConn) ReadRequestBody(body any) error {
+	limit := purposeCalls.limit(c.server.maxBody)
+	if strings.HasPrefix(c.request.GetMethod(), peerService) {
+		limit = purposePeers.limit(c.server.maxBody)
+	}
+	c.reader.setLimit(limit)
+	defer c.reader.setLimit(frameRoom)
 	message, ok := body.(proto.Message)
 	if !ok {
 		return c.check(c.reader.skip())
@@ -357,7 +364,7 @@
 		message = reply.message
 	}
 	f := new(frame)
-	if err := f.encode(message, c.server.maxBody+frameRoom); err != nil {
+	if err := f.encode(message, max(purposeCalls.limit(c.server.maxBody), purposePeers.limit(c.server.maxBody))); err != nil {
 		c.server.faults.count("reply")
 		response.Error = err.Error()
 		if err = f.encode(&schema.PingReply{}, frameRoom); err != nil {
--- a/io/transport.go
+++ b/io/transport.go
@@ -21,6 +21,8 @@
 const (
 	// monitorPeriod is the time between two checks for silent and idle connections.
 	monitorPeriod = 25 * time.Millisecond
+	// idlePeriod is the time between two checks of connections without calls.
+	idlePeriod = time.Second
 	// pauseGap is the time between two checks above which this process itself was paused: replies may wait in the
 	// kernel, so silence is measured anew.
 	pauseGap = 200 * time.Millisecond
@@ -41,6 +43,14 @@
 	purposePeers
 )
 
+// limit returns the largest message of a connection in bytes.
+func (p purpose) limit(maxBody int) int {
+	if p == purposePeers {
+		return maxDocument + frameRoom
+	}
+	return maxBody + frameRoom
+}
+
 type linkKey struct {
 	address string
 	purpose purpose
@@ -82,7 +92,7 @@
 	t.mutex.Lock()
 	t.cancel()
 	t.mutex.Unlock()
-	for _, l := range t.snapshot() {
+	for _, l := range t.appendLinks(nil) {
 		l.close()
 	}
 	t.group.Wait()
@@ -151,7 +161,7 @@
 
 func (t *Transport) exchange(ctx context.Context, p purpose, address, method string, request, reply proto.Message) error {
 	x := &exchange{message: reply}
-	if err := x.encode(request, t.maxBody+frameRoom); err != nil {
+	if err := x.encode(request, p.limit(t.maxBody)); err != nil {
 		t.faults.count("oversize")
 		return core.NewTransportError(address, schema.Reason_REASON_TOO_LARGE, false, err)
 	}
@@ -236,25 +246,27 @@
 	}
 	l, ok := t.links[key]
 	if !ok {
-		l = &link{transport: t, address: key.address, used: t.clock.Now()}
+		l = &link{transport: t, key: key, used: t.clock.Now()}
 		t.links[key] = l
 	}
 	return l
 }
 
-func (t *Transport) snapshot() map[linkKey]*link {
+func (t *Transport) appendLinks(links []*link) []*link {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	links := make(map[linkKey]*link, len(t.links))
-	for k, l := range t.links {
-		links[k] = l
+	for _, l := range t.links {
+		links = append(links, l)
 	}
 	return links
 }
 
-// monitor closes silent and idle connections and forgets addresses that are no longer used.
+// monitor closes silent and idle connections and forgets addresses that are no longer used. Links without calls are
+// looked at only once in idlePeriod, because a node may have hundreds.
 func (t *Transport) monitor() {
 	last := t.clock.Now()
+	nextIdle := last
+	var links []*link
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -264,26 +276,34 @@
 		now := t.clock.Now()
 		paused := now.Sub(last) > pauseGap
 		last = now
-		for key, l := range t.snapshot() {
-			if l.check(now, paused) {
-				t.forget(key, l)
+		idle := !now.Before(nextIdle)
+		if idle {
+			nextIdle = now.Add(idlePeriod)
+		}
+		links = t.appendLinks(links[:0])
+		for _, l := range links {
+			if (idle || l.calls.Load() > 0) && l.check(now, paused) {
+				t.forget(l)
 			}
 		}
+		clear(links)
 	}
 }
 
-func (t *Transport) forget(key linkKey, l *link) {
+func (t *Transport) forget(l *link) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if l.retire() {
-		delete(t.links, key)
+		delete(t.links, l.key)
 	}
 }
 
 // link is the way to one address.
 type link struct {
 	transport *Transport
-	address   string
+	key       linkKey
+	// calls counts the calls in flight on all connections of the link.
+	calls atomic.Int64
 
 	mutex   sync.Mutex
 	current *connection
@@ -314,6 +334,7 @@
 			c.quiet = now
 		}
 		c.calls++
+		l.calls.Add(1)
 		return c, nil
 	}
 	l.current = nil
@@ -328,6 +349,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	c.calls--
+	l.calls.Add(-1)
 	l.used = clock.Now()
 	l.closeLeaving()
 }
@@ -356,7 +378,7 @@
 func (l *link) dial() {
 	t := l.transport
 	dialer := net.Dialer{Timeout: t.dialTimeout}
-	conn, err := dialer.DialContext(t.ctx, "tcp", l.address)
+	conn, err := dialer.DialContext(t.ctx, "tcp", l.key.address)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	attempt := l.dialing
@@ -429,7 +451,7 @@
 }
 
 func newConnection(l *link, conn net.Conn) *connection {
-	c := &connection{transport: l.transport, codec: newClientCodec(l.transport, conn)}
+	c := &connection{transport: l.transport, codec: newClientCodec(l.transport, conn, l.key.purpose)}
 	c.codec.leave = func() { l.leave(c) }
 	c.client = rpc.NewClientWithCodec(c.codec)
 	return c
@@ -500,10 +522,10 @@
 	err   error
 }
 
-func newClientCodec(t *Transport, conn net.Conn) *clientCodec {
+func newClientCodec(t *Transport, conn net.Conn, p purpose) *clientCodec {
 	c := &clientCodec{transport: t, conn: conn}
 	c.read.Store(t.clock.Now().UnixNano())
-	c.reader = newFrameReader(&stampedReader{conn: conn, clock: t.clock, read: &c.read}, t.maxBody+frameRoom)
+	c.reader = newFrameReader(&stampedReader{conn: conn, clock: t.clock, read: &c.read}, p.limit(t.maxBody))
 	c.writer = newFrameWriter(conn, t.writeTimeout, &t.group, func(err error) {
 		t.faults.count(kindWrite)
 		c.end(fmt.Errorf("write: %w", err))
