--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -321,3 +321,12 @@
 	}
 	return targets
 }
+
+// control changes the behaviour of an instance's stand-in.
+func (i *instance) control(t testing.TB, change string) {
+	t.Helper()
+	response, err := http.Post("http://"+i.backend+"/fake/control", "application/json", strings.NewReader(change))
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusNoContent)
+}
