Bound crashes by one call and count simultaneous losses once

Cause: 18 calls that ended with one connection raised the backoff of a restarted node from 50 ms to 3 s at once; a second trial call could follow while the first was unanswered; and a lookup that crashed its backend server could be retried on a third one if the push of suspects was late. Change: losses within one backoff count once, a trial call excludes others until it ends, and a call is not retried after its second crash. Measured: the new checks fail without each of the changes and pass with them.

--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -153,7 +153,14 @@
 	c.Assert(v.Avoided(start), qt.IsTrue)
 	later := start.Add(firstBackoff)
 	c.Assert(v.Claim(later), qt.IsTrue)
-	c.Assert(v.Claim(later), qt.IsFalse, qt.Commentf("a second trial call in one backoff"))
+	c.Assert(v.Claim(later), qt.IsFalse, qt.Commentf("a second trial call at once"))
+	trial := v.Begin(later)
+	c.Assert(v.Avoided(later.Add(time.Hour)), qt.IsTrue, qt.Commentf("a second trial call beside the first"))
+	v.End(later, trial, true)
+	for range 20 {
+		v.Lost(later.Add(1))
+	}
+	c.Assert(v.Avoided(later.Add(2*firstBackoff+1)), qt.IsFalse, qt.Commentf("calls that end together count once"))
 
 	member := schema.Member_builder{Instance: "sheets-0", Incarnation: 2}.Build()
 	v.Update(core.NewInstance(member, schema.InstanceState_INSTANCE_STATE_COLD), 0)
--- a/picker/view.go
+++ b/picker/view.go
@@ -37,9 +37,10 @@
 	lostCount atomic.Int64
 	avoid     atomic.Int64
 
-	mu   sync.Mutex
-	head *Flight
-	tail *Flight
+	mu     sync.Mutex
+	head   *Flight
+	tail   *Flight
+	lostAt time.Duration
 }
 
 // report is one load report with the circumstances of its arrival.
@@ -202,10 +203,17 @@
 	v.oldest.Store(int64(v.head.start.Sub(v.base)) + 1)
 }
 
-// Lost records that the node could not be reached; it is avoided for a time that doubles with each failure.
+// Lost records that the node could not be reached; it is avoided for a time that doubles with each failure. Failures
+// within the backoff count once: all calls in flight end with their connection.
 func (v *View) Lost(now time.Time) {
-	count := v.lostCount.Add(1)
-	v.avoid.Store(int64(now.Sub(v.base) + backoff(count)))
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	since := now.Sub(v.base)
+	if count := v.lostCount.Load(); count > 0 && since-v.lostAt < backoff(count) {
+		return
+	}
+	v.lostAt = since
+	v.avoid.Store(int64(since + backoff(v.lostCount.Add(1))))
 }
 
 func backoff(count int64) time.Duration {
@@ -225,11 +233,11 @@
 	if v.lostCount.Load() == 0 {
 		return false
 	}
-	return int64(now.Sub(v.base)) < v.avoid.Load()
+	return v.InFlight() > 0 || int64(now.Sub(v.base)) < v.avoid.Load()
 }
 
 // Claim reports whether the instance may be sent a call. After a backoff only the first that claims the instance gets
-// it, and the backoff starts again.
+// it; the next one waits for the end of that call.
 func (v *View) Claim(now time.Time) bool {
 	count := v.lostCount.Load()
 	if count == 0 {
@@ -237,7 +245,7 @@
 	}
 	until := v.avoid.Load()
 	since := int64(now.Sub(v.base))
-	if since < until {
+	if v.InFlight() > 0 || since < until {
 		return false
 	}
 	return v.avoid.CompareAndSwap(until, since+int64(backoff(count)))
--- a/router/call.go
+++ b/router/call.go
@@ -10,8 +10,13 @@
 	"verbenareel/schema"
 )
 
-// maxAttempts bounds the sends of one call, whatever the budget allows.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the sends of one call, whatever the budget allows.
+	maxAttempts = 4
+	// maxCrashes bounds the backend servers that one call may crash: it is sent to a second one as a suspect, and to no
+	// other.
+	maxCrashes = 2
+)
 
 // call is the state of one call in the router.
 type call struct {
@@ -21,9 +26,10 @@
 	deadline    time.Time
 	fingerprint uint64
 	ticket      *schema.Ticket
-	suspect     bool
 	// refusal is the reason of the last refusal of a ticket.
 	refusal schema.Reason
+	// crashes counts the backend servers that crashed with the call in flight.
+	crashes int
 	// tried holds the instances that the call was sent to.
 	tried []*picker.View
 	// possible is the reply of an attempt that ran or may have run. Once it is set, the call cannot end as not run.
@@ -117,7 +123,7 @@
 			c.group.usage.answered(now.Sub(begin))
 		}
 		c.group.usage.refused(now, last.GetReason())
-		if ctx.Err() != nil || !retryable(last) {
+		if ctx.Err() != nil || c.crashes >= maxCrashes || !retryable(last) {
 			break
 		}
 	}
@@ -134,7 +140,9 @@
 
 // note keeps the reply of an attempt that may have run. A whole response is worth more than none.
 func (c *call) note(reply *schema.ExecuteReply) {
-	c.suspect = c.suspect || reply.GetSuspect()
+	if reply.GetSuspect() {
+		c.crashes++
+	}
 	if reply.GetStatus() == schema.Status_STATUS_NOT_RUN {
 		return
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -84,7 +84,8 @@
 
 // network is a core.Transport to fake guards.
 type network struct {
-	guards map[string]core.Executor
+	core.Transport
+	guards map[string]*guard
 	// fail may replace the exchange with the guard; deliver runs the request there.
 	fail func(to *core.Instance, deliver func() *schema.ExecuteReply) (*schema.ExecuteReply, error)
 }
@@ -109,31 +110,25 @@
 	return n.guards[to.Name()].Issue(ctx, request), nil
 }
 
-func (n *network) Supersede(ctx context.Context, to *core.Instance, request *schema.SupersedeRequest) (*schema.SupersedeReply, error) {
-	return n.guards[to.Name()].Supersede(ctx, request), nil
-}
-
 func lostError(to *core.Instance, reason schema.Reason, sent bool) error {
 	return core.NewTransportError(to.Address(), reason, sent, errors.New("test"))
 }
 
 // guard is a core.Executor whose operations are functions.
 type guard struct {
-	name      string
-	execute   func(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply
-	cancel    func(request *schema.CancelRequest) *schema.CancelReply
-	supersede func(request *schema.SupersedeRequest) *schema.SupersedeReply
+	core.Executor
+	name    string
+	execute func(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply
+	// notRun is the answer to Cancel.
+	notRun bool
 }
 
 func (g *guard) Execute(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
 	return g.execute(ctx, request)
 }
 
-func (g *guard) Cancel(_ context.Context, request *schema.CancelRequest) *schema.CancelReply {
-	if g.cancel == nil {
-		return &schema.CancelReply{}
-	}
-	return g.cancel(request)
+func (g *guard) Cancel(context.Context, *schema.CancelRequest) *schema.CancelReply {
+	return schema.CancelReply_builder{NotRun: g.notRun}.Build()
 }
 
 func (g *guard) Issue(context.Context, *schema.IssueRequest) *schema.IssueReply {
@@ -141,13 +136,6 @@
 	return schema.IssueReply_builder{Ticket: ticket}.Build()
 }
 
-func (g *guard) Supersede(_ context.Context, request *schema.SupersedeRequest) *schema.SupersedeReply {
-	if g.supersede == nil {
-		return &schema.SupersedeReply{}
-	}
-	return g.supersede(request)
-}
-
 func answer(code uint32) *schema.ExecuteReply {
 	return schema.ExecuteReply_builder{Status: schema.Status_STATUS_ANSWERED, Code: code}.Build()
 }
@@ -158,7 +146,7 @@
 }
 
 func newConfiguredRouter(n int, edit func(*schema.Service), execute func(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply) (*Router, *network, *fixed) {
-	transport := &network{guards: make(map[string]core.Executor)}
+	transport := &network{guards: make(map[string]*guard)}
 	list := members(n)
 	for _, m := range list {
 		transport.guards[m.GetInstance()] = &guard{name: m.GetInstance(), execute: execute}
@@ -205,9 +193,7 @@
 					<-ctx.Done()
 					return nil
 				})
-				transport.guards["sheets-1"].(*guard).cancel = func(*schema.CancelRequest) *schema.CancelReply {
-					return schema.CancelReply_builder{NotRun: notRun}.Build()
-				}
+				transport.guards["sheets-1"].notRun = notRun
 				status := schema.Status_STATUS_UNKNOWN
 				if notRun {
 					status = schema.Status_STATUS_NOT_RUN
@@ -263,6 +249,20 @@
 	}
 }
 
+// TestCrashes guards against a request that crashes a third backend server.
+func TestCrashes(t *testing.T) {
+	var suspects []bool
+	r, _, _ := newConfiguredRouter(4, func(s *schema.Service) { s.SetRetryRatio(10) },
+		func(_ context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
+			suspects = append(suspects, request.GetSuspect())
+			reply := core.Unknown(schema.Reason_REASON_CRASHED)
+			reply.SetSuspect(true)
+			return reply
+		})
+	assertOutcome(qt.New(t), look(r), schema.Status_STATUS_UNKNOWN, schema.Reason_REASON_CRASHED)
+	qt.Assert(t, suspects, qt.DeepEquals, []bool{false, true})
+}
+
 // TestStates guards against a retry by a snapshot that is no longer in force.
 func TestStates(t *testing.T) {
 	runs := 0
--- a/router/send.go
+++ b/router/send.go
@@ -44,7 +44,7 @@
 		Ticket:      c.ticket,
 		Depth:       c.input.Depth + 1,
 		Fingerprint: c.fingerprint,
-		Suspect:     c.suspect,
+		Suspect:     c.crashes > 0,
 		IssueNext:   c.ticket != nil,
 	}.Build()
 }
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -176,7 +176,9 @@
 	switch {
 	case x.replied:
 		c.refusal = x.reply.GetReason()
-		c.suspect = c.suspect || x.reply.GetSuspect()
+		if x.reply.GetSuspect() {
+			c.crashes++
+		}
 		c.group.usage.refused(r.clock.Now(), c.refusal)
 		t.OnExecute(x.reply, nil)
 	case ctx.Err() != nil || x.reply.GetReason() == schema.Reason_REASON_DEADLINE:
