io: notice silent connections to the backend server; router: avoid instances whose server is down

Cause: a connection to the backend server that a device had lost track of held its slot for 30 s, and each idle one cost a call its whole timeout; routers went on choosing an instance whose guard refuses with not-run/connect; a server that stopped draining stayed leaving for ever, since its node announced the state and a leaving record never comes back. Change: TCP_USER_TIMEOUT of 1 s; a request occupies its connection at most 5 s after its deadline; idle connections are closed when a request on a used one has no response after half of its time; a connect refusal counts as an unreachable instance, with a backoff up to 1 s; a draining server is no longer announced as a leaving process, since the guard refuses and its load reports carry the state.

--- a/io/backend.go
+++ b/io/backend.go
@@ -16,6 +16,7 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"verbenareel/core"
 	"verbenareel/schema"
@@ -24,6 +25,13 @@
 const (
 	// sweepsPerLife is how often idle connections are looked at in the time that one may live.
 	sweepsPerLife = 4
+	// slotGrace is how long a request may occupy its connection after its deadline. The server was told of the
+	// cancellation by then; a connection that is still without a response has probably gone silent.
+	slotGrace = 5 * time.Second
+	// unackedTime is how long written bytes may stay unacknowledged before the kernel ends the connection.
+	unackedTime = time.Second
+	// minStall is the shortest time without a response after which idle connections are no longer trusted.
+	minStall = 250 * time.Millisecond
 	// maxInterim bounds the informational responses before the final one.
 	maxInterim = 16
 	// noLength is what fasthttp gives for a response with neither a length nor chunked framing.
@@ -210,7 +218,42 @@
 	if err != nil {
 		return nil, fmt.Errorf("backend server: %w", err)
 	}
-	return conn.(*net.TCPConn), nil
+	tcp := conn.(*net.TCPConn)
+	if err := setUserTimeout(tcp, unackedTime); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("backend server: %w", err)
+	}
+	return tcp, nil
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT (RFC 5482): a device on the path that has lost track of the connection is noticed
+// after the time, not after the minutes that retransmissions last.
+func setUserTimeout(conn *net.TCPConn, timeout time.Duration) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("access the socket: %w", err)
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err = errors.Join(err, failed); err != nil {
+		return fmt.Errorf("set the user timeout: %w", err)
+	}
+	return nil
+}
+
+// distrust closes the connections that are idle. It is called when a request on a used connection gets no response: a
+// device that lost track of one connection has probably lost the others too, and each would cost a request.
+func (b *Backend) distrust() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, c := range b.idle {
+		delete(b.open, c)
+		_ = c.Close()
+	}
+	b.faults.count("distrusted")
+	b.idle = nil
 }
 
 func (b *Backend) pop() *backendConn {
@@ -374,7 +417,11 @@
 // server that the call is cancelled and frees a write that is blocked, and goes on reading.
 func (c *backendConn) exchange(ctx context.Context, request *core.Request) *core.Result {
 	c.reusable, c.written, c.read, c.deadline = false, 0, 0, request.Deadline
-	_ = c.SetDeadline(time.Now().Add(c.backend.slotLimit))
+	limit, stall := c.backend.limits(request.Deadline)
+	_ = c.SetDeadline(time.Now().Add(limit))
+	if !c.used.IsZero() {
+		defer time.AfterFunc(stall, c.backend.distrust).Stop()
+	}
 	cancelled := context.AfterFunc(ctx, func() { _ = c.CloseWrite() })
 	if err := c.send(request); err != nil {
 		return c.unsent(ctx, err, !cancelled())
@@ -391,6 +438,16 @@
 	return c.result(response, head)
 }
 
+// limits returns how long a request may occupy its connection, and when a missing response makes idle connections
+// suspicious.
+func (b *Backend) limits(deadline time.Time) (limit, stall time.Duration) {
+	if deadline.IsZero() {
+		return b.slotLimit, b.slotLimit / 2
+	}
+	left := max(0, deadline.Sub(b.clock.Now()))
+	return min(b.slotLimit, left+slotGrace), max(minStall, left/2)
+}
+
 func (c *backendConn) send(request *core.Request) error {
 	message := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(message)
--- /dev/null
+++ b/io/silent_test.go
@@ -0,0 +1,45 @@
+package io_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+
+	"verbenareel/core"
+)
+
+// TestBackendDistrustsIdleConnections guards against each idle connection costing a request its whole time after all of
+// them went silent together.
+func TestBackendDistrustsIdleConnections(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer server.Close()
+	forwarder := newForwarder(t, server.Listener.Addr().String())
+	backend := newBackend(t, forwarder.Addr())
+	send := func() *core.Result {
+		deadline := time.Now().Add(600 * time.Millisecond)
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		return backend.Send(ctx, &core.Request{Method: "GET", URI: "/", Deadline: deadline})
+	}
+	var group conc.WaitGroup
+	for range 8 {
+		group.Go(func() { qt.Check(t, send().Code, qt.Equals, http.StatusNoContent) })
+	}
+	group.Wait()
+	forwarder.Silence()
+	stalled := make(chan *core.Result, 1)
+	group.Go(func() { stalled <- send() })
+	time.Sleep(400 * time.Millisecond)
+	qt.Check(t, send().Code, qt.Equals, http.StatusNoContent)
+	forwarder.Cut()
+	group.Wait()
+	qt.Check(t, (<-stalled).Code, qt.Equals, 0)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -35,8 +35,6 @@
 	pushedSuspects = 64
 	// freshInterval is the time between two looks at whether the exchange has caught up after a pause.
 	freshInterval = 5 * time.Millisecond
-	// stateInterval is the time between two comparisons of the guard's state with the announced one.
-	stateInterval = 100 * time.Millisecond
 	// defaultDrainTimeout bounds a graceful shutdown if the settings give no time.
 	defaultDrainTimeout = 30 * time.Second
 )
@@ -196,7 +194,6 @@
 	start("rpc server", n.server.Serve)
 	start("HTTP front", n.front.Serve)
 	start("status server", n.status.Serve)
-	start("state watch", n.watchState)
 	n.logger.Info("node started", zap.String("http", n.HTTPAddress()), zap.String("rpc", n.RPCAddress()),
 		zap.String("status", n.StatusAddress()))
 	select {
@@ -230,22 +227,6 @@
 	return nil
 }
 
-// watchState announces when the backend server begins or stops leaving.
-func (n *Node) watchState(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.clock.After(stateInterval):
-		}
-		state := schema.InstanceState_INSTANCE_STATE_SERVING
-		if n.guard.Load().State == schema.InstanceState_INSTANCE_STATE_LEAVING {
-			state = schema.InstanceState_INSTANCE_STATE_LEAVING
-		}
-		n.exchange.Announce(state)
-	}
-}
-
 // waitFresh waits until the exchange has caught up after a pause of the process.
 func (n *Node) waitFresh(ctx context.Context) error {
 	for !n.exchange.Fresh() {
--- a/picker/view.go
+++ b/picker/view.go
@@ -14,7 +14,7 @@
 	// firstBackoff and lastBackoff bound how long an instance is avoided after a failed connection. The first is a few
 	// round trips, so that a restarted process is found quickly; the last bounds connection attempts to dead addresses.
 	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = 3 * time.Second
+	lastBackoff  = time.Second
 	// stateLife is how long the state in a load report overrides a better state in the snapshot. It covers the time
 	// that the lists need to agree.
 	stateLife = time.Second
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -205,11 +205,8 @@
 			i.node.signal(syscall.SIGCONT)
 			time.Sleep(300 * time.Millisecond)
 		},
-		"crash": func(f *fleet, i *instance) {
-			response, err := http.Post("http://"+i.backend+"/fake/crash", "", nil)
-			if err == nil {
-				_ = response.Body.Close()
-			}
+		"crash": func(_ *fleet, i *instance) {
+			i.crash()
 			time.Sleep(700 * time.Millisecond)
 		},
 	}
--- a/router/send.go
+++ b/router/send.go
@@ -83,12 +83,15 @@
 		return
 	}
 	now := r.clock.Now()
-	view.Reached()
 	switch x.reply.GetReason() {
-	case schema.Reason_REASON_WRONG_INSTANCE, schema.Reason_REASON_NO_CONFIGURATION, schema.Reason_REASON_PAUSED:
-		// The node answers, but not yet for this instance.
+	case schema.Reason_REASON_WRONG_INSTANCE,
+		schema.Reason_REASON_NO_CONFIGURATION,
+		schema.Reason_REASON_PAUSED,
+		schema.Reason_REASON_CONNECT:
+		// The node answers, but not yet for this instance, or its backend server is down.
 		view.Lost(now)
 	default:
+		view.Reached()
 		if x.reply.HasLoad() {
 			view.Receive(now, core.NewLoadReport(x.reply.GetLoad()))
 		}
