guard: fewer allocations, probes without a report, probe budget test

Cause: a probe without a report and without an error made the guard panic. Change: such a probe counts as no report.

--- a/guard/call.go
+++ b/guard/call.go
@@ -16,6 +16,8 @@
 	admit       admit.Call
 	request     *schema.ExecuteRequest
 	fingerprint uint64
+	// message is the request as the backend client sends it.
+	message core.Request
 	// ctx is passed to the backend client; cancel signals cancellation to the backend server. cancel is nil for a call
 	// with a ticket, which runs to its end.
 	ctx    context.Context
@@ -161,7 +163,8 @@
 
 // offer admits, queues or refuses a call.
 func (g *Guard) offer(c *call) {
-	reason := g.check(c)
+	snapshot := g.snapshots.Snapshot()
+	reason := g.check(c, snapshot)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -182,7 +185,7 @@
 }
 
 // check returns why a request cannot run on this instance at all, or REASON_NONE.
-func (g *Guard) check(c *call) schema.Reason {
+func (g *Guard) check(c *call, snapshot *core.Snapshot) schema.Reason {
 	r := c.request
 	switch {
 	case r.GetInstance() != g.self.GetInstance() || r.GetService() != g.self.GetService():
@@ -191,7 +194,7 @@
 		return schema.Reason_REASON_DEPTH
 	case !r.GetRepeatable() && !r.HasTicket():
 		return schema.Reason_REASON_TICKET_REQUIRED
-	case g.tooLarge(r):
+	case tooLarge(r, snapshot):
 		return schema.Reason_REASON_TOO_LARGE
 	}
 	crashes := g.suspects.Crashes(g.clock.Now(), c.fingerprint)
@@ -202,12 +205,11 @@
 	return schema.Reason_REASON_NONE
 }
 
-func (g *Guard) tooLarge(r *schema.ExecuteRequest) bool {
-	snapshot := g.snapshots.Snapshot()
+func tooLarge(r *schema.ExecuteRequest, snapshot *core.Snapshot) bool {
 	if snapshot == nil {
 		return false
 	}
-	bound := snapshot.Service(g.self.GetService()).GetMaxBody()
+	bound := snapshot.Service(r.GetService()).GetMaxBody()
 	return bound > 0 && len(r.GetBody()) > int(bound)
 }
 
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -65,6 +65,7 @@
 	inFlight int
 	sent     int
 	checks   int
+	probes   int
 	down     error
 	report   *core.ServerReport
 	send     func(ctx context.Context, request *core.Request, inFlight int) *core.Result
@@ -85,6 +86,9 @@
 }
 
 func (b *backend) Probe(ctx context.Context) (*core.ServerReport, error) {
+	b.mu.Lock()
+	b.probes++
+	b.mu.Unlock()
 	return b.report, b.Connect(ctx)
 }
 
@@ -383,6 +387,35 @@
 	})
 }
 
+// TestProbes guards against probes above the budget of one a second, under pauses and after a time without probes too,
+// and against an idle server that is not measured at all.
+func TestProbes(t *testing.T) {
+	run(t, nil, func(b *bench) {
+		b.backend.report = nil
+		probes := func() int {
+			synctest.Wait()
+			b.backend.mu.Lock()
+			defer b.backend.mu.Unlock()
+			return b.backend.probes
+		}
+		before := probes()
+		for i := range 60 {
+			time.Sleep(700 * time.Millisecond)
+			if i%3 == 0 {
+				b.clock.pause(600 * time.Millisecond)
+			}
+		}
+		elapsed := 60*700*time.Millisecond + 20*600*time.Millisecond
+		b.Check(probes()-before <= int(elapsed/time.Second)+1, qt.IsTrue)
+		b.Check(probes()-before > 30, qt.IsTrue)
+
+		b.warm(&core.Result{Written: true, Code: 200, Report: &core.ServerReport{}})
+		before = probes()
+		time.Sleep(2500 * time.Millisecond)
+		b.Check(probes()-before <= 3, qt.IsTrue)
+	})
+}
+
 // TestTickets guards against a call that runs twice, an outcome that is lost with the router that sent the call, and a
 // ticket that stays claimed after a refusal.
 func TestTickets(t *testing.T) {
--- a/guard/run.go
+++ b/guard/run.go
@@ -25,6 +25,9 @@
 	resetCount  = 2
 )
 
+// lostResult is the result of a call of which the backend client tells nothing.
+var lostResult = &core.Result{Written: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
+
 // server is what the guard knows of its backend server.
 type server struct {
 	latency  time.Duration
@@ -81,17 +84,18 @@
 		return
 	}
 	// The slot is released even if the backend client panics.
-	result := &core.Result{Written: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
+	result := lostResult
 	defer func() { g.complete(c, result) }()
 	r := c.request
-	if sent := g.backend.Send(c.ctx, &core.Request{
+	c.message = core.Request{
 		Method:   r.GetMethod(),
 		URI:      r.GetUri(),
 		Headers:  r.GetHeaders(),
 		Body:     r.GetBody(),
 		Depth:    r.GetDepth(),
 		Deadline: c.admit.Deadline,
-	}); sent != nil {
+	}
+	if sent := g.backend.Send(c.ctx, &c.message); sent != nil {
 		result = sent
 	}
 }
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -208,7 +208,9 @@
 		return fmt.Errorf("probe the backend server: %w", err)
 	}
 	now := g.clock.Now()
-	g.report(now, report)
+	if report != nil {
+		g.report(now, report)
+	}
 	g.refresh(now)
 	return nil
 }
