--- a/guard/call.go
+++ b/guard/call.go
@@ -7,6 +7,7 @@
 
 	"verbenareel/admit"
 	"verbenareel/core"
+	"verbenareel/poison"
 	"verbenareel/schema"
 )
 
@@ -19,6 +20,11 @@
 	// with a ticket, which runs to its end.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// index is the position in Guard.running, and sampled tells that the age of the call was observed as a latency.
+	index   int
+	sampled bool
+	// withdrawn tells that the router or caller gave up a call that runs; its end says nothing about the server.
+	withdrawn bool
 	// outcome receives the reply exactly once.
 	outcome chan *schema.ExecuteReply
 }
@@ -159,8 +165,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.refresh(now)
+	g.unsettled++
 	g.checkPause(now)
+	g.refresh(now)
 	if g.cancelled.remove(c.request.GetAttempt()) {
 		reason = schema.Reason_REASON_CANCELLED
 	}
@@ -188,7 +195,7 @@
 		return schema.Reason_REASON_TOO_LARGE
 	}
 	crashes := g.suspects.Crashes(g.clock.Now(), c.fingerprint)
-	if crashes >= poisonedCrashes {
+	if crashes >= poison.Condemned {
 		return schema.Reason_REASON_POISONED
 	}
 	c.admit.Alone = crashes > 0 || r.GetSuspect()
@@ -225,6 +232,7 @@
 	now := g.clock.Now()
 	removed, events := g.controller.Cancel(now, &c.admit, reason)
 	g.handle(now, events)
+	c.withdrawn = c.withdrawn || !removed && c.cancel != nil && reason == schema.Reason_REASON_CANCELLED
 	g.mu.Unlock()
 	if !removed && c.cancel != nil {
 		c.cancel()
--- a/io/backend.go
+++ b/io/backend.go
@@ -7,12 +7,14 @@
 	"fmt"
 	stdio "io"
 	"net"
+	"slices"
 	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"verbenareel/core"
@@ -20,6 +22,8 @@
 )
 
 const (
+	// sweepsPerLife is how often idle connections are looked at in the time that one may live.
+	sweepsPerLife = 4
 	// maxInterim bounds the informational responses before the final one.
 	maxInterim = 16
 	// noLength is what fasthttp gives for a response with neither a length nor chunked framing.
@@ -38,38 +42,81 @@
 	options
 	faults  faults
 	address string
-	slots   chan struct{}
-
-	mutex  sync.Mutex
-	idle   []*backendConn
-	open   map[*backendConn]struct{}
-	closed bool
+	slots   *slots
+	group   conc.WaitGroup
+	stopped context.Context
+	stop    context.CancelFunc
+	done    chan struct{}
+	once    sync.Once
+	// bodyLimit bounds a response body in bytes.
+	bodyLimit atomic.Int64
+
+	mutex sync.Mutex
+	idle  []*backendConn
+	open  map[*backendConn]struct{}
 }
 
 // NewBackend returns a Backend for the server at address. It opens connections on demand.
 func NewBackend(address string, opts ...Option) *Backend {
 	o := newOptions(opts, defaultBackendIdle, defaultConnections)
-	return &Backend{
+	b := &Backend{
 		options: o,
 		faults:  newFaults(o.registerer, "backend"),
 		address: address,
-		slots:   make(chan struct{}, o.connections),
+		slots:   newSlots(o.connections),
+		done:    make(chan struct{}),
 		open:    make(map[*backendConn]struct{}),
 	}
+	b.bodyLimit.Store(int64(o.maxBody))
+	b.stopped, b.stop = context.WithCancel(context.Background())
+	b.group.Go(b.sweep)
+	return b
 }
 
 // Close closes all connections; requests in progress end as lost.
 func (b *Backend) Close() error {
 	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.closed = true
+	b.stop()
 	for c := range b.open {
 		_ = c.Close()
 	}
 	b.idle = nil
+	b.mutex.Unlock()
+	b.group.Wait()
+	b.once.Do(func() { close(b.done) })
 	return nil
 }
 
+// Done is closed once Close has finished.
+func (b *Backend) Done() <-chan struct{} { return b.done }
+
+// sweep closes the connections that are idle for too long.
+func (b *Backend) sweep() {
+	for {
+		select {
+		case <-b.stopped.Done():
+			return
+		case <-b.clock.After(b.idleTime / sweepsPerLife):
+			b.closeIdle(b.clock.Now())
+		}
+	}
+}
+
+// closeIdle closes the connections that are idle for too long, or too many. They are ordered by their last use.
+func (b *Backend) closeIdle(now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	old := 0
+	surplus := len(b.open) - b.slots.bound()
+	for old < len(b.idle) && (old < surplus || now.Sub(b.idle[old].used) >= b.idleTime) {
+		delete(b.open, b.idle[old])
+		_ = b.idle[old].Close()
+		b.idle[old] = nil
+		old++
+	}
+	b.idle = b.idle[old:]
+}
+
 // Connect implements core.Backend.
 func (b *Backend) Connect(ctx context.Context) error {
 	conn, err := b.dial(ctx)
@@ -81,11 +128,7 @@
 
 // Probe implements core.Backend.
 func (b *Backend) Probe(ctx context.Context) (*core.ServerReport, error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = b.clock.Now().Add(b.slotLimit)
-	}
-	result := b.Send(ctx, &core.Request{Method: fasthttp.MethodGet, URI: core.ProbePath, Deadline: deadline})
+	result := b.Send(ctx, &core.Request{Method: fasthttp.MethodGet, URI: core.ProbePath})
 	switch {
 	case result.Code == 0:
 		return nil, fmt.Errorf("probe %s: %s", b.address, core.ReasonName(result.Reason))
@@ -95,15 +138,19 @@
 	return result.Report, nil
 }
 
-// Send implements core.Backend. A zero Deadline means none.
+// Send implements core.Backend. A zero Deadline means none. Besides the reasons of core.Result it gives CANCELLED if ctx
+// was cancelled before the first byte.
 func (b *Backend) Send(ctx context.Context, request *core.Request) *core.Result {
-	select {
-	case b.slots <- struct{}{}:
-	case <-ctx.Done():
+	if !b.slots.acquire(ctx) {
 		return b.fail(&core.Result{Reason: endReason(ctx)})
 	}
-	defer func() { <-b.slots }()
+	defer b.slots.release()
 	c, err := b.acquire(ctx)
+	if c != nil && ctx.Err() != nil {
+		c.reusable = true
+		b.release(c)
+		err = ctx.Err()
+	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return b.fail(&core.Result{Reason: endReason(ctx)})
@@ -115,6 +162,13 @@
 	return b.fail(result)
 }
 
+// Configure sets the bounds on open connections and on bodies in bytes; both come from the document and may change.
+func (b *Backend) Configure(connections, maxBody int) {
+	b.slots.setLimit(connections)
+	b.bodyLimit.Store(int64(maxBody))
+	b.closeIdle(b.clock.Now())
+}
+
 // fail counts the reason of a result.
 func (b *Backend) fail(result *core.Result) *core.Result {
 	if result.Reason != schema.Reason_REASON_NONE {
@@ -142,7 +196,7 @@
 	c := newBackendConn(b, conn)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.closed {
+	if b.stopped.Err() != nil {
 		_ = conn.Close()
 		return nil, net.ErrClosed
 	}
@@ -172,26 +226,18 @@
 	return c
 }
 
-// release puts a connection back, or closes it if it cannot be used again. It closes those that are idle for too long.
+// release puts a connection back, or closes it if it cannot be used again.
 func (b *Backend) release(c *backendConn) {
 	if !c.reusable {
 		b.drop(c)
 		return
 	}
-	now := b.clock.Now()
-	c.used = now
+	c.used = b.clock.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.closed {
-		return
+	if b.stopped.Err() == nil {
+		b.idle = append(b.idle, c)
 	}
-	old := 0
-	for old < len(b.idle) && now.Sub(b.idle[old].used) >= b.idleTime {
-		delete(b.open, b.idle[old])
-		_ = b.idle[old].Close()
-		old++
-	}
-	b.idle = append(b.idle[old:], c)
 }
 
 func (b *Backend) drop(c *backendConn) {
@@ -201,6 +247,75 @@
 	delete(b.open, c)
 }
 
+// slots bounds the requests in progress, and with them the open connections. Waiters are served in order.
+type slots struct {
+	mutex   sync.Mutex
+	limit   int
+	used    int
+	waiters []chan struct{}
+}
+
+func newSlots(limit int) *slots { return &slots{limit: limit} }
+
+// acquire waits for a slot and reports whether it got one before ctx ended.
+func (s *slots) acquire(ctx context.Context) bool {
+	s.mutex.Lock()
+	if s.used < s.limit {
+		s.used++
+		s.mutex.Unlock()
+		return true
+	}
+	granted := make(chan struct{})
+	s.waiters = append(s.waiters, granted)
+	s.mutex.Unlock()
+	select {
+	case <-granted:
+		return true
+	case <-ctx.Done():
+		return !s.withdraw(granted)
+	}
+}
+
+// withdraw removes a waiter and reports whether it was still waiting.
+func (s *slots) withdraw(granted chan struct{}) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	at := slices.Index(s.waiters, granted)
+	if at < 0 {
+		return false
+	}
+	s.waiters = slices.Delete(s.waiters, at, at+1)
+	return true
+}
+
+func (s *slots) release() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.used--
+	s.grant()
+}
+
+func (s *slots) setLimit(limit int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limit = limit
+	s.grant()
+}
+
+func (s *slots) bound() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.limit
+}
+
+func (s *slots) grant() {
+	for s.used < s.limit && len(s.waiters) > 0 {
+		close(s.waiters[0])
+		s.waiters = s.waiters[1:]
+		s.used++
+	}
+}
+
 // backendConn is a connection to the backend server. It counts the bytes of the exchange in progress.
 type backendConn struct {
 	*net.TCPConn
@@ -256,23 +371,24 @@
 }
 
 // exchange writes the request and reads the response. When ctx ends it half-closes the connection, which tells the
-// server that the call is cancelled, and goes on reading.
+// server that the call is cancelled and frees a write that is blocked, and goes on reading.
 func (c *backendConn) exchange(ctx context.Context, request *core.Request) *core.Result {
 	c.reusable, c.written, c.read, c.deadline = false, 0, 0, request.Deadline
 	_ = c.SetDeadline(time.Now().Add(c.backend.slotLimit))
+	cancelled := context.AfterFunc(ctx, func() { _ = c.CloseWrite() })
 	if err := c.send(request); err != nil {
-		return c.unsent(err)
+		return c.unsent(ctx, err, !cancelled())
 	}
-	cancelled := context.AfterFunc(ctx, func() { _ = c.CloseWrite() })
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	err := c.receive(response, request.Method == fasthttp.MethodHead)
+	head := request.Method == fasthttp.MethodHead
+	err := c.receive(response, head)
 	running := cancelled()
 	if err != nil {
 		return c.broken(err, running)
 	}
 	c.reusable = running && !response.ConnectionClose() && c.reader.Buffered() == 0
-	return c.result(response, request.Method == fasthttp.MethodHead)
+	return c.result(response, head)
 }
 
 func (c *backendConn) send(request *core.Request) error {
@@ -309,13 +425,17 @@
 }
 
 // unsent maps an error of writing the request.
-func (c *backendConn) unsent(err error) *core.Result {
+func (c *backendConn) unsent(ctx context.Context, err error, cancelled bool) *core.Result {
 	result := &core.Result{Written: c.written > 0, Reason: schema.Reason_REASON_CONNECTION_LOST}
-	if errors.Is(err, errDeadline) {
+	switch {
+	case errors.Is(err, errDeadline):
 		result.Reason = schema.Reason_REASON_DEADLINE
-		return result
+		c.reusable = !cancelled
+	case cancelled && !result.Written:
+		result.Reason = endReason(ctx)
+	default:
+		result.Reset = isReset(err) && !cancelled
 	}
-	result.Reset = isReset(err)
 	return result
 }
 
@@ -323,17 +443,17 @@
 func (c *backendConn) broken(err error, running bool) *core.Result {
 	result := &core.Result{Written: true}
 	var small *fasthttp.ErrSmallBuffer
-	var network net.Error
+	var slow interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
 		result.Reason = schema.Reason_REASON_TOO_LARGE
-	case errors.As(err, &network) && network.Timeout():
+	case errors.As(err, &slow) && slow.Timeout():
 		result.Reason = schema.Reason_REASON_DEADLINE
 	case c.read > 0:
 		result.Reason = schema.Reason_REASON_TRUNCATED
 	default:
 		result.Reason = schema.Reason_REASON_CONNECTION_LOST
-		result.Reset = running
+		result.Reset = running && c.backend.stopped.Err() == nil
 	}
 	return result
 }
@@ -364,7 +484,7 @@
 	if length == noLength || h.StatusCode() < fasthttp.StatusOK {
 		return errNoFraming
 	}
-	if err := response.ReadBody(c.reader, c.backend.maxBody); err != nil {
+	if err := response.ReadBody(c.reader, int(c.backend.bodyLimit.Load())); err != nil {
 		return err
 	}
 	if length == chunkedLength {
@@ -375,39 +495,32 @@
 
 var errNoFraming = errors.New("response has neither a length nor chunked framing")
 
+// result copies a response.
 func (c *backendConn) result(response *fasthttp.Response, head bool) *core.Result {
-	result := &core.Result{
-		Written: true,
-		Code:    response.StatusCode(),
-		Headers: c.headers(response, head),
-		Body:    response.SwapBody(nil),
-	}
-	if value := response.Header.Peek(core.HeaderLoad); len(value) > 0 {
-		report, ok := parseLoad(string(value))
-		if !ok {
-			c.backend.faults.count("malformed-load")
+	result := &core.Result{Written: true, Code: response.StatusCode(), Body: response.SwapBody(nil)}
+	headers := newHeaderCopy()
+	length := head || result.Code == fasthttp.StatusNotModified
+	for name, value := range response.Header.All() {
+		switch {
+		case isFold(name, core.HeaderLoad):
+			c.setReport(result, string(value))
+			continue
+		case isFold(name, core.HeaderNotRun) && result.Code == fasthttp.StatusServiceUnavailable:
+			result.Reason = schema.Reason_REASON_SHED
+		case isFold(name, fasthttp.HeaderContentLength) && !length:
+			continue
 		}
-		result.Report = report
-	}
-	if result.Code == fasthttp.StatusServiceUnavailable && len(response.Header.Peek(core.HeaderNotRun)) > 0 {
-		result.Reason = schema.Reason_REASON_SHED
+		headers.add(name, value)
 	}
+	result.Headers = keepEndToEnd(headers.finish(), length)
 	return result
 }
 
-// headers copies the header fields for the caller. The load report is meant for the guard. The length is passed on only
-// where there is no body to derive it from.
-func (c *backendConn) headers(response *fasthttp.Response, head bool) []*schema.Header {
-	headers := make([]*schema.Header, 0, response.Header.Len())
-	length := head || response.StatusCode() == fasthttp.StatusNotModified
-	listed := string(response.Header.Peek("Connection"))
-	for name, value := range response.Header.All() {
-		key := string(name)
-		isLength := length && strings.EqualFold(key, "Content-Length")
-		if (isHopByHop(key) && !isLength) || namedIn(listed, key) || strings.EqualFold(key, core.HeaderLoad) {
-			continue
-		}
-		headers = append(headers, schema.Header_builder{Name: key, Value: append([]byte{}, value...)}.Build())
+// setReport reads the load report, which is meant for the guard and not passed on.
+func (c *backendConn) setReport(result *core.Result, value string) {
+	report, ok := parseLoad(value)
+	if !ok {
+		c.backend.faults.count("malformed-load")
 	}
-	return headers
+	result.Report = report
 }
--- a/io/server.go
+++ b/io/server.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	stdio "io"
+	"math"
 	"net"
 	"net/rpc"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,15 +26,18 @@
 	guardService = "Guard"
 	peerService  = "Peer"
 	nodeService  = "Node"
+	// goodbyeMethod marks a response to no request: the server takes no further calls on the connection.
+	goodbyeMethod = "Node.Goodbye"
 )
 
 const (
 	// serverIdle is twice the idle life on the client's side, so a server closes only connections whose client is gone.
-	serverIdle   = 2 * defaultNodeIdle
-	sweepPeriod  = 5 * time.Second
+	serverIdle  = 2 * defaultNodeIdle
+	sweepPeriod = 5 * time.Second
+	// goodbyeTime covers several round trips between regions, within which a client stops sending after a goodbye.
+	goodbyeTime  = 200 * time.Millisecond
 	drainPeriod  = 2 * time.Millisecond
 	acceptPause  = 10 * time.Millisecond
-	peerStopped  = "connection ended"
 	kindAccept   = "accept"
 	kindWrite    = "write"
 	kindIdle     = "idle"
@@ -40,6 +45,8 @@
 	kindMessages = "message"
 )
 
+var errEnded = errors.New("connection ended")
+
 // Server serves the operations of a guard and of a gossip peer to other nodes.
 type Server struct {
 	options
@@ -171,12 +178,19 @@
 	})
 }
 
-// drain waits until no call is in progress on any connection.
+// drain tells the clients that no further calls are taken, and waits until they have closed their connections. A
+// connection whose client does not know the goodbye is given up once it has no call in progress and goodbyeTime has
+// passed.
 func (s *Server) drain(ctx context.Context) error {
+	for _, c := range s.connections() {
+		c.sayGoodbye()
+	}
+	patient := time.Now().Add(goodbyeTime)
 	for {
+		late := time.Now().After(patient)
 		busy := false
 		for _, c := range s.connections() {
-			busy = busy || !c.drained()
+			busy = busy || !late || !c.drained()
 		}
 		if !busy {
 			return nil
@@ -215,6 +229,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	broken bool
+	// request and response are the headers being read and written; net/rpc reads in one goroutine and writes under a lock.
+	request  schema.RpcRequest
+	response schema.RpcResponse
 	// calls counts requests read and not yet answered; read is the time of the last byte read.
 	calls atomic.Int64
 	read  atomic.Int64
@@ -224,7 +241,7 @@
 	c := &serverConn{server: s, conn: conn}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.read.Store(s.clock.Now().UnixNano())
-	c.reader = newFrameReader(&stampedReader{conn: conn, clock: s.clock, read: &c.read}, s.maxBody+frameRoom)
+	c.reader = newFrameReader(&stampedReader{conn: conn, clock: s.clock, read: &c.read}, frameRoom)
 	c.writer = newFrameWriter(conn, s.writeTimeout, &s.group, func(err error) {
 		s.faults.count(kindWrite)
 		c.end(err)
@@ -266,16 +283,30 @@
 	_ = c.conn.Close()
 }
 
+// sayGoodbye tells the client to send no further calls on the connection.
+func (c *serverConn) sayGoodbye() {
+	f := new(frame)
+	if f.encode(&schema.PingReply{}, frameRoom) != nil {
+		return
+	}
+	header := schema.RpcResponse_builder{Method: goodbyeMethod, Sequence: math.MaxUint64}.Build()
+	if f.seal(header) == nil {
+		_ = c.writer.enqueue(f)
+		c.writer.flush()
+	}
+}
+
 // drained reports whether all requests read are answered and the answers written.
 func (c *serverConn) drained() bool { return c.calls.Load() == 0 && c.writer.idle() }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverConn) ReadRequestHeader(request *rpc.Request) error {
 	if c.broken {
+		c.cancel()
 		return stdio.EOF
 	}
-	var header schema.RpcRequest
-	if err := c.reader.read(&header); err != nil {
+	header := &c.request
+	if err := c.reader.read(header); err != nil {
 		c.fault(err)
 		c.end(err)
 		return stdio.EOF
@@ -289,6 +320,12 @@
 // ReadRequestBody implements rpc.ServerCodec. A malformed body is answered with an error; after an oversize one the
 // connection is closed, since the rest of the stream is not read.
 func (c *serverConn) ReadRequestBody(body any) error {
+	limit := purposeCalls.limit(c.server.maxBody)
+	if strings.HasPrefix(c.request.GetMethod(), peerService) {
+		limit = purposePeers.limit(c.server.maxBody)
+	}
+	c.reader.setLimit(limit)
+	defer c.reader.setLimit(frameRoom)
 	message, ok := body.(proto.Message)
 	if !ok {
 		return c.check(c.reader.skip())
@@ -297,13 +334,16 @@
 }
 
 func (c *serverConn) check(err error) error {
-	var malformed *FrameError
-	if err == nil {
-		return nil
+	if err != nil {
+		c.reject(err)
 	}
+	return err
+}
+
+func (c *serverConn) reject(err error) {
+	var malformed *FrameError
 	c.fault(err)
 	c.broken = !errors.As(err, &malformed) || malformed.kind == "oversize"
-	return err
 }
 
 func (c *serverConn) fault(err error) {
@@ -323,24 +363,30 @@
 	if reply, ok := body.(*Reply); ok && reply.message != nil {
 		message = reply.message
 	}
-	f, err := newFrame(message, c.server.maxBody+frameRoom)
-	if err != nil {
+	f := new(frame)
+	if err := f.encode(message, max(purposeCalls.limit(c.server.maxBody), purposePeers.limit(c.server.maxBody))); err != nil {
 		c.server.faults.count("reply")
 		response.Error = err.Error()
-		if f, err = newFrame(&schema.PingReply{}, frameRoom); err != nil {
+		if err = f.encode(&schema.PingReply{}, frameRoom); err != nil {
 			return err
 		}
 	}
-	header := schema.RpcResponse_builder{Sequence: response.Seq, Error: response.Error}.Build()
-	if err := f.seal(header); err != nil {
+	c.response.SetSequence(response.Seq)
+	c.response.SetError(response.Error)
+	if err := f.seal(&c.response); err != nil {
 		return err
 	}
-	return c.writer.enqueue(f)
+	if err := c.writer.enqueue(f); err != nil {
+		return err
+	}
+	c.writer.flush()
+	return nil
 }
 
 // Close implements rpc.ServerCodec. It is called once all handlers have returned.
 func (c *serverConn) Close() error {
-	c.end(errors.New(peerStopped))
+	c.writer.wait()
+	c.end(errEnded)
 	return nil
 }
 
--- a/io/transport.go
+++ b/io/transport.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,15 +21,18 @@
 const (
 	// monitorPeriod is the time between two checks for silent and idle connections.
 	monitorPeriod = 25 * time.Millisecond
+	// idlePeriod is the time between two checks of connections without calls.
+	idlePeriod = time.Second
 	// pauseGap is the time between two checks above which this process itself was paused: replies may wait in the
 	// kernel, so silence is measured anew.
 	pauseGap = 200 * time.Millisecond
 )
 
 var (
-	errClosed = errors.New("transport is closed")
-	errSilent = errors.New("nothing was read on the connection")
-	errIdle   = errors.New("connection was idle")
+	errClosed  = errors.New("transport is closed")
+	errSilent  = errors.New("nothing was read on the connection")
+	errLeaving = errors.New("server is shutting down")
+	errIdle    = errors.New("connection was idle")
 )
 
 // purpose separates the connections of calls from those of the peer exchange, whose messages may be large.
@@ -39,6 +43,14 @@
 	purposePeers
 )
 
+// limit returns the largest message of a connection in bytes.
+func (p purpose) limit(maxBody int) int {
+	if p == purposePeers {
+		return maxDocument + frameRoom
+	}
+	return maxBody + frameRoom
+}
+
 type linkKey struct {
 	address string
 	purpose purpose
@@ -80,7 +92,7 @@
 	t.mutex.Lock()
 	t.cancel()
 	t.mutex.Unlock()
-	for _, l := range t.snapshot() {
+	for _, l := range t.appendLinks(nil) {
 		l.close()
 	}
 	t.group.Wait()
@@ -148,8 +160,8 @@
 }
 
 func (t *Transport) exchange(ctx context.Context, p purpose, address, method string, request, reply proto.Message) error {
-	f, err := newFrame(request, t.maxBody+frameRoom)
-	if err != nil {
+	x := &exchange{message: reply}
+	if err := x.encode(request, p.limit(t.maxBody)); err != nil {
 		t.faults.count("oversize")
 		return core.NewTransportError(address, schema.Reason_REASON_TOO_LARGE, false, err)
 	}
@@ -158,14 +170,14 @@
 		return failure
 	}
 	defer l.release(c, t.clock)
-	slot := &replySlot{message: reply}
-	pending := c.client.Go(method, f, slot, make(chan *rpc.Call, 1))
+	pending := c.client.Go(method, x, x, make(chan *rpc.Call, 1))
+	c.codec.writer.flush()
 	select {
 	case <-pending.Done:
-		return t.outcome(c, f, address, pending.Error)
+		return t.outcome(c, &x.frame, address, pending.Error)
 	case <-ctx.Done():
-		slot.forgotten.Store(true)
-		sent := !c.codec.writer.drop(f)
+		x.forgotten.Store(true)
+		sent := !c.codec.writer.drop(&x.frame)
 		return core.NewTransportError(address, endReason(ctx), sent, ctx.Err())
 	}
 }
@@ -234,25 +246,27 @@
 	}
 	l, ok := t.links[key]
 	if !ok {
-		l = &link{transport: t, address: key.address, used: t.clock.Now()}
+		l = &link{transport: t, key: key, used: t.clock.Now()}
 		t.links[key] = l
 	}
 	return l
 }
 
-func (t *Transport) snapshot() map[linkKey]*link {
+func (t *Transport) appendLinks(links []*link) []*link {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	links := make(map[linkKey]*link, len(t.links))
-	for k, l := range t.links {
-		links[k] = l
+	for _, l := range t.links {
+		links = append(links, l)
 	}
 	return links
 }
 
-// monitor closes silent and idle connections and forgets addresses that are no longer used.
+// monitor closes silent and idle connections and forgets addresses that are no longer used. Links without calls are
+// looked at only once in idlePeriod, because a node may have hundreds.
 func (t *Transport) monitor() {
 	last := t.clock.Now()
+	nextIdle := last
+	var links []*link
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -262,29 +276,39 @@
 		now := t.clock.Now()
 		paused := now.Sub(last) > pauseGap
 		last = now
-		for key, l := range t.snapshot() {
-			if l.check(now, paused) {
-				t.forget(key, l)
+		idle := !now.Before(nextIdle)
+		if idle {
+			nextIdle = now.Add(idlePeriod)
+		}
+		links = t.appendLinks(links[:0])
+		for _, l := range links {
+			if (idle || l.calls.Load() > 0) && l.check(now, paused) {
+				t.forget(l)
 			}
 		}
+		clear(links)
 	}
 }
 
-func (t *Transport) forget(key linkKey, l *link) {
+func (t *Transport) forget(l *link) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if l.retire() {
-		delete(t.links, key)
+		delete(t.links, l.key)
 	}
 }
 
 // link is the way to one address.
 type link struct {
 	transport *Transport
-	address   string
+	key       linkKey
+	// calls counts the calls in flight on all connections of the link.
+	calls atomic.Int64
 
 	mutex   sync.Mutex
 	current *connection
+	// leaving holds connections whose server takes no further calls, until their calls have ended.
+	leaving []*connection
 	dialing *dial
 	used    time.Time
 	retired bool
@@ -310,6 +334,7 @@
 			c.quiet = now
 		}
 		c.calls++
+		l.calls.Add(1)
 		return c, nil
 	}
 	l.current = nil
@@ -324,13 +349,36 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	c.calls--
+	l.calls.Add(-1)
 	l.used = clock.Now()
+	l.closeLeaving()
+}
+
+// leave takes a connection out of use for new calls, because its server is shutting down.
+func (l *link) leave(c *connection) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.current == c {
+		l.current = nil
+	}
+	l.leaving = append(l.leaving, c)
+	l.closeLeaving()
+}
+
+// closeLeaving closes the leaving connections whose calls have ended.
+func (l *link) closeLeaving() {
+	l.leaving = slices.DeleteFunc(l.leaving, func(c *connection) bool {
+		if c.calls == 0 {
+			c.end(errLeaving)
+		}
+		return c.calls == 0
+	})
 }
 
 func (l *link) dial() {
 	t := l.transport
 	dialer := net.Dialer{Timeout: t.dialTimeout}
-	conn, err := dialer.DialContext(t.ctx, "tcp", l.address)
+	conn, err := dialer.DialContext(t.ctx, "tcp", l.key.address)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	attempt := l.dialing
@@ -341,7 +389,7 @@
 		attempt.err = errClosed
 	}
 	if attempt.err == nil {
-		l.current = newConnection(t, conn)
+		l.current = newConnection(l, conn)
 	}
 	close(attempt.done)
 }
@@ -353,13 +401,16 @@
 	if l.current != nil {
 		l.current.end(errClosed)
 	}
+	for _, c := range l.leaving {
+		c.end(errClosed)
+	}
 }
 
 // retire marks the link as unusable unless a call came in meanwhile.
 func (l *link) retire() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.retired = l.current == nil && l.dialing == nil
+	l.retired = l.current == nil && l.dialing == nil && len(l.leaving) == 0
 	return l.retired
 }
 
@@ -367,15 +418,15 @@
 func (l *link) check(now time.Time, paused bool) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.leaving = slices.DeleteFunc(l.leaving, func(c *connection) bool { return c.checkSilence(now, paused) })
 	c := l.current
 	idle := now.Sub(l.used) >= l.transport.idleTime
 	if c == nil || c.codec.cause() != nil {
 		l.current = nil
-		return idle && l.dialing == nil
+		return idle
 	}
 	if c.calls > 0 {
 		if c.checkSilence(now, paused) {
-			l.transport.faults.count("silent")
 			l.current = nil
 		}
 		return false
@@ -399,9 +450,11 @@
 	pinged time.Time
 }
 
-func newConnection(t *Transport, conn net.Conn) *connection {
-	codec := newClientCodec(t, conn)
-	return &connection{transport: t, codec: codec, client: rpc.NewClientWithCodec(codec)}
+func newConnection(l *link, conn net.Conn) *connection {
+	c := &connection{transport: l.transport, codec: newClientCodec(l.transport, conn, l.key.purpose)}
+	c.codec.leave = func() { l.leave(c) }
+	c.client = rpc.NewClientWithCodec(c.codec)
+	return c
 }
 
 // checkSilence pings the connection or closes it and reports whether it closed it.
@@ -422,6 +475,7 @@
 		if now.Sub(c.pinged) < c.transport.silentAfter {
 			return false
 		}
+		c.transport.faults.count("silent")
 		c.end(errSilent)
 		return true
 	case now.Sub(read) >= c.transport.pingAfter:
@@ -432,9 +486,10 @@
 }
 
 func (c *connection) ping() {
-	f, err := newFrame(&schema.PingRequest{}, frameRoom)
-	if err == nil {
-		c.client.Go("Node.Ping", f, &replySlot{message: &schema.PingReply{}}, make(chan *rpc.Call, 1))
+	x := &exchange{message: &schema.PingReply{}}
+	if x.encode(&schema.PingRequest{}, frameRoom) == nil {
+		c.client.Go("Node.Ping", x, x, make(chan *rpc.Call, 1))
+		c.codec.writer.flush()
 	}
 }
 
@@ -443,8 +498,9 @@
 	_ = c.client.Close()
 }
 
-// replySlot receives the reply of one call. A forgotten reply is read and dropped.
-type replySlot struct {
+// exchange is a request on its way and the message that receives its reply. A forgotten reply is read and dropped.
+type exchange struct {
+	frame
 	message   proto.Message
 	forgotten atomic.Bool
 }
@@ -456,15 +512,20 @@
 	reader    *frameReader
 	writer    *frameWriter
 	read      atomic.Int64
+	// leave is called when the server takes no further calls.
+	leave func()
+	// request and response are the headers being written and read; net/rpc writes under a lock and reads in one goroutine.
+	request  schema.RpcRequest
+	response schema.RpcResponse
 
 	mutex sync.Mutex
 	err   error
 }
 
-func newClientCodec(t *Transport, conn net.Conn) *clientCodec {
+func newClientCodec(t *Transport, conn net.Conn, p purpose) *clientCodec {
 	c := &clientCodec{transport: t, conn: conn}
 	c.read.Store(t.clock.Now().UnixNano())
-	c.reader = newFrameReader(&stampedReader{conn: conn, clock: t.clock, read: &c.read}, t.maxBody+frameRoom)
+	c.reader = newFrameReader(&stampedReader{conn: conn, clock: t.clock, read: &c.read}, p.limit(t.maxBody))
 	c.writer = newFrameWriter(conn, t.writeTimeout, &t.group, func(err error) {
 		t.faults.count(kindWrite)
 		c.end(fmt.Errorf("write: %w", err))
@@ -490,44 +551,53 @@
 	_ = c.conn.Close()
 }
 
-// WriteRequest implements rpc.ClientCodec. body is a *frame; it does not block.
+// WriteRequest implements rpc.ClientCodec. body is an *exchange. The caller flushes once net/rpc has released its lock, so
+// that calls at the same time go out in one write.
 func (c *clientCodec) WriteRequest(request *rpc.Request, body any) error {
-	f, ok := body.(*frame)
+	x, ok := body.(*exchange)
 	if !ok {
 		return fmt.Errorf("unexpected body %T", body)
 	}
-	header := schema.RpcRequest_builder{Method: request.ServiceMethod, Sequence: request.Seq}.Build()
-	if err := f.seal(header); err != nil {
+	c.request.SetMethod(request.ServiceMethod)
+	c.request.SetSequence(request.Seq)
+	if err := x.seal(&c.request); err != nil {
 		return err
 	}
-	return c.writer.enqueue(f)
+	return c.writer.enqueue(&x.frame)
 }
 
 // ReadResponseHeader implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseHeader(response *rpc.Response) error {
-	var header schema.RpcResponse
-	if err := c.reader.read(&header); err != nil {
+	header := &c.response
+	if err := c.reader.read(header); err != nil {
 		return c.lost(err)
 	}
+	if header.GetMethod() == goodbyeMethod {
+		c.leave()
+	}
 	response.Seq = header.GetSequence()
 	response.Error = header.GetError()
 	return nil
 }
 
-// ReadResponseBody implements rpc.ClientCodec. body is nil or a *replySlot.
+// ReadResponseBody implements rpc.ClientCodec. body is nil or an *exchange.
 func (c *clientCodec) ReadResponseBody(body any) error {
-	slot, ok := body.(*replySlot)
-	if !ok || slot.forgotten.Load() {
-		return c.lost(c.reader.skip())
+	x, ok := body.(*exchange)
+	if !ok || x.forgotten.Load() {
+		return c.check(c.reader.skip())
+	}
+	return c.check(c.reader.read(x.message))
+}
+
+func (c *clientCodec) check(err error) error {
+	if err != nil {
+		return c.lost(err)
 	}
-	return c.lost(c.reader.read(slot.message))
+	return nil
 }
 
 // lost ends the connection after a read error, since the stream may be out of step.
 func (c *clientCodec) lost(err error) error {
-	if err == nil {
-		return nil
-	}
 	var malformed *FrameError
 	if errors.As(err, &malformed) {
 		c.transport.faults.count(malformed.kind)
--- a/picker/model/model.go
+++ b/picker/model/model.go
@@ -24,15 +24,13 @@
 	slots       = 18
 	coldLimit   = 2
 	queueLength = 9
-	serviceTime = 20 * time.Millisecond
-	oneWay      = 500 * time.Microsecond
 	callTimeout = time.Second
 	maxSends    = 3
 	retryRatio  = 0.1
 	// retryBurst bounds the retries that a router saves up.
 	retryBurst = 10
 	// averageWeight is the weight of the newest call in the averages of a guard.
-	averageWeight = 1.0 / 16
+	averageWeight = 0.1
 )
 
 // Scenario is one run.
@@ -41,6 +39,8 @@
 	// Load is the arrival rate as a share of the capacity of all instances.
 	Load    float64
 	Routers int
+	// ServiceTime is the mean time of a call at an instance, OneWay the network delay between failure domains.
+	ServiceTime, OneWay time.Duration
 	// ReportDelay is added to the way of each load report.
 	ReportDelay time.Duration
 	// Warmup is not measured; the fault begins at its end. Length is the time from the start to the last arrival.
@@ -53,6 +53,30 @@
 type Result struct {
 	Calls, Failed, Retries int
 	Latency                *hdrhistogram.Histogram
+	// sends counts the sends to each instance in windows of 100 ms from the start.
+	sends [][instances]int
+}
+
+const sendsWindow = 100 * time.Millisecond
+
+// Share returns the share of the sends from one time to another that went to the instance.
+func (r *Result) Share(instance int, from, to time.Duration) float64 {
+	count, all := 0, 0
+	for _, window := range r.sends[from/sendsWindow : min(int(to/sendsWindow), len(r.sends))] {
+		count += window[instance]
+		for _, n := range window {
+			all += n
+		}
+	}
+	return float64(count) / float64(all)
+}
+
+func (r *Result) sent(instance int, since time.Duration) {
+	window := int(since / sendsWindow)
+	for len(r.sends) <= window {
+		r.sends = append(r.sends, [instances]int{})
+	}
+	r.sends[window][instance]++
 }
 
 // String returns p50, p99 and p99.9 in milliseconds, and failures and retries as a share of the calls.
@@ -85,8 +109,8 @@
 		result:   &Result{Latency: hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3)},
 	}
 	r.now = r.start
-	for i := range instances {
-		r.guards = append(r.guards, newGuard(r, i))
+	for range instances {
+		r.guards = append(r.guards, newGuard(r))
 	}
 	for i := range s.Routers {
 		r.routers = append(r.routers, newRouter(r, i, build(r.random.Uint64)))
@@ -129,7 +153,7 @@
 	}
 	c := &call{router: r.routers[r.random.IntN(len(r.routers))], begin: r.now, measured: measured}
 	c.send()
-	interval := float64(serviceTime) / (instances * slots * r.scenario.Load)
+	interval := float64(r.scenario.ServiceTime) / (instances * slots * r.scenario.Load)
 	r.After(r.exponential(time.Duration(interval)), r.arrive)
 }
 
@@ -153,6 +177,12 @@
 // FailFast makes an instance answer each call at once with an error.
 func (r *Run) FailFast(instance int) { r.guards[instance].failing = true }
 
+// Recover ends Slow and FailFast.
+func (r *Run) Recover(instance int) {
+	r.guards[instance].factor = 1
+	r.guards[instance].failing = false
+}
+
 // Leave takes an instance out of service; Return lets it serve again, from the cold limit up to all slots within warm.
 func (r *Run) Leave(instance int) {
 	r.setState(instance, schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE)
@@ -205,8 +235,8 @@
 	failures float64
 }
 
-func newGuard(r *Run, _ int) *guard {
-	return &guard{run: r, state: schema.InstanceState_INSTANCE_STATE_SERVING, factor: 1, latency: float64(serviceTime)}
+func newGuard(r *Run) *guard {
+	return &guard{run: r, state: schema.InstanceState_INSTANCE_STATE_SERVING, factor: 1, latency: float64(r.scenario.ServiceTime)}
 }
 
 // limit returns the concurrency now: it rises with time after a return.
@@ -246,7 +276,9 @@
 
 func (g *guard) begin(reply func(outcome)) {
 	g.inFlight++
-	took := g.run.exponential(time.Duration(float64(serviceTime) * g.factor))
+	// The sum of two exponential stages: it varies less than one, as most servers do.
+	stage := time.Duration(float64(g.run.scenario.ServiceTime) * g.factor / 2)
+	took := g.run.exponential(stage) + g.run.exponential(stage)
 	if g.failing {
 		took = 100 * time.Microsecond
 	}
@@ -291,7 +323,7 @@
 func newRouter(r *Run, index int, chooser core.Chooser) *router {
 	o := &router{run: r, chooser: chooser}
 	for i := range instances {
-		delay := 2 * oneWay
+		delay := 2 * r.scenario.OneWay
 		if i%domains == index%domains {
 			delay = 0
 		}
@@ -322,6 +354,7 @@
 		c.end(false)
 		return
 	}
+	r.result.sent(i, r.now.Sub(r.start))
 	c.sends++
 	c.tried[i] = true
 	v, g := o.views[i], r.guards[i]
@@ -337,7 +370,7 @@
 // receive handles the reply of one send.
 func (c *call) receive(v *picker.View, flight *picker.Flight, load core.LoadReport, result outcome) {
 	r := c.router.run
-	v.End(flight, result == crashed)
+	v.End(r.now, flight, result == crashed)
 	if r.scenario.ReportDelay == 0 {
 		v.Receive(r.now, load)
 	} else {
@@ -396,10 +429,17 @@
 	return last
 }
 
-// Scenarios returns the scenarios of the comparison at a load. The fault starts after a warm-up of two seconds.
+// Scenarios returns the scenarios of the comparison at a load. The fault starts after a warm-up of a second.
 func Scenarios(load float64, length time.Duration) []Scenario {
-	const warmup = 2 * time.Second
-	base := Scenario{Load: load, Routers: 14, Warmup: warmup, Length: warmup + length}
+	const warmup = time.Second
+	base := Scenario{
+		Load:        load,
+		Routers:     14,
+		ServiceTime: 20 * time.Millisecond,
+		OneWay:      500 * time.Microsecond,
+		Warmup:      warmup,
+		Length:      warmup + length,
+	}
 	with := func(name string, edit func(*Scenario)) Scenario {
 		s := base
 		s.Name = name
@@ -409,11 +449,19 @@
 	return []Scenario{
 		with("steady", func(*Scenario) {}),
 		with("steady, 200 routers", func(s *Scenario) { s.Routers = 200 }),
+		with("short calls, far domains", func(s *Scenario) {
+			s.ServiceTime = 5 * time.Millisecond
+			s.OneWay = 1500 * time.Microsecond
+		}),
 		with("straggler of 10x", func(s *Scenario) { s.Fault = func(r *Run) { r.Slow(1, 10) } }),
 		with("straggler, 200 routers", func(s *Scenario) {
 			s.Routers = 200
 			s.Fault = func(r *Run) { r.Slow(1, 10) }
 		}),
+		with("straggler, 2 routers", func(s *Scenario) {
+			s.Routers = 2
+			s.Fault = func(r *Run) { r.Slow(1, 10) }
+		}),
 		with("fail-fast", func(s *Scenario) { s.Fault = func(r *Run) { r.FailFast(1) } }),
 		with("reports 1 s old", func(s *Scenario) { s.ReportDelay = time.Second }),
 		with("straggler, reports 1 s old", func(s *Scenario) {
