poison: exchange the latest suspects first and the others in turn

Cause: Records gave condemned fingerprints first. Push and exchange carry 64 records, so 32 condemned fingerprints with two crashes each kept every new suspect from being pushed, and records beyond the 64th never spread. Change: up to three quarters of a message are of the latest fingerprints, the others take turns.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -39,6 +39,8 @@
 	capacity int
 	life     time.Duration
 	entries  map[uint64]*entry
+	// turn counts the entries that Records gave besides the latest.
+	turn int
 }
 
 // entry is the record of one fingerprint. It lives until its latest crash expires, so that a condemned fingerprint
@@ -121,17 +123,27 @@
 	return slices.DeleteFunc(changed, func(s *schema.Suspect) bool { return t.entries[s.GetFingerprint()] == nil })
 }
 
-// Records returns at most limit records for the exchange: condemned fingerprints first, then the latest ones.
+// Records returns at most limit records for the exchange. Up to three quarters of them are of the latest fingerprints,
+// so that a crash that was just recorded is pushed whatever else the table holds; the others take turns, so that
+// repeated exchanges carry the whole table if limit is at least 16. Records of one fingerprint stay together.
 func (t *Table) Records(now time.Time, limit int) []*schema.Suspect {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.expire(now)
+	entries := slices.SortedFunc(maps.Values(t.entries), func(a, b *entry) int { return -a.compareAge(b) })
+	latest := limit - max(limit/4, maxCrashes)
 	var records []*schema.Suspect
-	for _, e := range t.sorted() {
-		records = append(records, e.records(now)...)
-		if len(records) >= limit {
+	for len(entries) > 0 && (len(records) == 0 || len(records)+len(entries[0].crashes) <= latest) {
+		records = append(records, entries[0].records(now)...)
+		entries = entries[1:]
+	}
+	for range entries {
+		e := entries[t.turn%len(entries)]
+		if len(records)+len(e.crashes) > limit {
 			break
 		}
+		records = append(records, e.records(now)...)
+		t.turn++
 	}
 	return records[:max(min(limit, len(records)), 0)]
 }
@@ -166,16 +178,12 @@
 	if len(t.entries) <= limit {
 		return
 	}
-	for _, e := range t.sorted()[t.capacity:] {
+	entries := slices.SortedFunc(maps.Values(t.entries), (*entry).compare)
+	for _, e := range entries[:len(entries)-t.capacity] {
 		delete(t.entries, e.fingerprint)
 	}
 }
 
-// sorted returns the entries, those to be evicted last first.
-func (t *Table) sorted() []*entry {
-	return slices.SortedFunc(maps.Values(t.entries), func(a, b *entry) int { return -a.compare(b) })
-}
-
 func (t *Table) expire(now time.Time) {
 	for f, e := range t.entries {
 		if e.expired(now) {
@@ -229,11 +237,15 @@
 func (e *entry) compare(other *entry) int {
 	return cmp.Or(
 		cmp.Compare(min(e.count(), Condemned)/Condemned, min(other.count(), Condemned)/Condemned),
-		e.expires.Compare(other.expires),
-		cmp.Compare(e.fingerprint, other.fingerprint),
+		e.compareAge(other),
 	)
 }
 
+// compareAge orders entries from the oldest to the latest.
+func (e *entry) compareAge(other *entry) int {
+	return cmp.Or(e.expires.Compare(other.expires), cmp.Compare(e.fingerprint, other.fingerprint))
+}
+
 func (e *entry) records(now time.Time) []*schema.Suspect {
 	remaining := e.expires.Sub(now).Milliseconds()
 	records := make([]*schema.Suspect, 0, len(e.crashes))
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -174,6 +174,29 @@
 	})
 }
 
+// TestRecordsTakeTurns guards against condemned fingerprints that keep a new suspect from being pushed, and against
+// records that small messages never carry.
+func TestRecordsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	from, to := poison.New(200, life), poison.New(200, life)
+	for f := range uint64(100) {
+		from.Record(epoch, []uint64{f + 100})
+		from.Record(epoch, []uint64{f + 100})
+	}
+	now := epoch.Add(time.Second)
+	from.Record(now, []uint64{1})
+	c.Assert(from.Records(now, 0), qt.HasLen, 0)
+	c.Assert(from.Records(now, 1)[0].GetFingerprint(), qt.Equals, uint64(1))
+	for range 100 {
+		message := from.Records(now, 16)
+		c.Assert(len(message) <= 16, qt.IsTrue)
+		to.Merge(now, message)
+	}
+	for f := range uint64(100) {
+		c.Assert(to.Crashes(now, f+100), qt.Equals, poison.Condemned)
+	}
+}
+
 // TestConcurrent guards against unlocked access; the race detector reports it.
 func TestConcurrent(t *testing.T) {
 	table := poison.New(capacity, life)
