io: let the monitor sleep until a connection may be silent

Cause: the monitor of a Transport woke 40 times a second; an idle process spent most of its CPU on that.

Change: it sleeps until the next connection may have been silent for long enough, at most 250 ms, and checks every 25 ms only while a ping is unanswered, so that a pause of the process is still noticed.

TestSilentConnection: failure of the calls still within 750 ms plus margin.

Broken once and seen to fail: pause detection, idle life, ping, time of silence. Not caught by a test: a monitor that always sleeps 250 ms finds silence up to 250 ms late, within the margin that the test leaves for a busy machine.

--- a/io/transport.go
+++ b/io/transport.go
@@ -19,12 +19,15 @@
 )
 
 const (
-	// monitorPeriod is the time between two checks for silent and idle connections.
-	monitorPeriod = 25 * time.Millisecond
+	// pingedPeriod is the time between two checks of a connection that has not answered a ping. It is short so that a
+	// pause of this process in that time is noticed.
+	pingedPeriod = 25 * time.Millisecond
+	// minWait bounds the rate of checks.
+	minWait = 5 * time.Millisecond
 	// idlePeriod is the time between two checks of connections without calls.
 	idlePeriod = time.Second
-	// pauseGap is the time between two checks above which this process itself was paused: replies may wait in the
-	// kernel, so silence is measured anew.
+	// pauseGap is the delay of a check above which this process itself was paused: replies may wait in the kernel, so
+	// silence is measured anew.
 	pauseGap = 200 * time.Millisecond
 )
 
@@ -261,35 +264,48 @@
 	return links
 }
 
-// monitor closes silent and idle connections and forgets addresses that are no longer used. Links without calls are
-// looked at only once in idlePeriod, because a node may have hundreds.
+// monitor closes silent and idle connections and forgets addresses that are no longer used. It sleeps until the next
+// connection may have been silent for long enough. Links without calls are looked at only once in idlePeriod, because a
+// node may have hundreds.
 func (t *Transport) monitor() {
-	last := t.clock.Now()
-	nextIdle := last
+	wait := t.pingAfter
+	planned := t.clock.Now().Add(wait)
+	nextIdle := planned
 	var links []*link
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
-		case <-t.clock.After(monitorPeriod):
+		case <-t.clock.After(wait):
 		}
 		now := t.clock.Now()
-		paused := now.Sub(last) > pauseGap
-		last = now
+		paused := now.Sub(planned) > pauseGap
 		idle := !now.Before(nextIdle)
 		if idle {
 			nextIdle = now.Add(idlePeriod)
 		}
 		links = t.appendLinks(links[:0])
+		wait = t.pingAfter
 		for _, l := range links {
-			if (idle || l.calls.Load() > 0) && l.check(now, paused) {
-				t.forget(l)
+			if idle || l.calls.Load() > 0 {
+				wait = min(wait, t.check(l, now, paused))
 			}
 		}
 		clear(links)
+		wait = max(wait, minWait)
+		planned = now.Add(wait)
 	}
 }
 
+// check checks one link and returns the time until the next check.
+func (t *Transport) check(l *link, now time.Time, paused bool) time.Duration {
+	next, unused := l.check(now, paused)
+	if unused {
+		t.forget(l)
+	}
+	return next
+}
+
 func (t *Transport) forget(l *link) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -414,29 +430,31 @@
 	return l.retired
 }
 
-// check pings or closes the connection as needed and reports whether the link can be retired.
-func (l *link) check(now time.Time, paused bool) bool {
+// check pings or closes connections as needed. It returns the time until the next check and whether the link is unused.
+func (l *link) check(now time.Time, paused bool) (next time.Duration, unused bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.leaving = slices.DeleteFunc(l.leaving, func(c *connection) bool { return c.checkSilence(now, paused) })
+	next = l.transport.pingAfter
+	l.leaving = slices.DeleteFunc(l.leaving, func(c *connection) bool {
+		next = min(next, c.checkSilence(now, paused))
+		return c.codec.cause() != nil
+	})
 	c := l.current
 	idle := now.Sub(l.used) >= l.transport.idleTime
-	if c == nil || c.codec.cause() != nil {
-		l.current = nil
-		return idle
+	if c != nil && c.calls > 0 {
+		next = min(next, c.checkSilence(now, paused))
 	}
-	if c.calls > 0 {
-		if c.checkSilence(now, paused) {
-			l.current = nil
+	if c != nil && c.calls == 0 {
+		c.pinged = time.Time{}
+		if idle {
+			c.end(errIdle)
 		}
-		return false
 	}
-	c.pinged = time.Time{}
-	if idle {
-		c.end(errIdle)
+	if c == nil || c.codec.cause() != nil {
 		l.current = nil
+		return next, idle
 	}
-	return false
+	return next, false
 }
 
 // connection is an open connection; its fields are guarded by the mutex of the link.
@@ -457,8 +475,8 @@
 	return c
 }
 
-// checkSilence pings the connection or closes it and reports whether it closed it.
-func (c *connection) checkSilence(now time.Time, paused bool) bool {
+// checkSilence pings the connection or closes it, and returns the time until the next check.
+func (c *connection) checkSilence(now time.Time, paused bool) time.Duration {
 	read := time.Unix(0, c.codec.read.Load())
 	if paused {
 		c.quiet = now
@@ -467,22 +485,21 @@
 	if read.Before(c.quiet) {
 		read = c.quiet
 	}
-	if !c.pinged.IsZero() && read.After(c.pinged) {
+	if read.After(c.pinged) {
 		c.pinged = time.Time{}
 	}
+	silent := now.Sub(read)
 	switch {
-	case !c.pinged.IsZero():
-		if now.Sub(c.pinged) < c.transport.silentAfter {
-			return false
-		}
-		c.transport.faults.count("silent")
-		c.end(errSilent)
-		return true
-	case now.Sub(read) >= c.transport.pingAfter:
+	case c.pinged.IsZero() && silent < c.transport.pingAfter:
+		return c.transport.pingAfter - silent
+	case c.pinged.IsZero():
 		c.pinged = now
 		c.ping()
+	case now.Sub(c.pinged) >= c.transport.silentAfter:
+		c.transport.faults.count("silent")
+		c.end(errSilent)
 	}
-	return false
+	return min(pingedPeriod, c.transport.silentAfter-now.Sub(c.pinged))
 }
 
 func (c *connection) ping() {
