guard: an answer clears a suspect even if it did not run alone

Cause: after a crash of one of 4 servers 7 to 8% of lookups were refused for seconds, though the other servers had room. Router metrics showed retries after busy and suspect refusals until the retry budget was spent: all lookups had one fingerprint, so every one of them became a suspect and had to run alone on each instance until a lone run had cleared it there. Ruled out: the choice of the crashed instance, which only 117 of 8,933 calls met. Change: any answer clears a suspect, since a request that crashes each server that runs it never gets one, and the copies that wait to run alone go back to the normal queue; a router's suspect mark counts only if the guard does not know the request.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -162,6 +162,23 @@
 	return true, c.events
 }
 
+// Clear lets the suspects that match run beside other calls: another run of the same request has ended without a crash.
+func (c *Controller) Clear(now time.Time, match func(*Call) bool) []Event {
+	c.events = c.events[:0]
+	for call := c.suspects.first; call != nil; {
+		next := call.next
+		if match(call) {
+			c.dequeue(call)
+			c.forgo(now, call)
+			call.Alone = false
+			c.enqueue(call)
+		}
+		call = next
+	}
+	c.start(now)
+	return c.events
+}
+
 // Tick refuses the calls whose deadline has passed and starts others if the limit has risen.
 func (c *Controller) Tick(now time.Time) []Event {
 	c.events = c.events[:0]
--- a/core/suspect.go
+++ b/core/suspect.go
@@ -12,9 +12,11 @@
 type SuspectTable interface {
 	// Crashes returns the number of crashes at which the request was in flight; 0 means that it is no suspect.
 	Crashes(now time.Time, fingerprint uint64) int
+	// Known reports whether the request was in flight at a crash, even if a later run cleared it.
+	Known(now time.Time, fingerprint uint64) bool
 	// Record adds one crash to each of the fingerprints.
 	Record(now time.Time, fingerprints []uint64)
-	// Clear removes a fingerprint whose request ran alone without a crash.
+	// Clear removes a fingerprint whose request has been answered without a crash.
 	Clear(now time.Time, fingerprint uint64)
 }
 
--- a/guard/call.go
+++ b/guard/call.go
@@ -197,11 +197,12 @@
 	case tooLarge(r, snapshot):
 		return schema.Reason_REASON_TOO_LARGE
 	}
-	crashes := g.suspects.Crashes(g.clock.Now(), c.fingerprint)
+	now := g.clock.Now()
+	crashes := g.suspects.Crashes(now, c.fingerprint)
 	if crashes >= poison.Condemned {
 		return schema.Reason_REASON_POISONED
 	}
-	c.admit.Alone = crashes > 0 || r.GetSuspect()
+	c.admit.Alone = crashes > 0 || r.GetSuspect() && !g.suspects.Known(now, c.fingerprint)
 	return schema.Reason_REASON_NONE
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -120,6 +120,7 @@
 
 func (noSuspects) Crashes(time.Time, uint64) int { return 0 }
 func (noSuspects) Record(time.Time, []uint64)    {}
+func (noSuspects) Known(time.Time, uint64) bool  { return false }
 func (noSuspects) Clear(time.Time, uint64)       {}
 
 // Done is closed when Run has returned.
--- a/guard/run.go
+++ b/guard/run.go
@@ -221,8 +221,8 @@
 	if c.withdrawn && reply.GetStatus() == schema.Status_STATUS_UNKNOWN {
 		return
 	}
-	if c.admit.Alone && reply.GetStatus() == schema.Status_STATUS_ANSWERED {
-		g.suspects.Clear(now, c.fingerprint)
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && g.suspects.Crashes(now, c.fingerprint) > 0 {
+		g.clearSuspect(now, c.fingerprint)
 	}
 	latency := now.Sub(c.admit.Started())
 	failed := reply.GetStatus() == schema.Status_STATUS_UNKNOWN || result.Code >= http.StatusInternalServerError
@@ -230,6 +230,15 @@
 	g.limiter.Observe(now, core.Sample{Latency: latency, InFlight: c.admit.InFlight(), Failed: failed})
 }
 
+// clearSuspect notes that a suspect ended without a crash. It need not have run alone: a request that crashes each server
+// that runs it never gets an answer, so a popular request that was in flight in a crash is cleared by its next answer.
+func (g *Guard) clearSuspect(now time.Time, fingerprint uint64) {
+	g.suspects.Clear(now, fingerprint)
+	g.handle(now, g.controller.Clear(now, func(waiting *admit.Call) bool {
+		return waiting.Owner.(*call).fingerprint == fingerprint
+	}))
+}
+
 // measure updates the averages that a load report carries.
 func (s *server) measure(latency time.Duration, failed bool) {
 	if s.latency == 0 {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -76,6 +76,14 @@
 	return e.count()
 }
 
+// Known reports whether the table holds a crash of the fingerprint, cleared or not.
+func (t *Table) Known(now time.Time, fingerprint uint64) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.entries[fingerprint]
+	return e != nil && !e.expired(now)
+}
+
 // Record adds one crash with the fingerprints that were in flight. A fingerprint that occurs twice counts once.
 func (t *Table) Record(now time.Time, fingerprints []uint64) {
 	t.mutex.Lock()
