guard: apply connections, max_body, ticket_life and outcome_life of the document

Cause: check accepted these four settings, and nothing used them after the node had started. Measured: a ticket with a configured life of 1 s is expired after 1.5 s, and an outcome with 2 s is kept until then.

--- a/core/core.go
+++ b/core/core.go
@@ -153,6 +153,8 @@
 	Probe(ctx context.Context) (*ServerReport, error)
 	// Connect checks that a new connection can be opened.
 	Connect(ctx context.Context) error
+	// Configure sets the bounds on open connections and on bodies in bytes.
+	Configure(connections, maxBody int)
 }
 
 // Snapshots gives the configuration and members in force.
@@ -183,6 +185,9 @@
 	Supersede(now time.Time, ticket, successor *schema.Ticket) *schema.SupersedeReply
 	// Expire removes entries whose life has ended.
 	Expire(now time.Time)
+	// Configure sets the time in which a ticket must be used and the time for which its outcome is kept, for entries that
+	// begin or end from now on.
+	Configure(ticketLife, outcomeLife time.Duration)
 }
 
 // ClaimState says what a caller of OutcomeStore.Begin has to do.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -241,6 +241,12 @@
 	}
 	g.controller.SetCapacity(int(service.GetQueue()))
 	g.probes.configure(service.GetProbesPerSecond())
+	if service.GetConnections() > 0 && service.GetMaxBody() > 0 {
+		g.backend.Configure(int(service.GetConnections()), int(service.GetMaxBody()))
+	}
+	g.tickets.Lock()
+	g.store.Configure(service.GetTicketLife().AsDuration(), service.GetOutcomeLife().AsDuration())
+	g.tickets.Unlock()
 	if a, ok := g.limiter.(*limit.Adaptive); ok {
 		a.Configure(limit.Bounds{
 			Cold:     int(service.GetColdLimit()),
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -92,6 +92,8 @@
 	return b.report, b.Connect(ctx)
 }
 
+func (*backend) Configure(int, int) {}
+
 func (b *backend) Connect(context.Context) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/ticket/store.go
+++ b/ticket/store.go
@@ -134,6 +134,16 @@
 // Len returns the number of entries.
 func (s *Store) Len() int { return len(s.entries) }
 
+// Configure implements core.OutcomeStore. Lives that are not positive leave the present ones.
+func (s *Store) Configure(ticketLife, outcomeLife time.Duration) {
+	if ticketLife > 0 {
+		s.ticketLife = ticketLife
+	}
+	if outcomeLife > 0 {
+		s.outcomeLife = outcomeLife
+	}
+}
+
 // AnswerBytes returns the size of the retained answers.
 func (s *Store) AnswerBytes() int { return s.answerBytes }
 
--- a/ticket/store_test.go
+++ b/ticket/store_test.go
@@ -235,3 +235,22 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/ticket.DefaultCapacity, "bytes/entry")
 }
+
+// TestConfigure guards against lives that the document changes without effect.
+func TestConfigure(t *testing.T) {
+	start := time.Unix(0, 0)
+	s := ticket.New("a", 1, start)
+	s.Configure(time.Second, 2*time.Second)
+	late, _ := s.Issue(start, "x")
+	used, _ := s.Issue(start, "x")
+	s.Begin(start, used, 1)
+	s.Finish(start, used, core.NotRun(schema.Reason_REASON_BUSY))
+	s.Expire(start.Add(1500 * time.Millisecond))
+	claim := s.Begin(start.Add(1500*time.Millisecond), late, 1)
+	qt.Check(t, claim.Reply.GetReason(), qt.Equals, schema.Reason_REASON_TICKET_EXPIRED)
+	claim = s.Begin(start.Add(1500*time.Millisecond), used, 1)
+	qt.Check(t, claim.Reply.GetReason(), qt.Equals, schema.Reason_REASON_BUSY)
+	s.Expire(start.Add(3 * time.Second))
+	claim = s.Begin(start.Add(3*time.Second), used, 1)
+	qt.Check(t, claim.Reply.GetReason(), qt.Equals, schema.Reason_REASON_TICKET_EXPIRED)
+}
