Avoid leaving instances whatever the revision of their report

Cause: a report of a leaving instance was ignored once the router had a newer document, so that each call to it cost a refusal and a retry until the lists agreed. Change: the revision only excuses reports of instances that were out of service. Measured: the new check fails without the change.

--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -171,6 +171,9 @@
 	v.Receive(start, core.LoadReport{State: schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE, Revision: 5})
 	c.Assert(v.Eligible(start, 5), qt.IsFalse)
 	c.Assert(v.Eligible(start, 6), qt.IsTrue)
+	v.Receive(start, core.LoadReport{State: schema.InstanceState_INSTANCE_STATE_LEAVING, Revision: 5})
+	c.Assert(v.Eligible(start, 6), qt.IsFalse)
+	c.Assert(v.Eligible(start.Add(2*stateLife), 6), qt.IsTrue)
 }
 
 // TestAllocations guards the cost of a choice among 40 candidates.
--- a/picker/view.go
+++ b/picker/view.go
@@ -252,7 +252,7 @@
 }
 
 // Eligible reports whether the instance may receive new work: by the snapshot of the revision, and by its own last
-// report unless that is older than the snapshot or than a second.
+// report of the last second. A report of an older revision does not tell what is out of service by the newer one.
 func (v *View) Eligible(now time.Time, revision uint64) bool {
 	if !v.Instance().Eligible() {
 		return false
@@ -261,5 +261,8 @@
 	if r == nil || r.load.State < schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE {
 		return true
 	}
-	return r.load.Revision < revision || now.Sub(r.received) > stateLife
+	if r.load.State == schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE && r.load.Revision < revision {
+		return true
+	}
+	return now.Sub(r.received) > stateLife
 }
--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -196,7 +196,7 @@
 func newScriptedRouter(script []fate, full []bool) (*Router, *world) {
 	w := newWorld(script, full)
 	snapshots := &fixed{}
-	snapshots.set(core.NewSnapshot(1, document(func(s *schema.Service) { s.SetRetryRatio(10) }), members(len(full))))
+	snapshots.Store(core.NewSnapshot(1, document(func(s *schema.Service) { s.SetRetryRatio(10) }), members(len(full))))
 	self := schema.Member_builder{Instance: "front-1", Domain: "a"}.Build()
 	return New(self, snapshots, nil, w, clockwork.NewRealClock()), w
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,22 +21,9 @@
 )
 
 // fixed is a core.Snapshots with a snapshot that tests replace.
-type fixed struct {
-	mu       sync.Mutex
-	snapshot *core.Snapshot
-}
-
-func (f *fixed) Snapshot() *core.Snapshot {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.snapshot
-}
+type fixed struct{ atomic.Pointer[core.Snapshot] }
 
-func (f *fixed) set(snapshot *core.Snapshot) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.snapshot = snapshot
-}
+func (f *fixed) Snapshot() *core.Snapshot { return f.Load() }
 
 // members returns n instances of the service sheets in domain a, named sheets-1 and so on.
 func members(n int) []*schema.Member {
@@ -68,11 +55,7 @@
 	}
 	return schema.Document_builder{
 		Places: schema.Places_builder{
-			Regions: map[string]*schema.Region{"north": schema.Region_builder{Delay: durationpb.New(500 * time.Microsecond)}.Build()},
-			Domains: map[string]*schema.Domain{
-				"a": schema.Domain_builder{Region: "north"}.Build(),
-				"b": schema.Domain_builder{Region: "north"}.Build(),
-			},
+			Domains: map[string]*schema.Domain{"a": schema.Domain_builder{Region: "north"}.Build()},
 		}.Build(),
 		Services: map[string]*schema.Service{"sheets": service},
 		Rules: []*schema.Rule{
@@ -152,7 +135,7 @@
 		transport.guards[m.GetInstance()] = &guard{name: m.GetInstance(), execute: execute}
 	}
 	snapshots := &fixed{}
-	snapshots.set(core.NewSnapshot(1, document(edit), list))
+	snapshots.Store(core.NewSnapshot(1, document(edit), list))
 	self := schema.Member_builder{Instance: "front-1", Domain: "a"}.Build()
 	chooser := picker.NewExpected(rand.NewPCG(1, 1).Uint64)
 	return New(self, snapshots, nil, transport, clockwork.NewRealClock(), WithChooser(chooser)), transport, snapshots
@@ -276,7 +259,7 @@
 					m.SetState(schema.InstanceState_INSTANCE_STATE_LEAVING)
 				}
 			}
-			snapshots.set(core.NewSnapshot(2, document(nil), list))
+			snapshots.Store(core.NewSnapshot(2, document(nil), list))
 			return core.NotRun(schema.Reason_REASON_BUSY)
 		})
 	assertOutcome(qt.New(t), look(r), schema.Status_STATUS_NOT_RUN, schema.Reason_REASON_BUSY)
@@ -382,7 +365,7 @@
 	r, _, snapshots := newTestRouter(2, nil)
 	d := document(nil)
 	d.GetPlaces().SetInstances(map[string]*schema.InstancePlace{"sheets-2": schema.InstancePlace_builder{OutOfService: true}.Build()})
-	snapshots.set(core.NewSnapshot(7, d, members(2)))
+	snapshots.Store(core.NewSnapshot(7, d, members(2)))
 	qt.Check(t, r.Explain("sheets-1"), qt.Matches, "gets work: .*")
 	qt.Check(t, r.Explain("sheets-2"), qt.Matches, ".*out of service by revision 7.*")
 	qt.Check(t, r.Explain("sheets-3"), qt.Matches, ".*neither in the platform's list.*")
