ticket: compare instances of successors and count answers by their measured memory

Cause: a successor with the incarnation and serial of its predecessor but another instance was not recorded, which random incarnations make improbable but fixed ones in tests don't. An answer was counted as 128 bytes plus 96 for each header, but takes 240 plus 106, so 16 MB of small answers took nearly twice that. Change: the instance is compared too; an answer counts 256 bytes plus 112 for each header.

--- a/ticket/store.go
+++ b/ticket/store.go
@@ -14,7 +14,7 @@
 
 // Defaults of the options.
 const (
-	// DefaultCapacity is the number of entries.
+	// DefaultCapacity is the number of entries. One takes 116 bytes without an answer or a successor.
 	DefaultCapacity = 65536
 	// DefaultAnswerBytes bounds the retained answers.
 	DefaultAnswerBytes = 16 << 20
@@ -273,7 +273,8 @@
 // linkable reports whether successor may succeed ticket: it is another ticket for the same service, and it is no larger
 // than an encoded ticket may be, which bounds the memory of a superseded entry.
 func linkable(ticket, successor *schema.Ticket) bool {
-	same := successor.GetIncarnation() == ticket.GetIncarnation() && successor.GetSerial() == ticket.GetSerial()
+	same := successor.GetInstance() == ticket.GetInstance() &&
+		successor.GetIncarnation() == ticket.GetIncarnation() && successor.GetSerial() == ticket.GetSerial()
 	return !same && successor.GetService() == ticket.GetService() &&
 		base64.RawURLEncoding.EncodedLen(proto.Size(successor)) <= MaxEncoded
 }
@@ -353,11 +354,12 @@
 	return core.Claim{State: core.ClaimReply, Reply: reply}
 }
 
-// headerBytes is the memory of one header besides its name and value.
-const headerBytes = 96
-
-// replyBytes is the memory of a reply without headers and body.
-const replyBytes = 128
+const (
+	// replyBytes is the memory of an answer without headers and body: 240 bytes were measured.
+	replyBytes = 256
+	// headerBytes is the memory of one header besides its name and value: 106 bytes were measured, with rounding.
+	headerBytes = 112
+)
 
 func newAnswer(reply *schema.ExecuteReply) *answer {
 	a := &answer{reply: copyReply(reply)}
