poison: refuse a request only if it crashed a server while it ran alone

Change: a crash record says whether the request ran alone; shared crashes count as one; two crashes condemn only if one of them hit a lone run. Measured: ten shared crashes leave both requests served, a lone crash condemns; the crash test over processes is unchanged.

--- a/core/suspect.go
+++ b/core/suspect.go
@@ -14,8 +14,8 @@
 	Crashes(now time.Time, fingerprint uint64) int
 	// Known reports whether the request was in flight at a crash, even if a later run cleared it.
 	Known(now time.Time, fingerprint uint64) bool
-	// Record adds one crash to each of the fingerprints.
-	Record(now time.Time, fingerprints []uint64)
+	// Record adds one crash to each of the fingerprints; alone tells that the only one ran alone.
+	Record(now time.Time, fingerprints []uint64, alone bool)
 	// Clear removes a fingerprint whose request has been answered without a crash.
 	Clear(now time.Time, fingerprint uint64)
 }
--- a/guard/crash.go
+++ b/guard/crash.go
@@ -120,7 +120,7 @@
 		}
 	}
 	g.logger.Warn("backend server crashed", zap.Int("calls", len(held)), zap.Uint64s("fingerprints", fingerprints))
-	g.suspects.Record(now, fingerprints)
+	g.suspects.Record(now, fingerprints, len(held) == 1 && held[0].admit.Alone)
 	g.cool(now, "crash of the backend server")
 	return fingerprints
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -118,10 +118,10 @@
 // noSuspects is the table of a guard without one.
 type noSuspects struct{}
 
-func (noSuspects) Crashes(time.Time, uint64) int { return 0 }
-func (noSuspects) Record(time.Time, []uint64)    {}
-func (noSuspects) Known(time.Time, uint64) bool  { return false }
-func (noSuspects) Clear(time.Time, uint64)       {}
+func (noSuspects) Crashes(time.Time, uint64) int    { return 0 }
+func (noSuspects) Record(time.Time, []uint64, bool) {}
+func (noSuspects) Known(time.Time, uint64) bool     { return false }
+func (noSuspects) Clear(time.Time, uint64)          {}
 
 // Done is closed when Run has returned.
 func (g *Guard) Done() <-chan struct{} { return g.done }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -23,7 +23,8 @@
 	"verbenareel/schema"
 )
 
-// Condemned is the number of crashes from which a fingerprint is refused.
+// Condemned is the number of crashes from which a fingerprint is refused. Crashes counts more than one only if the request
+// ran alone in one of them: a popular request may be in flight in several crashes that another one causes.
 const Condemned = 2
 
 const (
@@ -54,6 +55,7 @@
 type crash struct {
 	id      uint64
 	cleared bool
+	alone   bool
 }
 
 // New returns an empty table for at most capacity fingerprints, each kept for life after its last crash.
@@ -84,19 +86,20 @@
 	return e != nil && !e.expired(now)
 }
 
-// Record adds one crash with the fingerprints that were in flight. A fingerprint that occurs twice counts once.
-func (t *Table) Record(now time.Time, fingerprints []uint64) {
+// Record adds one crash with the fingerprints that were in flight; alone tells that the only one ran alone. A fingerprint
+// that occurs twice counts once.
+func (t *Table) Record(now time.Time, fingerprints []uint64, alone bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.expire(now)
 	id := rand.Uint64()
 	for _, f := range fingerprints {
-		t.learn(f, crash{id: id}, now.Add(t.life))
+		t.learn(f, crash{id: id, alone: alone}, now.Add(t.life))
 	}
 	t.shrink(t.capacity)
 }
 
-// Clear marks the known crashes of a fingerprint that ran alone without a crash. A condemned fingerprint stays
+// Clear marks the known crashes of a fingerprint whose request was answered without a crash. A condemned fingerprint stays
 // refused: it no longer runs, so the clean run began before its last crash was known.
 //
 // The mark is kept for a whole life, so that it outlives each copy of the crashes.
@@ -123,7 +126,7 @@
 		if life <= 0 {
 			continue
 		}
-		if t.learn(s.GetFingerprint(), crash{id: s.GetCrash(), cleared: s.GetCleared()}, now.Add(life)) {
+		if t.learn(s.GetFingerprint(), crash{id: s.GetCrash(), cleared: s.GetCleared(), alone: s.GetAlone()}, now.Add(life)) {
 			changed = append(changed, s)
 		}
 	}
@@ -215,13 +218,15 @@
 		e.crashes = append(e.crashes, c)
 		return true
 	}
-	return e.replaceCleared(c)
+	return e.replace(c)
 }
 
-// replaceCleared replaces the first cleared crash of a full entry. An entry without one is condemned already.
-func (e *entry) replaceCleared(c crash) bool {
+// replace replaces the first crash of a full entry that says less than c: a cleared one, or, by a crash of a lone run, one
+// that was shared.
+func (e *entry) replace(c crash) bool {
 	for i := range e.crashes {
-		if e.crashes[i].cleared && !c.cleared {
+		known := e.crashes[i]
+		if !c.cleared && (known.cleared || c.alone && !known.alone) {
 			e.crashes[i] = c
 			return true
 		}
@@ -229,13 +234,19 @@
 	return false
 }
 
+// count returns the crashes that are not cleared, but at most one if the request ran alone in none of them.
 func (e *entry) count() int {
 	count := 0
+	alone := false
 	for _, c := range e.crashes {
 		if !c.cleared {
 			count++
+			alone = alone || c.alone
 		}
 	}
+	if !alone {
+		return min(count, 1)
+	}
 	return count
 }
 
@@ -264,6 +275,7 @@
 			ExpiresMs:   uint32(min(remaining, math.MaxUint32)),
 			Cleared:     c.cleared,
 			Crash:       c.id,
+			Alone:       c.alone,
 		}.Build())
 	}
 	return records
