Prove the outcomes of hedged lookups

Cause: the random check of NotRun did not hedge, and 100 draws were too few to find a race that ends with its first reply. Change: hedging delays of 0 to 2 ms are drawn, the losers end before the runs are counted, and the check draws 2000 times. TestRace covers the two orders of replies that a race has to get right. Conclusion: no fault found.

--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -191,12 +191,15 @@
 	return reply, err
 }
 
-// newScriptedRouter returns a router with a large retry budget and a guard for each element of full, which tells
+// newScriptedRouter returns a router with large budgets and a guard for each element of full, which tells
 // whether the guard's ticket table is full.
 func newScriptedRouter(script []fate, full []bool) (*Router, *world) {
 	w := newWorld(script, full)
 	snapshots := &fixed{}
-	snapshots.Store(core.NewSnapshot(1, document(func(s *schema.Service) { s.SetRetryRatio(10) }), members(len(full))))
+	snapshots.Store(core.NewSnapshot(1, document(func(s *schema.Service) {
+		s.SetRetryRatio(10)
+		s.SetHedgeRatio(10)
+	}), members(len(full))))
 	self := schema.Member_builder{Instance: "front-1", Domain: "a"}.Build()
 	return New(self, snapshots, nil, w, clockwork.NewRealClock()), w
 }
@@ -210,16 +213,18 @@
 // TestNotRun guards against NotRun for a call that ran or still runs later, and against two runs of one ticket.
 func TestNotRun(t *testing.T) {
 	fateOf := rapid.Custom(func(t *rapid.T) fate { return fate(rapid.IntRange(0, int(fates)-1).Draw(t, "fate")) })
-	rapid.Check(t, func(rt *rapid.T) {
+	check := func(rt *rapid.T) {
 		full := rapid.SliceOfN(rapid.Bool(), 1, 4).Draw(rt, "full")
 		script := rapid.SliceOf(fateOf).Draw(rt, "script")
 		repeatable := rapid.Bool().Draw(rt, "repeatable")
+		hedgeDelay := time.Duration(rapid.IntRange(0, 2).Draw(rt, "hedge delay")) * time.Millisecond
 		timeout := time.Duration(rapid.IntRange(0, 2000).Draw(rt, "timeout")) * time.Millisecond
 		var reply *schema.ExecuteReply
 		var w *world
 		synctest.Test(t, func(*testing.T) {
 			var r *Router
 			r, w = newScriptedRouter(script, full)
+			r.current(time.Now()).groups["sheets"].usage.delay = hedgeDelay
 			ctx, stop := context.WithTimeout(context.Background(), timeout)
 			defer stop()
 			if repeatable {
@@ -227,6 +232,7 @@
 			} else {
 				reply = w.order(ctx, r)
 			}
+			r.stop()
 			w.flush()
 		})
 		if reply.GetStatus() == schema.Status_STATUS_NOT_RUN && w.runs > 0 {
@@ -235,7 +241,11 @@
 		if !repeatable && w.runs > 1 {
 			rt.Fatalf("the ticket ran %d times", w.runs)
 		}
-	})
+	}
+	// A hundred draws rarely contain the two replies that a race has to get wrong.
+	for range 20 {
+		rapid.Check(t, check)
+	}
 }
 
 // TestTransfer guards against a refused ticket that is not moved to another instance, and against NotRun without the
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -335,6 +335,30 @@
 	})
 }
 
+// TestRace guards against the refusal of a hedge, before or after the first reply, that hides a first attempt that may
+// have run.
+func TestRace(t *testing.T) {
+	for _, wait := range []time.Duration{0, 40 * time.Millisecond} {
+		t.Run(wait.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var sends atomic.Int64
+				r, _, _ := newConfiguredRouter(2, func(s *schema.Service) { s.SetHedgeRatio(10) },
+					func(context.Context, *schema.ExecuteRequest) *schema.ExecuteReply {
+						if sends.Add(1) == 2 {
+							time.Sleep(wait)
+							return core.NotRun(schema.Reason_REASON_BUSY)
+						}
+						time.Sleep(20 * time.Millisecond)
+						return core.Unknown(schema.Reason_REASON_CONNECTION_LOST)
+					})
+				r.current(time.Now()).groups["sheets"].usage.delay = time.Millisecond
+				assertOutcome(qt.New(t), look(r), schema.Status_STATUS_UNKNOWN, schema.Reason_REASON_CONNECTION_LOST)
+				r.stop()
+			})
+		})
+	}
+}
+
 // TestPause guards against a view of load from before a pause of the process.
 func TestPause(t *testing.T) {
 	r, _, _ := newTestRouter(1, nil)
