guard: hung calls on a server that answers others are not a slow server

Cause: calls that hang on silent connections counted as slow by their age, so the limit dropped until they alone filled it. Nothing started then, so the limit could not rise until the backend client gave up after 30 s. Seen in TestSilentConnections of proof: 3 calls in flight at a limit of 3 from the silence to the end of the run. Change: the age of a call counts only if no call that began later was answered. Conclusion: the guard no longer blocks itself while its limit is above the hung calls. At a low limit, hung calls still fill it until the backend client ends them, and that test can still fail. TestColdAgain/some_hang failed without the change.

--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -562,7 +562,8 @@
 }
 
 // TestColdAgain guards against a full load on a server that has to start cold again: its failure domain returned, it
-// answers nothing any more, or it crashed; and against a single reset that is taken for a crash.
+// answers nothing any more, or it crashed; and against a single reset that is taken for a crash, or calls that hang on
+// silent connections and are taken for a slow server.
 func TestColdAgain(t *testing.T) {
 	lost := &core.Result{Written: true, Reset: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
 	resets := func(down error, limit int, reasons ...schema.Reason) func(*bench) {
@@ -610,6 +611,23 @@
 			b.Check(b.Load().Limit, qt.Equals, cold)
 			release()
 		},
+		"some hang": func(b *bench) {
+			b.backend.send = func(_ context.Context, request *core.Request, _ int) *core.Result {
+				if time.Sleep(service); request.URI == "/hang" {
+					time.Sleep(time.Second / 2)
+				}
+				return answered()
+			}
+			hang := lookup()
+			hang.SetUri("/hang")
+			for range slots / 2 {
+				b.start(b.Context(), hang)
+			}
+			for range 30 {
+				b.checkAnswered(b.Execute(b.Context(), lookup()))
+			}
+			b.Check(b.Load().Limit, qt.Equals, slots)
+		},
 		"all reset":          resets(nil, cold, crashed, crashed, crashed),
 		"one reset":          resets(nil, slots, single),
 		"one reset, refused": resets(errors.New("refused"), 0, crashed),
--- a/guard/run.go
+++ b/guard/run.go
@@ -39,6 +39,8 @@
 	reported      time.Time
 	reset         time.Time
 	resets        int
+	// answered is the latest start of a call that was answered.
+	answered time.Time
 	// down tells that no connection can be opened. doubted asks the next tick to try one.
 	down        bool
 	doubted     bool
@@ -224,7 +226,11 @@
 	if c.admit.Alone && reply.GetStatus() == schema.Status_STATUS_ANSWERED {
 		g.suspects.Clear(now, c.fingerprint)
 	}
-	latency := now.Sub(c.admit.Started())
+	started := c.admit.Started()
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && started.After(g.server.answered) {
+		g.server.answered = started
+	}
+	latency := now.Sub(started)
 	failed := reply.GetStatus() == schema.Status_STATUS_UNKNOWN || result.Code >= http.StatusInternalServerError
 	g.server.measure(latency, failed)
 	g.limiter.Observe(now, core.Sample{Latency: latency, InFlight: c.admit.InFlight(), Failed: failed})
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -99,13 +99,15 @@
 	}
 }
 
-// observeAges tells the limiter of running calls that already take far longer than the average.
+// observeAges tells the limiter of running calls that already take far longer than the average. If the server answered
+// a call that began later, it is not the server that is slow, but the call, or its connection is silent. Such calls may
+// hang for the whole time limit of a slot; if they lowered the limit, they alone would fill it.
 func (g *Guard) observeAges(now time.Time) {
 	if g.server.latency == 0 {
 		return
 	}
 	for _, c := range g.running {
-		if c.withdrawn {
+		if c.withdrawn || c.admit.Started().Before(g.server.answered) {
 			continue
 		}
 		age := now.Sub(c.admit.Started())
