io: free the slot of a hung request 1 s after its deadline

Cause: requests that hung on silent connections kept their slots up to 5 s beyond their deadline; with the limit lowered by their latency, a few of them filled it and the instance got no work (3 in flight at a limit of 3). Change: the grace is 1 s. The process test sends 600 calls/s for 12 s and asks for a call within the last 6 s: at 300 calls/s a slow instance gets about one trial call a second, so 4 s without one had a chance of 2%.

--- a/io/backend.go
+++ b/io/backend.go
@@ -26,8 +26,9 @@
 	// sweepsPerLife is how often idle connections are looked at in the time that one may live.
 	sweepsPerLife = 4
 	// slotGrace is how long a request may occupy its connection after its deadline. The server was told of the
-	// cancellation by then; a connection that is still without a response has probably gone silent.
-	slotGrace = 5 * time.Second
+	// cancellation by then; a connection that is still without a response has probably gone silent. With 5 s, a few hung
+	// calls filled the lowered limit of an instance, which then got no work for as long.
+	slotGrace = time.Second
 	// unackedTime is how long written bytes may stay unacknowledged before the kernel ends the connection.
 	unackedTime = time.Second
 	// minStall is the shortest time without a response after which idle connections are no longer trusted.
