proof: at most once under cut links, late messages and racing failure domain changes

Cause: the history check covered kills, freezes and crashes only. Change: forwarders before the rpc listeners cut connections, or hold messages back for 1.3 s and deliver them later; operators take failure domains out and back every 100 to 400 ms.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -97,7 +97,9 @@
 	platformURL                string
 	// advertised and nodeBackend replace the addresses at which other nodes reach the node, and the node its server.
 	advertised, nodeBackend string
-	serverArguments         []string
+	// link forwards the connections of other nodes, if the fleet has links.
+	link            *fakes.Forwarder
+	serverArguments []string
 }
 
 // fleet is a set of node processes with stand-ins; the platform runs in the test's own process.
@@ -136,6 +138,14 @@
 	return f
 }
 
+// withLinks puts a forwarder before the rpc listener of each node.
+func withLinks(f *fleet) {
+	for _, i := range f.instances {
+		i.link = startForwarder(f.t, i.rpc)
+		i.advertised = i.link.Addr()
+	}
+}
+
 // serve runs the platform until the test ends.
 func (f *fleet) serve(platform *fakes.Platform) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -190,7 +190,9 @@
 }
 
 // TestAtMostOnceUnderFaults guards against a second run of an order, against an order that runs after its caller was told
-// that it did not, and against two answers to one order, while nodes are killed and frozen and backend servers crash.
+// that it did not, and against two answers to one order, while nodes are killed and frozen, backend servers crash, and
+// operators move failure domains, and connections between nodes are cut, or go silent and deliver what they held back after
+// the calls' timeouts.
 func TestAtMostOnceUnderFaults(t *testing.T) {
 	faults := map[string]func(*fleet, *instance){
 		"kill": func(f *fleet, i *instance) {
@@ -209,10 +211,27 @@
 			i.crash()
 			time.Sleep(700 * time.Millisecond)
 		},
+		"domains leave and return": func(f *fleet, i *instance) {
+			f.platform.Publish(f.shape.Document(i.domain))
+			time.Sleep(time.Duration(100+rand.IntN(300)) * time.Millisecond)
+			if rand.IntN(2) == 0 {
+				f.platform.Publish(f.shape.Document())
+			}
+		},
+		"cut links": func(_ *fleet, i *instance) {
+			i.link.Cut()
+			time.Sleep(300 * time.Millisecond)
+		},
+		"late messages": func(_ *fleet, i *instance) {
+			i.link.Mute()
+			time.Sleep(1300 * time.Millisecond)
+			i.link.Resume()
+			time.Sleep(300 * time.Millisecond)
+		},
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			f := startFleet(t, small(3))
+			f := startFleet(t, small(3), withLinks)
 			h := newHistorian(f)
 			end := time.Now().Add(7 * time.Second)
 			var group conc.WaitGroup
