--- a/peers/members.go
+++ b/peers/members.go
@@ -58,14 +58,6 @@
 	return withState(m.record, m.listed.GetState())
 }
 
-// announced returns the record that the instance announced, or nil.
-func (m *member) announced() *schema.Member {
-	if m == nil {
-		return nil
-	}
-	return m.record
-}
-
 func (m *member) address() string {
 	if m.record != nil {
 		return m.record.GetAddress()
--- a/peers/state.go
+++ b/peers/state.go
@@ -37,7 +37,7 @@
 	minIdleRead = 2300 * time.Millisecond
 	maxIdleRead = 60 * time.Second
 	// watchWait is the time for which a watch may stay pending.
-	watchWait = 1500 * time.Millisecond
+	watchWait = time.Second
 	// readLimit is the time after which a read without a result is given up.
 	readLimit = watchWait + 3*time.Second
 	// The list is read at a rate that costs about listRate bytes a second at listBytes for each instance.
@@ -52,7 +52,7 @@
 	startJitter = 300 * time.Millisecond
 	// callRate is the budget of platform calls a second; the bucket holds one call. So a node makes at most two calls in
 	// any second, and 840 nodes that reconnect at once stay below the platform's 2,000.
-	callRate = 1.0
+	callRate = 1.5
 	// epoch is the time after which other nodes become readers, also without a new revision.
 	epoch = 30 * time.Second
 	// readersPerDomain is the number of nodes of a failure domain that watch the platform.
@@ -124,8 +124,8 @@
 	Wait   time.Duration
 	at     time.Time
 	number uint64
-	// wake is the pause that the read belongs to.
-	wake uint64
+	// wake is the pause that the read belongs to, or 0; wakes is the number of pauses before it.
+	wake, wakes uint64
 }
 
 // ReadMembers is answered with State.MembersDone.
@@ -219,7 +219,7 @@
 	failing float64
 	// turn alternates between peers that answered lately and others.
 	turn bool
-	// refreshed is the last time that the node's record was announced again because a peer did not know it.
+	// refreshed is the last time that the node's record was announced again because a peer had removed it.
 	refreshed time.Time
 	// whole reports that member records were exchanged in full once.
 	whole bool
@@ -517,9 +517,9 @@
 		s.meet(now, m)
 		s.consider(m.address(), r.GetRevision(), r.GetManifest(), s.confirmedAt(now, r.GetConfirmedMs()))
 	}
+	_, removed := s.table.removed[r.GetFrom()]
 	reply := schema.SyncReply_builder{
-		Revision: s.Revision(), Manifest: s.manifest(), ConfirmedMs: s.age(now),
-		Unknown: s.table.members[r.GetFrom()].announced() == nil,
+		Revision: s.Revision(), Manifest: s.manifest(), ConfirmedMs: s.age(now), Removed: removed,
 	}.Build()
 	if len(r.GetBuckets()) > 0 {
 		reply.SetSuspects(s.suspectRecords(now))
@@ -607,7 +607,7 @@
 	if age := reply.GetConfirmedMs(); age > 0 {
 		confirmed = sent.at.Add(-time.Duration(age) * time.Millisecond)
 	}
-	if reply.GetUnknown() && now.Sub(s.refreshed) >= refreshInterval {
+	if reply.GetRemoved() && now.Sub(s.refreshed) >= refreshInterval {
 		s.refreshed = now
 		s.bump(now, s.self.GetVersion()+1, s.self.GetState())
 	}
@@ -941,7 +941,7 @@
 	s.document.number, s.document.began, s.document.jitter = s.number, now, s.random.Float64()
 	s.counters.PlatformCalls++
 	after := max(s.Revision(), s.rejected.revision)
-	s.emit(ReadDocument{After: after, Wait: wait, at: now, number: s.number, wake: wake})
+	s.emit(ReadDocument{After: after, Wait: wait, at: now, number: s.number, wake: wake, wakes: s.wakes})
 }
 
 // documentDue returns the time of the next read of the document.
@@ -963,7 +963,7 @@
 
 // documentSoon reports whether the document may be due before the budget has a call again: the list then waits.
 func (s *State) documentSoon(now time.Time) bool {
-	later := now.Add(time.Second / callRate)
+	later := now.Add(scale(time.Second, 1/callRate))
 	return !s.document.pending(now) && (s.documentDue(now, false).Before(later) || s.stale(later))
 }
 
@@ -994,11 +994,14 @@
 		s.settle()
 		return
 	}
-	// The answer was given no later than at the end of the wait, also if the process was paused before it read it.
+	// An answer without a document was given at the end of the wait. One with a document was given at any time since the
+	// request; if the process was paused meanwhile, it may be as old as that.
 	confirmed := sent.at.Add(min(sent.Wait, now.Sub(sent.at)))
 	switch {
-	case text != nil:
+	case text != nil && (s.rechecking || sent.wakes != s.wakes):
 		s.offer(now, revision, text, sent.at)
+	case text != nil:
+		s.offer(now, revision, text, now)
 	case revision < s.Revision():
 		s.counters.PlatformStale++
 	case sent.After >= s.Revision():
