--- /dev/null
+++ b/io/io_test.go
@@ -0,0 +1,136 @@
+package io_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+
+	"verbenareel/core"
+	"verbenareel/fakes"
+	"verbenareel/io"
+	"verbenareel/schema"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		// The cleaner of fasthttp's worker pool notices up to 10 s after the end of its server that it has ended.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		// fasthttp keeps one clock for the Date field in each process.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+	)
+}
+
+// executor answers calls with execute; it has no other operations.
+type executor struct {
+	core.Executor
+	execute func(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply
+}
+
+func (e executor) Execute(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
+	return e.execute(ctx, request)
+}
+
+type handler func(call *core.Call) *schema.ExecuteReply
+
+func (h handler) Handle(_ context.Context, call *core.Call) *schema.ExecuteReply { return h(call) }
+
+func answered(code int, headers []*schema.Header, body []byte) *schema.ExecuteReply {
+	return schema.ExecuteReply_builder{
+		Status: schema.Status_STATUS_ANSWERED, Code: uint32(code), Headers: headers, Body: body,
+	}.Build()
+}
+
+// echo answers a call with its own headers and body.
+func echo(_ context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
+	return answered(200, request.GetHeaders(), request.GetBody())
+}
+
+func echoCall(call *core.Call) *schema.ExecuteReply { return answered(200, call.Headers, call.Body) }
+
+// serving returns a part that serves until the end of the test.
+func serving[P interface{ Serve(context.Context) error }](t testing.TB, part P, err error) P {
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = part.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return part
+}
+
+func newServer(t testing.TB, execute func(context.Context, *schema.ExecuteRequest) *schema.ExecuteReply, opts ...io.Option) *io.Server {
+	s, err := io.NewServer("127.0.0.1:0", executor{execute: execute}, nil, opts...)
+	return serving(t, s, err)
+}
+
+func newTransport(t testing.TB, opts ...io.Option) *io.Transport {
+	transport := io.NewTransport(clockwork.NewRealClock(), opts...)
+	t.Cleanup(func() { _ = transport.Close() })
+	return transport
+}
+
+func newForwarder(t testing.TB, target string) *fakes.Forwarder {
+	f, err := fakes.NewForwarder(target)
+	return serving(t, f, err)
+}
+
+func newFront(t testing.TB, h handler, opts ...io.Option) *io.Front {
+	f, err := io.NewFront("127.0.0.1:0", h, opts...)
+	return serving(t, f, err)
+}
+
+func newBackend(t testing.TB, address string, opts ...io.Option) *io.Backend {
+	b := io.NewBackend(address, opts...)
+	t.Cleanup(func() { _ = b.Close() })
+	return b
+}
+
+// rawServer serves each connection with the function and closes it afterwards.
+func rawServer(t testing.TB, serve func(conn *net.TCPConn)) string {
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := listener.AcceptTCP()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func instanceAt(address string) *core.Instance {
+	return core.NewInstance(schema.Member_builder{Instance: "sheets-1", Address: address}.Build(),
+		schema.InstanceState_INSTANCE_STATE_SERVING)
+}
+
+func withBody(body string) *schema.ExecuteRequest {
+	return schema.ExecuteRequest_builder{Method: "POST", Uri: "/sheets", Body: []byte(body)}.Build()
+}
+
+// checkError asserts the reason of a TransportError and whether bytes of the request may have left.
+func checkError(t testing.TB, err error, reason schema.Reason, sent bool) {
+	t.Helper()
+	var failure *core.TransportError
+	qt.Assert(t, errors.As(err, &failure), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, failure.Reason(), qt.Equals, reason, qt.Commentf("%v", err))
+	qt.Check(t, failure.Sent(), qt.Equals, sent, qt.Commentf("%v", err))
+}
