Test the ends of an exchange; a second Run returns its error at once

Cause: a second call of Run waited for the first to end, as sync.Once does. The new test hung on it for 10 minutes and so failed once. Change: Run swaps a flag. TestExchangeEnds covers unchanged input, the push of suspects, Run called twice, and an announcement just before the end.

--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,7 +48,7 @@
 	inbox   chan event
 	started chan struct{}
 	done    chan struct{}
-	once    sync.Once
+	running atomic.Bool
 	group   conc.WaitGroup
 	// outstanding counts exchanges without an answer.
 	outstanding atomic.Int64
@@ -127,13 +126,12 @@
 
 // Run is the control loop. It returns when ctx ends, after messages on their way were answered or timed out.
 func (e *Exchange) Run(ctx context.Context) error {
-	err := errors.New("exchange runs already")
-	e.once.Do(func() {
-		err = nil
-		close(e.started)
-		e.loop(ctx)
-	})
-	return err
+	if e.running.Swap(true) {
+		return errors.New("exchange runs already")
+	}
+	close(e.started)
+	e.loop(ctx)
+	return nil
 }
 
 func (e *Exchange) loop(ctx context.Context) {
--- a/peers/exchange_test.go
+++ b/peers/exchange_test.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"verbenareel/core"
+	"verbenareel/poison"
 	"verbenareel/schema"
 )
 
@@ -247,3 +248,57 @@
 		return e.Snapshot().Instance("sheets-3").State() == schema.InstanceState_INSTANCE_STATE_LEAVING
 	}))
 }
+
+// Guards against snapshots that are published although nothing changed, suspects that do not reach each instance of the
+// service, and a last announcement that is lost because the process ends.
+func TestExchangeEnds(t *testing.T) {
+	c := qt.New(t)
+	const nodes = 4
+	tables := make([]*poison.Table, nodes)
+	seeds := []string{nodeRecord(0).GetAddress()}
+	f := startFleet(nodes-1, func(int) core.Platform { return nil }, func(i int) []Option {
+		tables[i] = poison.New(16, time.Minute)
+		return []Option{WithSeeds(seeds), WithSuspects(tables[i]), WithDocument(1, testDocument(1, 1))}
+	})
+	defer f.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	record := nodeRecord(nodes - 1)
+	e := New(record, nil, link{f.network}, clockwork.NewRealClock(), WithSeeds(seeds))
+	f.network.mutex.Lock()
+	f.network.nodes[record.GetAddress()] = e
+	f.network.mutex.Unlock()
+	c.Assert(e.Sync(&schema.SyncRequest{}).GetRevision(), qt.Equals, uint64(0))
+	f.group.Go(func() { _ = e.Run(ctx) })
+	all := func(e *Exchange) bool { return e.Snapshot() != nil && len(e.Snapshot().Instances("sheets")) == nodes }
+	f.eventually(c, 5*time.Second, "members", all)
+	waitFor(c, 5*time.Second, "members of the last node", func() bool { return all(e) && e.Fresh() })
+	c.Assert(e.Run(ctx), qt.ErrorMatches, "exchange runs already")
+
+	published, syncs := e.Status().Counters.Published, e.Status().Counters.SyncsSent
+	waitFor(c, 5*time.Second, "further exchanges", func() bool { return e.Status().Counters.SyncsSent > syncs+4 })
+	c.Assert(e.Status().Counters.Published, qt.Equals, published)
+
+	suspects := []*schema.Suspect{schema.Suspect_builder{Fingerprint: 7, Crash: 9, Crashes: 1, ExpiresMs: 60_000}.Build()}
+	e.PushSuspects(ctx, "sheets", suspects)
+	for _, table := range tables[:nodes-1] {
+		c.Assert(table.Known(time.Now(), 7), qt.IsTrue)
+	}
+
+	e.Announce(schema.InstanceState_INSTANCE_STATE_GONE)
+	cancel()
+	<-e.Done()
+	c.Assert(e.Status().Revision, qt.Equals, uint64(1))
+	f.eventually(c, 3*time.Second, "end of the last node", func(e *Exchange) bool {
+		return e.Snapshot().Instance(record.GetInstance()).State() == schema.InstanceState_INSTANCE_STATE_GONE
+	})
+}
+
+func waitFor(c *qt.C, limit time.Duration, what string, condition func() bool) {
+	c.Helper()
+	for start := time.Now(); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(start) > limit {
+			c.Fatalf("no %s after %v", what, limit)
+		}
+	}
+}
