peers: split the state machine by subject

Change: effects, exchange with peers, pulling of documents and platform reads have files of their own; no code changes.

--- /dev/null
+++ b/peers/read.go
@@ -0,0 +1,214 @@
+package peers
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenareel/schema"
+)
+
+// read is the schedule of one kind of platform read.
+type read struct {
+	// number is that of the pending read; 0 means none.
+	number   uint64
+	began    time.Time
+	ended    time.Time
+	failures int
+	// jitter is drawn for each read, from 0 to 1.
+	jitter float64
+}
+
+// pending reports whether a read has no result yet.
+func (r *read) pending(now time.Time) bool {
+	return r.number != 0 && now.Sub(r.began) < readLimit
+}
+
+// finish ends the read with the number, if it is still the pending one.
+func (r *read) finish(now time.Time, number uint64, err error) {
+	if number != r.number {
+		return
+	}
+	r.number = 0
+	r.ended = now
+	r.failures++
+	if err == nil {
+		r.failures = 0
+	}
+}
+
+// backoff returns the time at which a read may follow failures.
+func (r *read) backoff() time.Time {
+	if r.failures == 0 {
+		return time.Time{}
+	}
+	delay := min(maxBackoff, firstBackoff<<min(r.failures-1, 10))
+	return r.ended.Add(scale(delay, 0.75+0.5*r.jitter))
+}
+
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
+
+// reader reports whether the node is one of those of its failure domain that watch the platform: the lowest by
+// rendezvous hash. The hash covers the revision and the epoch, so the cost of reading whole documents goes round.
+func (s *State) reader(now time.Time) bool {
+	r := role{
+		revision: s.Revision(), epoch: uint64(now.Unix()) / uint64(epoch/time.Second), changes: s.table.changes, known: true,
+	}
+	r.reader = s.role.reader
+	if r != s.role {
+		r.reader = s.rank(r) < readersPerDomain
+		s.role = r
+	}
+	return r.reader
+}
+
+// rank returns the number of nodes of the failure domain that come before this one.
+func (s *State) rank(r role) int {
+	own := rendezvous(s.self.GetInstance(), r)
+	before := 0
+	for _, m := range s.table.order {
+		e := m.effective()
+		if e.GetDomain() != s.self.GetDomain() || e.GetState() >= schema.InstanceState_INSTANCE_STATE_LEAVING {
+			continue
+		}
+		if rendezvous(m.name, r) < own {
+			before++
+		}
+	}
+	return before
+}
+
+func rendezvous(name string, r role) uint64 {
+	var data [16 + maxText]byte
+	b := binary.LittleEndian.AppendUint64(data[:0], r.revision)
+	b = binary.LittleEndian.AppendUint64(b, r.epoch)
+	return xxhash.Sum64(append(b, name...))
+}
+
+// stale reports whether no path has confirmed the node's revision for a while.
+func (s *State) stale(now time.Time) bool {
+	limit := staleAfter + scale(staleJitter, s.document.jitter)
+	return now.Sub(s.contact) > limit || now.Sub(s.confirmed) > limit
+}
+
+// take takes a call from the platform budget.
+func (s *State) take(now time.Time) bool {
+	s.tokens = min(1, s.tokens+callRate*now.Sub(s.filled).Seconds())
+	s.filled = now
+	const rounding = 1e-9
+	if s.tokens < 1-rounding {
+		s.counters.PlatformHeld++
+		return false
+	}
+	s.tokens--
+	return true
+}
+
+// reads makes the platform reads that are due.
+func (s *State) reads(now time.Time) {
+	if !s.platform {
+		return
+	}
+	watch := s.accepted == nil || s.reader(now)
+	if !s.document.pending(now) && !now.Before(s.documentDue(now, watch)) && s.take(now) {
+		wait := time.Duration(0)
+		if watch {
+			wait = watchWait
+		}
+		s.readDocument(now, wait, 0)
+	}
+	held := !watch && s.documentSoon(now)
+	if !held && !s.members.pending(now) && !now.Before(s.membersDue()) && s.take(now) {
+		s.number++
+		s.members.number, s.members.began, s.members.jitter = s.number, now, s.random.Float64()
+		s.counters.PlatformCalls++
+		s.emit(ReadMembers{at: now, number: s.number})
+	}
+}
+
+func (s *State) readDocument(now time.Time, wait time.Duration, wake uint64) {
+	s.number++
+	s.document.number, s.document.began, s.document.jitter = s.number, now, s.random.Float64()
+	s.counters.PlatformCalls++
+	after := max(s.Revision(), s.rejected.revision)
+	s.emit(ReadDocument{After: after, Wait: wait, at: now, number: s.number, wake: wake, wakes: s.wakes})
+}
+
+// documentDue returns the time of the next read of the document.
+func (s *State) documentDue(now time.Time, watch bool) time.Time {
+	jitter := s.document.jitter
+	due := s.document.began
+	switch {
+	case due.IsZero():
+		due = s.began.Add(scale(startJitter, jitter))
+	case watch:
+	case s.stale(now):
+		due = due.Add(staleRead + scale(staleReadJitter, jitter))
+	default:
+		interval := min(max(time.Duration(len(s.table.order))*idleShare, minIdleRead), maxIdleRead)
+		due = due.Add(scale(interval, 0.9+0.2*jitter))
+	}
+	return latest(due, s.document.backoff())
+}
+
+// documentSoon reports whether the document may be due before the budget has a call again: the list then waits.
+func (s *State) documentSoon(now time.Time) bool {
+	later := now.Add(scale(time.Second, 1/callRate))
+	return !s.document.pending(now) && (s.documentDue(now, false).Before(later) || s.stale(later))
+}
+
+// membersDue returns the time of the next read of the list.
+func (s *State) membersDue() time.Time {
+	if s.members.began.IsZero() {
+		return s.began.Add(scale(startJitter, s.members.jitter))
+	}
+	interval := time.Duration(len(s.table.order)) * listBytes * time.Second / listRate
+	interval = min(max(interval, minListRead), maxListRead)
+	return latest(s.members.began.Add(scale(interval, 0.8+0.4*s.members.jitter)), s.members.backoff())
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// DocumentDone takes the result of a ReadDocument. A nil text means that the platform holds no higher revision.
+func (s *State) DocumentDone(now time.Time, sent ReadDocument, revision uint64, text []byte, err error) {
+	s.observe(now)
+	s.document.finish(now, sent.number, err)
+	if err != nil {
+		s.counters.PlatformFailures++
+		s.settled(sent.wake, 0)
+		s.settle()
+		return
+	}
+	// An answer without a document was given at the end of the wait. One with a document was given at any time since the
+	// request; if the process was paused meanwhile, it may be as old as that.
+	confirmed := sent.at.Add(min(sent.Wait, now.Sub(sent.at)))
+	switch {
+	case text != nil && (s.rechecking || sent.wakes != s.wakes):
+		s.offer(now, revision, text, sent.at)
+	case text != nil:
+		s.offer(now, revision, text, now)
+	case revision < s.Revision():
+		s.counters.PlatformStale++
+	case sent.After >= s.Revision():
+		s.confirm(confirmed)
+	}
+	s.settled(sent.wake, 2)
+	s.settle()
+}
+
+// MembersDone takes the result of a ReadMembers.
+func (s *State) MembersDone(now time.Time, sent ReadMembers, list []*schema.Member, err error) {
+	s.observe(now)
+	s.members.finish(now, sent.number, err)
+	if err != nil {
+		s.counters.PlatformFailures++
+		return
+	}
+	s.table.list(list, now)
+}
