peers: read the instance list every 1.5 s in small fleets

Cause: an instance that only the platform's list shows as leaving was noticed at the next read of the list, up to 4 s later, which misses the promise of 3 s. Change: the shortest interval is 1.5 s; it still grows with the number of nodes to 2,000 bytes a second, so at 840 nodes it is about a minute, which docs/PROMISES.md lists as unproved. proof: TestListedLeaving.

--- a/peers/state.go
+++ b/peers/state.go
@@ -40,7 +40,7 @@
 	// The list is read at a rate that costs about listRate bytes a second at listBytes for each instance.
 	listRate    = 2000
 	listBytes   = 130
-	minListRead = 4 * time.Second
+	minListRead = 1500 * time.Millisecond
 	maxListRead = 60 * time.Second
 	// Delay after a failed read: doubles from firstBackoff to maxBackoff, give or take a quarter.
 	firstBackoff = 250 * time.Millisecond
--- a/proof/cold_test.go
+++ b/proof/cold_test.go
@@ -99,3 +99,21 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, leaving.stats(t).Runs > before, qt.IsTrue)
 }
+
+// TestListedLeaving guards against new work for an instance 3 s after the platform's list shows that it leaves, when
+// nothing else says so.
+func TestListedLeaving(t *testing.T) {
+	f := startFleet(t, small(3))
+	plan := load.Plan{Targets: f.targets(), Classes: trial.KitamiClasses(), Rate: 300, Duration: 7 * time.Second, Timeout: 2 * time.Second, Resends: 3}
+	var summary *load.Summary
+	var group conc.WaitGroup
+	group.Go(func() { summary, _ = load.Run(context.Background(), plan) })
+	time.Sleep(2 * time.Second)
+	leaving := f.instances[0]
+	f.list(leaving)
+	limit := time.Now().Add(listLag + 3*time.Second)
+	group.Wait()
+	last := time.UnixMilli(leaving.stats(t).LastRun)
+	qt.Check(t, last.Before(limit), qt.IsTrue, qt.Commentf("a call began %v after the limit", last.Sub(limit)))
+	qt.Check(t, summary.Count(load.OutcomeUnknown)+summary.Count(load.OutcomeError), qt.Equals, 0, qt.Commentf("%s", table(t, summary)))
+}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +26,9 @@
 	"verbenareel/trial"
 )
 
+// listLag is the age of the platform's list.
+const listLag = 500 * time.Millisecond
+
 // binary is the program under test, built once by TestMain.
 var binary string
 
@@ -116,7 +120,7 @@
 // startFleet starts a platform, and a backend server and a node process for each instance of the shape.
 func startFleet(t testing.TB, shape trial.Shape, opts ...fleetOption) *fleet {
 	t.Helper()
-	platform, err := fakes.NewPlatform("127.0.0.1:0", 500*time.Millisecond)
+	platform, err := fakes.NewPlatform("127.0.0.1:0", listLag)
 	qt.Assert(t, err, qt.IsNil)
 	f := &fleet{t: t, platform: platform, shape: shape}
 	f.serve(platform)
@@ -179,11 +183,15 @@
 	return address
 }
 
-// list publishes the list of all instances as live.
-func (f *fleet) list() {
+// list publishes the list of instances, which are live but for those that leave.
+func (f *fleet) list(leaving ...*instance) {
 	var entries []fakes.Entry
 	for _, i := range f.instances {
-		entries = append(entries, fakes.Entry{Instance: i.name, Service: i.service, Domain: i.domain, Address: cmp.Or(i.advertised, i.rpc), State: "live"})
+		state := "live"
+		if slices.Contains(leaving, i) {
+			state = "leaving"
+		}
+		entries = append(entries, fakes.Entry{Instance: i.name, Service: i.service, Domain: i.domain, Address: cmp.Or(i.advertised, i.rpc), State: state})
 	}
 	f.platform.List(entries)
 }
