--- a/io/bench_test.go
+++ b/io/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/sourcegraph/conc"
 
 	"verbenareel/core"
@@ -88,3 +90,25 @@
 	})
 	return request
 }
+
+// BenchmarkConnectionMemory measures the heap and stacks of one idle connection between two nodes, both ends together.
+func BenchmarkConnectionMemory(b *testing.B) {
+	const connections = 200
+	server := newServer(b, echo)
+	for b.Loop() {
+		before := memoryInUse()
+		for range connections {
+			transport := newTransport(b)
+			_, err := transport.Execute(b.Context(), instanceAt(server.Addr()), withBody("x"))
+			qt.Assert(b, err, qt.IsNil)
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/connections, "B/connection")
+	}
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
--- /dev/null
+++ b/proof/idle_test.go
@@ -0,0 +1,26 @@
+package proof
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkIdleNode measures what a node costs without calls: processor time, memory, and calls to the platform, in the
+// Kitami shape of 14 nodes.
+func BenchmarkIdleNode(b *testing.B) {
+	f := startFleet(b, small(4))
+	const length = 10 * time.Second
+	for b.Loop() {
+		used := f.processorTime(b)
+		calls := f.platform.Calls()
+		time.Sleep(length)
+		nodes := float64(len(f.instances))
+		b.ReportMetric((f.processorTime(b)-used).Seconds()/length.Seconds()/nodes*100, "%core/node")
+		b.ReportMetric(float64(f.platform.Calls()-calls)/length.Seconds()/nodes, "platform-calls/s/node")
+		memory := 0.0
+		for _, i := range f.instances {
+			memory += i.metric(b, "process_resident_memory_bytes")
+		}
+		b.ReportMetric(memory/nodes/(1<<20), "MB/node")
+	}
+}
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -45,8 +45,8 @@
 	Slots      int
 	ColdLimit  int
 	WarmTime   time.Duration
-	// Service is text for each service section, after the sizes.
-	Service string
+	// HedgeRatio is the share of lookups that may be hedged, in TOML.
+	HedgeRatio string
 	// Rules map requests to services; those of services without instances are left out.
 	Rules []Rule
 	// Warm starts the backend servers warm.
@@ -67,6 +67,7 @@
 		ColdLimit:   2,
 		WarmTime:    2 * time.Second,
 		ServiceTime: 5,
+		HedgeRatio:  "0.05",
 		Rules: []Rule{
 			{"GET", "/sheets/", "sheets", true},
 			{"GET", "/slots/", "fitting-slot", true},
@@ -88,8 +89,8 @@
 	}
 	for _, g := range s.Groups {
 		_, _ = fmt.Fprintf(&b, "\n[services.%s]\nslots = %d\ncold_limit = %d\nwarm_time = %q\nconnections = 260\nprobes_per_second = 2.0\n"+
-			"retry_ratio = 0.1\nretry_floor = 5.0\ntimeout = \"2s\"\n%s",
-			g.Service, s.Slots, s.ColdLimit, s.WarmTime, s.Service)
+			"retry_ratio = 0.1\nretry_floor = 5.0\nhedge_ratio = %s\ntimeout = \"2s\"\n",
+			g.Service, s.Slots, s.ColdLimit, s.WarmTime, s.HedgeRatio)
 	}
 	for _, r := range s.Rules {
 		if slices.ContainsFunc(s.Groups, func(g Group) bool { return g.Service == r.Service }) {
--- a/trial/scenario.go
+++ b/trial/scenario.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -53,8 +54,8 @@
 type variant struct {
 	name    string
 	options func() []node.Option
-	// service is text for the service sections of the document.
-	service string
+	// hedgeRatio replaces that of the shape, if set.
+	hedgeRatio string
 	// direct sends to the backend servers without nodes between.
 	direct bool
 }
@@ -114,10 +115,8 @@
 func hedging() []variant {
 	off := product()
 	off.name = "no hedges"
-	on := product()
-	on.name = "hedges 5%"
-	on.service = "hedge_ratio = 0.05\n"
-	return []variant{off, on}
+	off.hedgeRatio = "0.0"
+	return []variant{off, product()}
 }
 
 // victim returns the instance that a scenario's fault strikes.
@@ -215,7 +214,7 @@
 // measure runs one variant: it settles first, so that the limits are at the slots.
 func (s *Scenario) measure(ctx context.Context, v variant, logger *zap.Logger) (Row, error) {
 	shape := trialShape()
-	shape.Service = v.service
+	shape.HedgeRatio = cmp.Or(v.hedgeRatio, shape.HedgeRatio)
 	if s.change != nil {
 		s.change(&shape)
 	}
