io: count abandoned calls until the connection is read from

The losers of hedges and the requests for next tickets are cancelled within milliseconds, so the silent connection had no call in flight when the monitor looked, was never pinged, and each trial call on it was hedged again. Ruled out: the choice of instances, which did send trial calls. Change: a call that was sent and abandoned counts as in flight until the connection is read from again or ends. TestAbandonedCallsShowSilence fails without it.

--- a/io/link.go
+++ b/io/link.go
@@ -43,6 +43,7 @@
 	}
 	now := clock.Now()
 	l.used = now
+	l.settle(l.current)
 	if c := l.current; c != nil && c.codec.cause() == nil {
 		if c.calls == 0 {
 			c.quiet = now
@@ -59,15 +60,39 @@
 	return nil, l.dialing
 }
 
-func (l *link) release(c *connection, clock core.Clock) {
+// release ends a call. A call that was abandoned counts on until the connection is read from again: if callers give up
+// before a silent connection is noticed, as the losers of hedges do, it would never be noticed otherwise.
+func (l *link) release(c *connection, clock core.Clock, abandoned bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	c.calls--
-	l.calls.Add(-1)
 	l.used = clock.Now()
+	if abandoned {
+		c.abandoned++
+		c.abandonedAt = l.used
+	} else {
+		l.end(c, 1)
+	}
+	l.settle(c)
 	l.closeLeaving()
 }
 
+// settle ends the abandoned calls of a connection that was read from since, or that has ended.
+func (l *link) settle(c *connection) {
+	if c == nil || c.abandoned == 0 {
+		return
+	}
+	if c.codec.read.Load() > c.abandonedAt.UnixNano() || c.codec.cause() != nil {
+		l.end(c, c.abandoned)
+		c.abandoned = 0
+	}
+}
+
+// end stops counting some of the calls of a connection.
+func (l *link) end(c *connection, count int) {
+	c.calls -= count
+	l.calls.Add(int64(-count))
+}
+
 // leave takes a connection out of use for new calls, because its server is shutting down.
 func (l *link) leave(c *connection) {
 	l.mutex.Lock()
@@ -135,9 +160,14 @@
 	next = l.transport.pingAfter
 	l.leaving = slices.DeleteFunc(l.leaving, func(c *connection) bool {
 		next = min(next, c.checkSilence(now, paused))
+		l.settle(c)
+		if c.calls == 0 {
+			c.end(errLeaving)
+		}
 		return c.codec.cause() != nil
 	})
 	c := l.current
+	l.settle(c)
 	idle := now.Sub(l.used) >= l.transport.idleTime
 	if c != nil && c.calls > 0 {
 		next = min(next, c.checkSilence(now, paused))
@@ -149,6 +179,7 @@
 		}
 	}
 	if c == nil || c.codec.cause() != nil {
+		l.settle(c)
 		l.current = nil
 		return next, idle
 	}
@@ -161,6 +192,9 @@
 	codec     *clientCodec
 	client    *rpc.Client
 	calls     int
+	// abandoned counts those of the calls whose caller no longer waits; the last of them was given up at abandonedAt.
+	abandoned   int
+	abandonedAt time.Time
 	// quiet is when the silence that is measured may have begun at the earliest.
 	quiet  time.Time
 	pinged time.Time
--- a/io/silent_test.go
+++ b/io/silent_test.go
@@ -45,3 +45,27 @@
 	group.Wait()
 	qt.Check(t, (<-stalled).Code, qt.Equals, 0)
 }
+
+// TestAbandonedCallsShowSilence guards against a silent connection that is never noticed, because each caller gives up
+// before the silence has lasted long enough.
+func TestAbandonedCallsShowSilence(t *testing.T) {
+	server := newServer(t, echo)
+	forwarder := newForwarder(t, server.Addr())
+	transport := newTransport(t)
+	send := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, err := transport.Execute(ctx, instanceAt(forwarder.Addr()), withBody("x"))
+		return err
+	}
+	_, err := transport.Execute(context.Background(), instanceAt(forwarder.Addr()), withBody("x"))
+	qt.Assert(t, err, qt.IsNil)
+	forwarder.Silence()
+	qt.Check(t, send(), qt.IsNotNil)
+	deadline := time.Now().Add(1500 * time.Millisecond)
+	for forwarder.Accepted() < 2 && time.Now().Before(deadline) {
+		time.Sleep(100 * time.Millisecond)
+		_ = send()
+	}
+	qt.Check(t, forwarder.Accepted(), qt.Equals, 2)
+}
--- a/io/transport.go
+++ b/io/transport.go
@@ -168,7 +168,8 @@
 	if failure != nil {
 		return failure
 	}
-	defer l.release(c, t.clock)
+	abandoned := false
+	defer func() { l.release(c, t.clock, abandoned) }()
 	pending := c.client.Go(method, x, x, make(chan *rpc.Call, 1))
 	c.codec.writer.flush()
 	select {
@@ -177,6 +178,7 @@
 	case <-ctx.Done():
 		x.forgotten.Store(true)
 		sent := !c.codec.writer.drop(&x.frame)
+		abandoned = sent
 		return core.NewTransportError(address, endReason(ctx), sent, ctx.Err())
 	}
 }
