--- a/fakes/server.go
+++ b/fakes/server.go
@@ -292,7 +292,7 @@
 	return b.runs[id]
 }
 
-// capacity returns the calls that the server bears at now.
+// capacity returns the calls that the server can handle at now.
 func (b *Backend) capacity(now time.Time) int {
 	warm := now.Sub(b.coldSince)
 	if warm >= b.warmTime {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -9,9 +9,9 @@
 
 // Bounds are the settings of a service that bound a limiter.
 type Bounds struct {
-	// Cold is the concurrency that an instance in cold start bears; at least 1.
+	// Cold is the concurrency that an instance in cold start can handle; at least 1.
 	Cold int
-	// Slots is the concurrency that a warm instance bears; at least Cold.
+	// Slots is the concurrency that a warm instance can handle; at least Cold.
 	Slots int
 	// WarmTime is the time from Cold to Slots.
 	WarmTime time.Duration
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -25,7 +25,7 @@
 var epoch = time.Unix(1000, 0)
 
 // simulation is a backend server in simulated time behind an admission controller with an open stream of calls. The
-// server bears cold to slots calls and slows down above that, quadratically while it is cold.
+// server handles cold to slots calls and slows down above that, quadratically while it is cold.
 type simulation struct {
 	limiter    core.Limiter
 	controller *admit.Controller
@@ -128,7 +128,7 @@
 	s.handle(s.controller.Finish(s.now, &r.Call))
 }
 
-// capacity returns the calls that the server bears now.
+// capacity returns the calls that the server can handle now.
 func (s *simulation) capacity() int { return rampAt(s.coldSince, s.now) }
 
 // String gives the figures of a run.
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -153,7 +153,7 @@
 }
 
 // confirmedAt returns the time that the age of a message stands for. Messages that arrive just after a pause may have
-// waited through it, so their ages count for nothing.
+// waited through it, so their ages are ignored.
 func (s *State) confirmedAt(sent time.Time, age uint32) time.Time {
 	if age == 0 || s.rechecking {
 		return time.Time{}
--- a/proof/cold_test.go
+++ b/proof/cold_test.go
@@ -14,7 +14,7 @@
 	"verbenareel/trial"
 )
 
-// TestColdStart guards against a server in cold start that gets more calls at once than it bears: after it crashed and
+// TestColdStart guards against a server in cold start that gets more concurrent calls than it can handle: after it crashed and
 // came back, also when its reports hide that it is cold, and after its node was replaced or frozen, with all other nodes
 // sending to it.
 func TestColdStart(t *testing.T) {
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// onceFaults strike one instance each; they return when the instance works again.
+// onceFaults are injected into one instance each; they return when the instance works again.
 var onceFaults = map[string]func(*fleet, *instance){
 	"kill": func(f *fleet, i *instance) {
 		i.node.signal(syscall.SIGKILL)
@@ -250,7 +250,7 @@
 	})
 }
 
-// runOnce strikes one random instance after the other while callers send orders, and checks their history.
+// runOnce injects the fault into one random instance after the other while callers send orders, and checks their history.
 func runOnce(t *testing.T, fault func(*fleet, *instance)) {
 	f := startFleet(t, small(3), withLinks)
 	h := newHistorian(f)
--- a/trial/demo.go
+++ b/trial/demo.go
@@ -154,14 +154,14 @@
 	return broken
 }
 
-// checkServers reports servers that got more than they bore in cold start, and probes beyond the budget. The server that
+// checkServers reports servers that got more than they could handle in cold start, and probes beyond the budget. The server that
 // turned cold without notice had calls in flight at that moment, so its cold start is not checked.
 func checkServers(fleet *Fleet, elapsed time.Duration) []string {
 	var broken []string
 	for _, m := range fleet.Members() {
 		stats := m.Backend().Stats()
 		if stats.ColdExcess > 0 && m != victim(fleet) {
-			broken = append(broken, fmt.Sprintf("cold start: %s had %d calls more than it bore", m.Name(), stats.ColdExcess))
+			broken = append(broken, fmt.Sprintf("cold start: %s had %d calls more than it could handle", m.Name(), stats.ColdExcess))
 		}
 		if budget := probesPerSecond*elapsed.Seconds() + 1; float64(stats.Probes) > budget {
 			broken = append(broken, fmt.Sprintf("budget for measuring: %s was probed %d times in %v", m.Name(), stats.Probes, elapsed))
--- a/trial/scenario.go
+++ b/trial/scenario.go
@@ -119,7 +119,7 @@
 	return []variant{off, product()}
 }
 
-// victim returns the instance that a scenario's fault strikes.
+// victim returns the instance that a scenario injects its fault into.
 func victim(f *Fleet) *Member { return f.Service("sheets")[0] }
 
 func onVictim(change func(*fakes.Control)) func(*Fleet) {
