--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -102,12 +102,14 @@
 	w.mu.Lock()
 	var reply *schema.ExecuteReply
 	err := w.message(to, func() { reply = w.claim(to.Name(), request) })
+	// A late delivery sets reply after this call has returned, under the lock.
+	received := reply
 	w.mu.Unlock()
-	if err == nil && reply == nil {
+	if err == nil && received == nil {
 		<-ctx.Done()
 		return nil, lostError(to, endReason(ctx), true)
 	}
-	return reply, err
+	return received, err
 }
 
 // claim runs a call under its ticket, if it has one. It returns nil for a call that waits.
