--- a/admit/admit.go
+++ b/admit/admit.go
@@ -3,6 +3,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"verbenareel/core"
@@ -98,6 +99,9 @@
 	barrier time.Time
 	service time.Duration
 	events  []Event
+	// rate bounds the starts of the last second; 0 sets no bound.
+	rate   int
+	starts window
 }
 
 // New returns a controller whose queue holds at most capacity calls, and as many suspects again.
@@ -108,6 +112,14 @@
 // SetCapacity changes the bound of the queue; calls that wait already stay.
 func (c *Controller) SetCapacity(capacity int) { c.capacity = max(capacity, 0) }
 
+// SetRate bounds the starts within any second; 0 sets no bound.
+func (c *Controller) SetRate(perSecond float64) { c.rate = int(math.Ceil(perSecond)) }
+
+// spent reports whether no call may start now since too many started within the last second.
+func (c *Controller) spent(now time.Time) bool {
+	return c.rate > 0 && c.starts.count(now) >= c.rate
+}
+
 // InFlight returns the calls that occupy the backend server.
 func (c *Controller) InFlight() int { return c.inFlight }
 
@@ -218,6 +230,8 @@
 		return c.closed
 	case !now.Before(call.Deadline):
 		return schema.Reason_REASON_DEADLINE
+	case c.spent(now):
+		return schema.Reason_REASON_COLD
 	case c.startable(now, call):
 	case call.Alone:
 		return c.admitSuspect(now, call)
@@ -338,12 +352,12 @@
 // choose returns the next call to start, or nil.
 func (c *Controller) choose(now time.Time) *Call {
 	if c.suspectNext() {
-		if c.inFlight > 0 {
+		if c.inFlight > 0 || c.spent(now) {
 			return nil
 		}
 		return c.suspects.first
 	}
-	if c.inFlight >= c.limiter.Limit(now) {
+	if c.inFlight >= c.limiter.Limit(now) || c.spent(now) {
 		return nil
 	}
 	for i := ranks - 1; i >= 0; i-- {
@@ -357,6 +371,7 @@
 func (c *Controller) run(now time.Time, call *Call) {
 	call.state = stateRunning
 	call.started = now
+	c.starts.add(now)
 	c.inFlight++
 	call.inFlight = c.inFlight
 	c.exclusive = call.Alone
--- /dev/null
+++ b/admit/window.go
@@ -0,0 +1,36 @@
+package admit
+
+import "time"
+
+const (
+	// windowTime is the time over which starts are counted.
+	windowTime = time.Second
+	// windowSize bounds the starts that are remembered; a rate above it is not enforced.
+	windowSize = 256
+)
+
+// window counts the starts of the last windowTime.
+type window struct {
+	times [windowSize]time.Time
+	next  int
+	used  int
+}
+
+func (w *window) add(now time.Time) {
+	w.times[w.next] = now
+	w.next = (w.next + 1) % windowSize
+	w.used = min(w.used+1, windowSize)
+}
+
+// count returns the starts after now minus windowTime.
+func (w *window) count(now time.Time) int {
+	oldest := now.Add(-windowTime)
+	for w.used > 0 {
+		first := (w.next - w.used + windowSize) % windowSize
+		if w.times[first].After(oldest) {
+			break
+		}
+		w.used--
+	}
+	return w.used
+}
--- /dev/null
+++ b/beacon/beacon.go
@@ -0,0 +1,213 @@
+// Package beacon sends the load reports of a guard to the other nodes as datagrams, and receives theirs. A report is only
+// worth anything while it is fresh, so a lost one is not sent again.
+package beacon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+)
+
+const (
+	// maxDatagram bounds a report, which has about 40 bytes.
+	maxDatagram = 512
+	// idlePeriod is the time between two looks at whether reports are to be sent.
+	idlePeriod = 500 * time.Millisecond
+)
+
+// Source gives the report of the node's own guard.
+type Source interface {
+	Instance() string
+	Load() core.LoadReport
+}
+
+// Sink takes the reports of other guards.
+type Sink interface {
+	Report(instance uint64, load core.LoadReport)
+}
+
+// Beacon sends and receives reports.
+type Beacon struct {
+	conn      *net.UDPConn
+	self      string
+	snapshots core.Snapshots
+	source    Source
+	sink      Sink
+	clock     core.Clock
+	interval  time.Duration
+	logger    *zap.Logger
+	done      chan struct{}
+	sequence  uint64
+	// targets are the addresses of the other nodes by the snapshot they were made from.
+	snapshot *core.Snapshot
+	targets  []netip.AddrPort
+	sent     prometheus.Counter
+	received prometheus.Counter
+	failed   prometheus.Counter
+	stopped  atomic.Bool
+}
+
+// Option changes a Beacon.
+type Option func(*Beacon)
+
+// WithLogger sets the logger; the default discards.
+func WithLogger(logger *zap.Logger) Option { return func(b *Beacon) { b.logger = logger } }
+
+// WithRegisterer registers the counters.
+func WithRegisterer(registerer prometheus.Registerer) Option {
+	return func(b *Beacon) { registerer.MustRegister(b.sent, b.received, b.failed) }
+}
+
+// New listens for datagrams on address, an IP:port. Reports go to the addresses of the other nodes in the snapshot, every
+// interval.
+func New(address string, interval time.Duration, snapshots core.Snapshots, source Source, sink Sink, clock core.Clock, opts ...Option) (*Beacon, error) {
+	local, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("address for load reports: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, fmt.Errorf("listen for load reports: %w", err)
+	}
+	b := &Beacon{
+		conn:      conn,
+		self:      address,
+		snapshots: snapshots,
+		source:    source,
+		sink:      sink,
+		clock:     clock,
+		interval:  interval,
+		logger:    zap.NewNop(),
+		done:      make(chan struct{}),
+		sent:      newCounter("verbenareel_beacon_sent_total", "Load reports sent."),
+		received:  newCounter("verbenareel_beacon_received_total", "Load reports received."),
+		failed:    newCounter("verbenareel_beacon_failed_total", "Load reports that could not be sent or understood."),
+	}
+	for _, o := range opts {
+		o(b)
+	}
+	return b, nil
+}
+
+func newCounter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+// Addr returns the address that the beacon listens on.
+func (b *Beacon) Addr() string { return b.conn.LocalAddr().String() }
+
+// Done is closed when Run has returned.
+func (b *Beacon) Done() <-chan struct{} { return b.done }
+
+// Run sends and receives until ctx ends.
+func (b *Beacon) Run(ctx context.Context) error {
+	defer close(b.done)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer func() {
+		b.stopped.Store(true)
+		_ = b.conn.Close()
+	}()
+	group.Go(b.receive)
+	for {
+		wait := b.interval
+		if wait <= 0 {
+			wait = idlePeriod
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.clock.After(wait):
+		}
+		if b.interval > 0 {
+			b.send()
+		}
+	}
+}
+
+// send sends the report of the own guard to each other node.
+func (b *Beacon) send() {
+	targets := b.addresses()
+	if len(targets) == 0 {
+		return
+	}
+	b.sequence++
+	datagram, err := proto.Marshal(schema.LoadReport_builder{
+		Instance: core.InstanceHash(b.source.Instance()),
+		Sequence: b.sequence,
+		Load:     b.source.Load().Message(),
+	}.Build())
+	if err != nil {
+		b.failed.Inc()
+		return
+	}
+	for _, to := range targets {
+		if _, err := b.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+			b.failed.Inc()
+			continue
+		}
+		b.sent.Inc()
+	}
+}
+
+// addresses returns the addresses of the other nodes.
+func (b *Beacon) addresses() []netip.AddrPort {
+	snapshot := b.snapshots.Snapshot()
+	if snapshot == nil || snapshot == b.snapshot {
+		return b.targets
+	}
+	b.snapshot = snapshot
+	b.targets = b.targets[:0]
+	seen := map[string]bool{b.self: true}
+	for name := range snapshot.Document().GetServices() {
+		for _, i := range snapshot.Instances(name) {
+			if seen[i.Address()] || i.State() == schema.InstanceState_INSTANCE_STATE_GONE {
+				continue
+			}
+			seen[i.Address()] = true
+			if address, err := netip.ParseAddrPort(i.Address()); err == nil {
+				b.targets = append(b.targets, address)
+			}
+		}
+	}
+	return b.targets
+}
+
+// receive takes reports until the connection is closed.
+func (b *Beacon) receive() {
+	var buffer [maxDatagram]byte
+	for {
+		n, _, err := b.conn.ReadFromUDPAddrPort(buffer[:])
+		switch {
+		case err == nil:
+			b.take(buffer[:n])
+		case b.stopped.Load() || errors.Is(err, net.ErrClosed):
+			return
+		default:
+			b.failed.Inc()
+			b.logger.Debug("cannot receive a load report", zap.Error(err))
+		}
+	}
+}
+
+func (b *Beacon) take(datagram []byte) {
+	report := &schema.LoadReport{}
+	if err := proto.Unmarshal(datagram, report); err != nil || !report.HasLoad() {
+		b.failed.Inc()
+		return
+	}
+	b.received.Inc()
+	b.sink.Report(report.GetInstance(), core.NewLoadReport(report.GetLoad()))
+}
--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -12,11 +12,13 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/urfave/cli/v3"
 
 	"verbenareel/config"
 	"verbenareel/load"
 	"verbenareel/node"
+	"verbenareel/platform"
 	"verbenareel/trial"
 )
 
@@ -28,7 +30,10 @@
 		Name:  "node",
 		Usage: "run one node beside its backend server",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "TOML settings `FILE` of the node"},
+			&cli.StringFlag{
+				Name: "settings", Aliases: []string{"s"}, Required: true, Sources: cli.EnvVars("VERBENAREEL_CONFIG"),
+				Usage: "TOML settings `FILE` of the node",
+			},
 		},
 		Action: runNode,
 	}
@@ -48,7 +53,15 @@
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
-	n, err := node.New(settings, node.WithLogger(logger))
+	options := []node.Option{node.WithLogger(logger)}
+	if settings.GetAdapter() == config.AdapterStore {
+		adapter, err := platform.New(settings, clockwork.NewRealClock(), logger)
+		if err != nil {
+			return fmt.Errorf("adapter of the platform: %w", err)
+		}
+		options = append(options, node.WithAdapter(adapter))
+	}
+	n, err := node.New(settings, options...)
 	if err != nil {
 		return fmt.Errorf("start the node: %w", err)
 	}
--- a/cmd/verbenareel/main.go
+++ b/cmd/verbenareel/main.go
@@ -57,7 +57,7 @@
 // Unwrap returns the cause.
 func (e *usageError) Unwrap() error { return e.err }
 
-// newLogger returns a logger that writes JSON lines to standard error.
+// newLogger returns a logger that writes JSON lines to standard output, of each message only the first few in a second.
 func newLogger(level string) (*zap.Logger, error) {
 	if level == "" {
 		level = "info"
@@ -69,6 +69,7 @@
 	config := zap.NewProductionConfig()
 	config.Level = zap.NewAtomicLevelAt(parsed)
 	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.OutputPaths = []string{"stdout"}
 	logger, err := config.Build()
 	if err != nil {
 		return nil, fmt.Errorf("build the logger: %w", err)
--- a/config/check.go
+++ b/config/check.go
@@ -19,12 +19,21 @@
 	DefaultMaxBody      = 1 << 20
 	DefaultTicketLife   = 60 * time.Second
 	DefaultOutcomeLife  = 5 * time.Minute
+	DefaultReportAge    = time.Second
 	DefaultRetryRatio   = 0.1
 	DefaultRetryFloor   = 1.0
 	DefaultDrainTimeout = 30 * time.Second
 	DefaultLogLevel     = "info"
 )
 
+// Names of the platforms that a node can read.
+const (
+	// AdapterOwn is the protocol of this project.
+	AdapterOwn = "own"
+	// AdapterStore is a metadata store that is read by key and watched.
+	AdapterStore = "store"
+)
+
 // Ranges of values. They exclude slips of the pen, such as a wrong unit, rather than unusual deployments.
 const (
 	maxSlots       = 10_000
@@ -37,6 +46,11 @@
 	maxTimeout     = 10 * time.Minute
 	maxLife        = 24 * time.Hour
 	maxPath        = 1024
+	maxHost        = 255
+	maxHeader      = 32 << 10
+	maxAttempts    = 100
+	maxWeight      = 1_000_000
+	maxInterval    = time.Minute
 )
 
 // defaultDocument fills in the keys that the text leaves out; present tells whether the text has a key.
@@ -45,6 +59,9 @@
 		defaultService(s, func(key string) bool { return present("services."+name, key) })
 	}
 	for _, r := range document.GetRules() {
+		if r.GetOnce() == schema.Once_ONCE_UNSPECIFIED && !r.GetRepeatable() {
+			r.SetOnce(schema.Once_ONCE_TICKET)
+		}
 		if r.GetPriority() != schema.Priority_PRIORITY_UNSPECIFIED {
 			continue
 		}
@@ -65,6 +82,9 @@
 	if !present("max_body") {
 		s.SetMaxBody(DefaultMaxBody)
 	}
+	if !present("report_age") {
+		s.SetReportAge(durationpb.New(DefaultReportAge))
+	}
 	if !present("retry_ratio") {
 		s.SetRetryRatio(DefaultRetryRatio)
 	}
@@ -86,6 +106,9 @@
 	if !settings.HasDrainTimeout() {
 		settings.SetDrainTimeout(durationpb.New(DefaultDrainTimeout))
 	}
+	if settings.GetAdapter() == "" {
+		settings.SetAdapter(AdapterOwn)
+	}
 }
 
 // checker reports the faults of values.
@@ -168,6 +191,18 @@
 		c.missing("", "rules", "expected a section [[rules]]")
 	}
 	checkRules(c, document)
+	checkLimits(c, document.GetLimits())
+}
+
+func checkLimits(c *checker, l *schema.Limits) {
+	c.number("limits", "max_header", float64(l.GetMaxHeader()), 0, maxHeader)
+	c.number("limits", "max_body", float64(l.GetMaxBody()), 0, maxBody)
+	if l.HasHeaderTimeout() {
+		c.duration("limits", "header_timeout", l.GetHeaderTimeout(), time.Millisecond, maxTimeout)
+	}
+	if l.HasIdleTimeout() {
+		c.duration("limits", "idle_timeout", l.GetIdleTimeout(), time.Millisecond, maxTimeout)
+	}
 }
 
 func checkPlaces(c *checker, places *schema.Places) {
@@ -214,6 +249,12 @@
 	c.number(section, "connections", float64(s.GetConnections()), 1, maxConnections)
 	c.number(section, "max_body", float64(s.GetMaxBody()), 0, maxBody)
 	c.rate(section, "probes_per_second", s.GetProbesPerSecond(), maxRate)
+	c.duration(section, "report_age", s.GetReportAge(), time.Millisecond, maxInterval)
+	c.number(section, "free_resends", float64(s.GetFreeResends()), 0, maxAttempts)
+	c.number(section, "cold_rate", s.GetColdRate(), 0, maxRate)
+	if path := s.GetProbePath(); path != "" && path[0] != '/' {
+		c.report(section, "probe_path", "is %s; expected a path such as \"/health\"", quote([]byte(path)))
+	}
 	c.number(section, "retry_ratio", s.GetRetryRatio(), 0, 1)
 	c.number(section, "retry_floor", s.GetRetryFloor(), 0, maxRate)
 	c.number(section, "hedge_ratio", s.GetHedgeRatio(), 0, 1)
@@ -233,7 +274,7 @@
 // checkRules also reports rules that an earlier rule covers: a rule for calls that may not repeat would have no effect
 // behind one that lets them repeat.
 func checkRules(c *checker, document *schema.Document) {
-	earlier := make(map[[2]string]int)
+	earlier := make(map[ruleKey]int)
 	for i, r := range document.GetRules() {
 		section := fmt.Sprintf("rules[%d]", i+1)
 		checkRule(c, section, r, document.GetServices())
@@ -241,16 +282,22 @@
 			c.report(section, "path", "has no effect: rules[%d] matches each request that this rule matches", n)
 			continue
 		}
-		earlier[[2]string{r.GetMethod(), r.GetPath()}] = i + 1
+		earlier[ruleKey{r.GetHost(), r.GetMethod(), r.GetPath()}] = i + 1
 	}
 }
 
+// ruleKey is what a rule matches.
+type ruleKey struct{ host, method, path string }
+
 // covering returns the number of an earlier rule that matches all that r matches, or 0.
-func covering(earlier map[[2]string]int, r *schema.Rule) int {
+func covering(earlier map[ruleKey]int, r *schema.Rule) int {
 	path := r.GetPath()
 	for end := range min(len(path), maxPath) + 1 {
-		for _, method := range []string{"", r.GetMethod()} {
-			if n := earlier[[2]string{method, path[:end]}]; n > 0 {
+		for _, key := range []ruleKey{
+			{"", "", path[:end]}, {"", r.GetMethod(), path[:end]},
+			{r.GetHost(), "", path[:end]}, {r.GetHost(), r.GetMethod(), path[:end]},
+		} {
+			if n := earlier[key]; n > 0 {
 				return n
 			}
 		}
@@ -268,11 +315,53 @@
 	case r.GetPath()[0] != '/' || len(r.GetPath()) > maxPath:
 		c.report(section, "path", "is %s; expected '/' and at most %d bytes", quote([]byte(r.GetPath())), maxPath)
 	}
+	if host := r.GetHost(); len(host) > maxHost || host != strings.ToLower(host) || strings.ContainsAny(host, ":/ ") {
+		c.report(section, "host", "is %s; expected a host name in lower case without a port", quote([]byte(host)))
+	}
+	if r.HasTimeout() {
+		c.duration(section, "timeout", r.GetTimeout(), time.Millisecond, maxTimeout)
+	}
+	if r.HasTargetLatency() {
+		c.duration(section, "target_latency", r.GetTargetLatency(), time.Millisecond, maxTimeout)
+	}
+	c.number(section, "max_attempts", float64(r.GetMaxAttempts()), 0, maxAttempts)
+	if r.GetRepeatable() && r.GetOnce() != schema.Once_ONCE_UNSPECIFIED {
+		c.report(section, "once", "has no effect on calls that are repeatable")
+	}
+	checkTargets(c, section, r, services)
+}
+
+// checkTargets checks the services that a rule leads to.
+func checkTargets(c *checker, section string, r *schema.Rule, services map[string]*schema.Service) {
 	name := r.GetService()
-	if name == "" {
+	switch {
+	case name != "" && len(r.GetSplit()) > 0:
+		c.report(section, "split", "stands beside service; expected one of them")
+	case name != "":
+		c.known(section, "service", name, services)
+	case len(r.GetSplit()) == 0:
 		c.missing(section, "service", "expected the name of a service")
-	} else if services[name] == nil {
-		c.report(section, "service", "names the unknown service %q%s", name, suggest(name, sortedNames(services)))
+	}
+	if c.rejected[join(section, "split")] || c.partial {
+		return
+	}
+	total := 0.0
+	for _, share := range r.GetSplit() {
+		total += share.GetWeight()
+		c.known(section, "split", share.GetService(), services)
+		if share.GetWeight() < 0 || share.GetWeight() > maxWeight {
+			c.report(section, "split", "has the weight %v; expected 0 to %d", share.GetWeight(), maxWeight)
+		}
+	}
+	if len(r.GetSplit()) > 0 && total <= 0 {
+		c.report(section, "split", "has no weight above 0")
+	}
+}
+
+// known reports a name of a service that the document does not have.
+func (c *checker) known(section, key, name string, services map[string]*schema.Service) {
+	if services[name] == nil {
+		c.report(section, key, "names the unknown service %q%s", name, suggest(name, sortedNames(services)))
 	}
 }
 
@@ -287,6 +376,20 @@
 	c.address("rpc_address", s.GetRpcAddress(), 0, taken)
 	c.address("status_address", s.GetStatusAddress(), 0, taken)
 	c.address("backend_address", s.GetBackendAddress(), 1, taken)
+	if s.GetReadyAddress() != "" {
+		c.address("ready_address", s.GetReadyAddress(), 0, taken)
+	}
+	switch s.GetAdapter() {
+	case AdapterOwn, AdapterStore:
+	default:
+		c.report("", "adapter", "is %s; expected %q or %q", quote([]byte(s.GetAdapter())), AdapterOwn, AdapterStore)
+	}
+	if s.HasReportInterval() {
+		c.duration("", "report_interval", s.GetReportInterval(), 0, maxInterval)
+	}
+	if s.HasListGrace() {
+		c.duration("", "list_grace", s.GetListGrace(), 0, maxInterval)
+	}
 	if s.GetAdvertiseAddress() != "" {
 		c.address("advertise_address", s.GetAdvertiseAddress(), 1, make(map[string]string))
 	}
--- a/config/decode.go
+++ b/config/decode.go
@@ -461,6 +461,7 @@
 // enumPrefixes holds the prefix of the value names of each enumeration of the settings and the document.
 var enumPrefixes = map[protoreflect.FullName]string{
 	schema.Priority(0).Descriptor().FullName(): "PRIORITY_",
+	schema.Once(0).Descriptor().FullName():     "ONCE_",
 }
 
 // enumNames returns the names that a text uses for the values of an enumeration, without the unspecified value 0.
--- a/core/core.go
+++ b/core/core.go
@@ -116,6 +116,13 @@
 	Depth   uint32
 	// Deadline is when the call ends; the backend server is told the time that remains.
 	Deadline time.Time
+	// Instance is the name of the instance that is to run the call, Caller the service of the node at which it began, and
+	// ID the id of the caller's request. Each may be empty.
+	Instance string
+	Caller   string
+	ID       string
+	// Once tells that the call may not be sent again.
+	Once bool
 }
 
 // Result is what came of sending a Request to the backend server.
@@ -126,7 +133,8 @@
 	Code    int
 	Headers []*schema.Header
 	Body    []byte
-	// Reason says why there is no whole response: CONNECT, CONNECTION_LOST, TRUNCATED, DEADLINE, TOO_LARGE or SHED.
+	// Reason says why there is no whole response: CONNECT, CONNECTION_LOST, TRUNCATED, GARBLED, DEADLINE, TOO_LARGE,
+	// WRONG_INSTANCE or SHED.
 	Reason schema.Reason
 	// Report is the load report of the backend server, if the response carried one.
 	Report *ServerReport
@@ -134,15 +142,6 @@
 	Reset bool
 }
 
-// ServerReport is what a backend server says of itself. It may lag or mislead.
-type ServerReport struct {
-	InFlight    int
-	Limit       int
-	Cold        bool
-	Draining    bool
-	Incarnation uint64
-}
-
 // Backend sends calls to the backend server of a guard.
 type Backend interface {
 	// Send writes the request, unless its deadline has passed when the first byte is due, and reads the whole
@@ -153,8 +152,9 @@
 	Probe(ctx context.Context) (*ServerReport, error)
 	// Connect checks that a new connection can be opened.
 	Connect(ctx context.Context) error
-	// Configure sets the bounds on open connections and on bodies in bytes.
-	Configure(connections, maxBody int)
+	// Configure sets the bounds on open connections and on bodies in bytes, and the path of a probe; an empty path stands
+	// for that of the wire format.
+	Configure(connections, maxBody int, probePath string)
 }
 
 // Snapshots gives the configuration and members in force.
@@ -171,6 +171,18 @@
 	Members(ctx context.Context) ([]*schema.Member, error)
 }
 
+// Adapter is a Platform of another kind than that of this project, with the formats that come with it.
+type Adapter interface {
+	Platform
+	// Wire returns the format in which callers and backend servers speak.
+	Wire() *Wire
+	// Parse returns the document of a text that Document gave, with its defaults, or its faults. It is a pure function of
+	// the text and the settings.
+	Parse(text []byte) (*schema.Document, error)
+	// Close closes the connections to the platform.
+	Close()
+}
+
 // OutcomeStore is the ticket table of one guard: it lets each ticket run at most once and keeps its outcome.
 // Its methods are called under the owner's lock.
 type OutcomeStore interface {
@@ -232,27 +244,8 @@
 	Depth uint32
 	// Ticket is the decoded ticket, or nil.
 	Ticket *schema.Ticket
+	// Host is the host that the caller asked for, without its port.
+	Host string
+	// ID is the id of the request, or empty.
+	ID string
 }
-
-// HTTP header fields between callers, nodes and backend servers.
-const (
-	// HeaderTicket carries the ticket of a call that may not repeat.
-	HeaderTicket = "Verbenareel-Ticket"
-	// HeaderNextTicket carries a ticket for the caller's next call.
-	HeaderNextTicket = "Verbenareel-Next-Ticket"
-	// HeaderOutcome gives the outcome of a call without an answer: "not-run; reason=busy".
-	HeaderOutcome = "Verbenareel-Outcome"
-	// HeaderTimeout is the time that remains for a call in milliseconds.
-	HeaderTimeout = "Verbenareel-Timeout"
-	// HeaderDepth is the layer of a call.
-	HeaderDepth = "Verbenareel-Depth"
-	// HeaderRetried marks a refusal from deeper in the chain; routers do not retry it.
-	HeaderRetried = "Verbenareel-Retried"
-	// HeaderNotRun marks a response of a backend server that shed the call.
-	HeaderNotRun = "Verbenareel-Not-Run"
-	// HeaderLoad is the load report of a backend server.
-	HeaderLoad = "Verbenareel-Load"
-)
-
-// ProbePath is the path at which a backend server answers a probe.
-const ProbePath = "/verbenareel/load"
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -1,10 +1,13 @@
 package core
 
 import (
+	"math"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenareel/schema"
 )
 
@@ -18,6 +21,12 @@
 	state       schema.InstanceState
 }
 
+// WithListed sets the time as of which the platform's list is known. It is called before the snapshot is published.
+func (s *Snapshot) WithListed(at time.Time) *Snapshot {
+	s.listed = at
+	return s
+}
+
 // NewInstance returns an instance from a member record and its state in force.
 func NewInstance(member *schema.Member, state schema.InstanceState) *Instance {
 	return &Instance{
@@ -48,8 +57,11 @@
 // State returns the worst state that the document, the platform's list and the node itself give.
 func (i *Instance) State() schema.InstanceState { return i.state }
 
-// Eligible reports whether the instance may receive new work.
+// Eligible reports whether the instance may receive new work. A nil instance may not.
 func (i *Instance) Eligible() bool {
+	if i == nil {
+		return false
+	}
 	return i.state == schema.InstanceState_INSTANCE_STATE_SERVING || i.state == schema.InstanceState_INSTANCE_STATE_COLD
 }
 
@@ -59,13 +71,19 @@
 	document  *schema.Document
 	instances map[string]*Instance
 	services  map[string][]*Instance
+	rules     map[string][]*schema.Rule
+	listed    time.Time
 }
 
+// anyHost is the host of a rule that matches each host.
+const anyHost = ""
+
 // NewSnapshot returns the snapshot of an accepted document and the known members.
 func NewSnapshot(revision uint64, document *schema.Document, members []*schema.Member) *Snapshot {
 	s := &Snapshot{
 		revision:  revision,
 		document:  document,
+		rules:     rulesByHost(document),
 		instances: make(map[string]*Instance, len(members)),
 		services:  make(map[string][]*Instance),
 	}
@@ -100,8 +118,13 @@
 // Revision returns the platform's revision of the document.
 func (s *Snapshot) Revision() uint64 { return s.revision }
 
-// Document returns the accepted document; it is not to be changed.
-func (s *Snapshot) Document() *schema.Document { return s.document }
+// Document returns the accepted document, which is not to be changed, or nil for a nil snapshot.
+func (s *Snapshot) Document() *schema.Document {
+	if s == nil {
+		return nil
+	}
+	return s.document
+}
 
 // Service returns the settings of a service, or nil.
 func (s *Snapshot) Service(name string) *schema.Service { return s.document.GetServices()[name] }
@@ -112,9 +135,13 @@
 // Instances returns the instances of a service in order of name, in each state; the slice is not to be changed.
 func (s *Snapshot) Instances(service string) []*Instance { return s.services[service] }
 
-// Route returns the first rule that matches a request, or nil.
-func (s *Snapshot) Route(method, path string) *schema.Rule {
-	for _, r := range s.document.GetRules() {
+// Route returns the first rule that matches a request, or nil. The host is in lower case and without a port.
+func (s *Snapshot) Route(method, host, path string) *schema.Rule {
+	rules, ok := s.rules[host]
+	if !ok {
+		rules = s.rules[anyHost]
+	}
+	for _, r := range rules {
 		if r.GetMethod() != "" && r.GetMethod() != method {
 			continue
 		}
@@ -125,6 +152,32 @@
 	return nil
 }
 
+// rulesByHost returns the rules that match each host that the document names, and those that match all other hosts.
+func rulesByHost(document *schema.Document) map[string][]*schema.Rule {
+	rules := make(map[string][]*schema.Rule)
+	for _, r := range document.GetRules() {
+		rules[r.GetHost()] = nil
+	}
+	for _, r := range document.GetRules() {
+		if r.GetHost() != anyHost {
+			rules[r.GetHost()] = append(rules[r.GetHost()], r)
+			continue
+		}
+		for host := range rules {
+			rules[host] = append(rules[host], r)
+		}
+	}
+	return rules
+}
+
+// Listed returns the time as of which the platform's list is known, or the zero time.
+func (s *Snapshot) Listed() time.Time {
+	if s == nil {
+		return time.Time{}
+	}
+	return s.listed
+}
+
 // Delay returns the network round trip between two failure domains by the document.
 func (s *Snapshot) Delay(from, to string) time.Duration {
 	if from == to {
@@ -140,6 +193,9 @@
 	return 2 * region.GetRemoteDelay().AsDuration()
 }
 
+// InstanceHash returns the number that stands for an instance in load reports.
+func InstanceHash(name string) uint64 { return xxhash.Sum64String(name) }
+
 // LoadReport is the guard's measurement of its backend server as a plain value.
 type LoadReport struct {
 	InFlight    int
@@ -150,6 +206,8 @@
 	State       schema.InstanceState
 	Revision    uint64
 	Incarnation uint64
+	// Pace is the time that work takes now relative to the usual time; 0 if it is not known.
+	Pace float64
 }
 
 // NewLoadReport returns the plain value of a message; a nil message gives the zero report.
@@ -163,6 +221,7 @@
 		State:       load.GetState(),
 		Revision:    load.GetRevision(),
 		Incarnation: load.GetIncarnation(),
+		Pace:        float64(load.GetPacePercent()) / 100,
 	}
 }
 
@@ -177,5 +236,6 @@
 		State:           r.State,
 		Revision:        r.Revision,
 		Incarnation:     r.Incarnation,
+		PacePercent:     uint32(math.Round(r.Pace * 100)),
 	}.Build()
 }
--- a/guard/call.go
+++ b/guard/call.go
@@ -19,7 +19,7 @@
 	// message is the request as the backend client sends it.
 	message core.Request
 	// ctx is passed to the backend client; cancel signals cancellation to the backend server. cancel is nil for a call
-	// with a ticket, which runs to its end.
+	// that may not be sent again, which runs to its end.
 	ctx    context.Context
 	cancel context.CancelFunc
 	// index is the position in Guard.running, and sampled tells that the age of the call was observed as a latency.
@@ -43,7 +43,7 @@
 		Deadline:   now.Add(timeout),
 		Owner:      c,
 	}
-	if request.HasTicket() {
+	if request.HasTicket() || request.GetOnce() {
 		c.ctx = context.Background()
 		return c
 	}
@@ -77,7 +77,7 @@
 	if snapshot == nil {
 		return timeout
 	}
-	if bound := snapshot.Service(g.self.GetService()).GetTimeout().AsDuration(); bound > 0 {
+	if bound := snapshot.Service(g.own().GetService()).GetTimeout().AsDuration(); bound > 0 {
 		return min(timeout, bound)
 	}
 	return timeout
@@ -188,11 +188,11 @@
 func (g *Guard) check(c *call, snapshot *core.Snapshot) schema.Reason {
 	r := c.request
 	switch {
-	case r.GetInstance() != g.self.GetInstance() || r.GetService() != g.self.GetService():
+	case r.GetInstance() != g.own().GetInstance() || r.GetService() != g.own().GetService():
 		return schema.Reason_REASON_WRONG_INSTANCE
 	case r.GetDepth() > core.MaxDepth:
 		return schema.Reason_REASON_DEPTH
-	case !r.GetRepeatable() && !r.HasTicket():
+	case !r.GetRepeatable() && !r.HasTicket() && !r.GetOnce():
 		return schema.Reason_REASON_TICKET_REQUIRED
 	case tooLarge(r, snapshot):
 		return schema.Reason_REASON_TOO_LARGE
@@ -268,7 +268,7 @@
 	reason := g.controller.Closed()
 	load := g.load(now)
 	g.mu.Unlock()
-	if request.GetInstance() != g.self.GetInstance() || request.GetService() != g.self.GetService() {
+	if request.GetInstance() != g.own().GetInstance() || request.GetService() != g.own().GetService() {
 		reason = schema.Reason_REASON_WRONG_INSTANCE
 	}
 	var ticket *schema.Ticket
@@ -281,7 +281,7 @@
 func (g *Guard) issue(now time.Time) (*schema.Ticket, schema.Reason) {
 	g.tickets.Lock()
 	defer g.tickets.Unlock()
-	return g.store.Issue(now, g.self.GetService())
+	return g.store.Issue(now, g.own().GetService())
 }
 
 // Supersede implements core.Executor.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -21,7 +21,10 @@
 
 // Guard implements core.Executor.
 type Guard struct {
-	self      *schema.Member
+	// self is the record of the instance; it changes when another backend server takes the place of the one before.
+	self      atomic.Pointer[schema.Member]
+	identify  func(instance string)
+	listCheck func()
 	snapshots core.Snapshots
 	backend   core.Backend
 	clock     core.Clock
@@ -46,6 +49,7 @@
 	limiter    core.Limiter
 	server     server
 	crash      crash
+	coldRate   float64
 	running    []*call
 	unsettled  int
 	applied    *core.Snapshot
@@ -84,14 +88,23 @@
 	return func(g *Guard) { g.recheck = recheck }
 }
 
+// WithIdentify sets the function that is told the name of the backend server when a probe gives another one.
+func WithIdentify(identify func(instance string)) Option {
+	return func(g *Guard) { g.identify = identify }
+}
+
+// WithListCheck sets the function that asks for a read of the platform's list. With it, the list decides whether a backend
+// server that says so is leaving; by default its word counts.
+func WithListCheck(check func()) Option { return func(g *Guard) { g.listCheck = check } }
+
 // WithLimiter replaces the adaptive limiter.
 func WithLimiter(limiter core.Limiter) Option { return func(g *Guard) { g.limiter = limiter } }
 
 // New returns the guard of the backend server of self, at the cold limit.
 func New(self *schema.Member, snapshots core.Snapshots, backend core.Backend, store core.OutcomeStore, clock core.Clock, opts ...Option) *Guard {
 	g := &Guard{
-		self:      self,
 		snapshots: snapshots,
+		identify:  func(string) {},
 		backend:   backend,
 		clock:     clock,
 		store:     store,
@@ -102,6 +115,7 @@
 		done:      make(chan struct{}),
 		attempts:  make(map[uint64]*call),
 	}
+	g.self.Store(self)
 	g.limiter = limit.NewAdaptive(g.epoch, limit.Bounds{})
 	for _, o := range opts {
 		o(g)
@@ -146,10 +160,17 @@
 		FailureRate: g.server.failures,
 		State:       g.state(now),
 		Revision:    g.revision(),
-		Incarnation: g.self.GetIncarnation(),
+		Incarnation: g.own().GetIncarnation(),
+		Pace:        float64(g.server.pace) / 100,
 	}
 }
 
+// own returns the record of the instance.
+func (g *Guard) own() *schema.Member { return g.self.Load() }
+
+// Instance returns the name of the instance.
+func (g *Guard) Instance() string { return g.own().GetInstance() }
+
 func (g *Guard) revision() uint64 {
 	if g.applied == nil {
 		return 0
@@ -169,7 +190,7 @@
 	default:
 		return schema.InstanceState_INSTANCE_STATE_COLD
 	}
-	if !g.warm(now) {
+	if !g.warm(now) || g.coldRated(now) {
 		return schema.InstanceState_INSTANCE_STATE_COLD
 	}
 	return schema.InstanceState_INSTANCE_STATE_SERVING
@@ -218,6 +239,7 @@
 	if snapshot := g.snapshots.Snapshot(); snapshot != g.applied {
 		g.apply(snapshot)
 	}
+	g.controller.SetRate(g.startRate(now))
 	reason := g.closedReason(now)
 	switch closed := g.controller.Closed(); {
 	case reason == closed:
@@ -234,15 +256,16 @@
 // apply takes the settings of the service from a snapshot.
 func (g *Guard) apply(snapshot *core.Snapshot) {
 	g.applied = snapshot
-	g.ineligible = ineligible(g.self, snapshot)
-	service := snapshot.Service(g.self.GetService())
+	g.ineligible = ineligible(g.own(), snapshot)
+	service := snapshot.Service(g.own().GetService())
 	if service == nil {
 		return
 	}
 	g.controller.SetCapacity(int(service.GetQueue()))
-	g.probes.configure(service.GetProbesPerSecond())
+	g.probes.configure(service.GetProbesPerSecond(), service.GetReportAge().AsDuration())
+	g.coldRate = service.GetColdRate()
 	if service.GetConnections() > 0 && service.GetMaxBody() > 0 {
-		g.backend.Configure(int(service.GetConnections()), int(service.GetMaxBody()))
+		g.backend.Configure(int(service.GetConnections()), int(service.GetMaxBody()), service.GetProbePath())
 	}
 	g.tickets.Lock()
 	g.store.Configure(service.GetTicketLife().AsDuration(), service.GetOutcomeLife().AsDuration())
@@ -252,6 +275,7 @@
 			Cold:     int(service.GetColdLimit()),
 			Slots:    int(service.GetSlots()),
 			WarmTime: service.GetWarmTime().AsDuration(),
+			Fixed:    service.GetFixedLimit(),
 		})
 	}
 }
@@ -259,7 +283,7 @@
 // closedReason returns why the guard accepts no work, or REASON_NONE.
 func (g *Guard) closedReason(now time.Time) schema.Reason {
 	switch {
-	case g.draining || now.Before(g.server.drainingUntil):
+	case g.draining || now.Before(g.server.drainingUntil) && !g.contradicted():
 		return schema.Reason_REASON_LEAVING
 	case g.ineligible != schema.Reason_REASON_NONE:
 		return g.ineligible
@@ -271,6 +295,30 @@
 	return schema.Reason_REASON_NONE
 }
 
+// contradicted reports whether the platform's list, read after the backend server first said that it is leaving, still
+// names it as serving. A list that decides is worth more than a health check.
+func (g *Guard) contradicted() bool {
+	if g.listCheck == nil || g.applied == nil || g.server.drainingSince.IsZero() {
+		return false
+	}
+	instance := g.applied.Instance(g.own().GetInstance())
+	return instance.Eligible() && g.applied.Listed().After(g.server.drainingSince.Add(listDelay))
+}
+
+// startRate returns the calls a second that the backend server can begin now, or 0 for any number.
+func (g *Guard) startRate(now time.Time) float64 {
+	if g.coldRated(now) {
+		return g.coldRate
+	}
+	return 0
+}
+
+// coldRated reports whether the calls a second are bounded since the backend server is in cold start, or since it has not
+// said yet that it is not.
+func (g *Guard) coldRated(now time.Time) bool {
+	return g.coldRate > 0 && (!g.server.stateKnown || now.Before(g.server.coldUntil))
+}
+
 // ineligible returns why an instance may receive no new work by a snapshot, or REASON_NONE.
 func ineligible(self *schema.Member, snapshot *core.Snapshot) schema.Reason {
 	if snapshot == nil || snapshot.Service(self.GetService()) == nil {
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -92,7 +92,7 @@
 	return b.report, b.Connect(ctx)
 }
 
-func (*backend) Configure(int, int) {}
+func (*backend) Configure(int, int, string) {}
 
 func (b *backend) Connect(context.Context) error {
 	b.mu.Lock()
--- a/guard/run.go
+++ b/guard/run.go
@@ -20,6 +20,8 @@
 	// drainingTime is how long a report of a draining backend server holds. Without a limit, one misleading report
 	// would keep the instance out of use until the next probe.
 	drainingTime = 2 * time.Second
+	// listDelay is how long a change of a backend server may take until the platform's list shows it.
+	listDelay = 300 * time.Millisecond
 	// resetWindow and resetCount define several resets together.
 	resetWindow = 100 * time.Millisecond
 	resetCount  = 2
@@ -36,9 +38,18 @@
 	cold          bool
 	incarnation   uint64
 	drainingUntil time.Time
-	reported      time.Time
-	reset         time.Time
-	resets        int
+	// drainingSince is the first of the reports in a row that said that it is leaving.
+	drainingSince time.Time
+	// listAsked is when the platform's list was last asked for.
+	listAsked time.Time
+	reported  time.Time
+	// stateKnown tells that its state was reported since its last start, and coldUntil how long it stays cold.
+	stateKnown bool
+	coldUntil  time.Time
+	// pace is the time that work takes in hundredths of the usual time; 0 if it is not known.
+	pace   int
+	reset  time.Time
+	resets int
 	// answered is the latest start of a call that was answered.
 	answered time.Time
 	// down tells that no connection can be opened. doubted asks the next tick to try one.
@@ -96,6 +107,10 @@
 		Body:     r.GetBody(),
 		Depth:    r.GetDepth(),
 		Deadline: c.admit.Deadline,
+		Instance: r.GetInstance(),
+		Caller:   r.GetCaller(),
+		ID:       r.GetRequestId(),
+		Once:     r.GetOnce(),
 	}
 	if sent := g.backend.Send(c.ctx, &c.message); sent != nil {
 		result = sent
@@ -122,7 +137,7 @@
 	if crashes > 0 && !c.admit.Alone {
 		return schema.Reason_REASON_SUSPECT
 	}
-	return ineligible(g.self, g.snapshots.Snapshot())
+	return ineligible(g.own(), g.snapshots.Snapshot())
 }
 
 // abandon ends a call of which nothing was sent.
@@ -169,8 +184,8 @@
 // outcome returns what the result of sending a call means for its caller.
 func outcome(result *core.Result) *schema.ExecuteReply {
 	switch {
-	case result.Reason == schema.Reason_REASON_SHED:
-		return core.NotRun(schema.Reason_REASON_SHED)
+	case result.Reason == schema.Reason_REASON_SHED, result.Reason == schema.Reason_REASON_WRONG_INSTANCE:
+		return core.NotRun(result.Reason)
 	case result.Code != 0:
 		return schema.ExecuteReply_builder{
 			Status:  schema.Status_STATUS_ANSWERED,
@@ -262,8 +277,15 @@
 // cold during the whole of its ramp; the first such report starts the ramp of the limiter, and the following ones
 // restart it only if it has ended.
 func (g *Guard) report(now time.Time, report *core.ServerReport) {
-	g.server.reported = now
 	g.limiter.Bound(now, report.Limit)
+	g.server.pace = report.Pace
+	if !report.HasState {
+		return
+	}
+	g.server.reported = now
+	if report.Instance != "" && report.Instance != g.own().GetInstance() {
+		g.replaced(now, report.Instance)
+	}
 	restarted := report.Incarnation != 0 && g.server.incarnation != 0 && report.Incarnation != g.server.incarnation
 	if report.Incarnation != 0 {
 		g.server.incarnation = report.Incarnation
@@ -272,9 +294,47 @@
 		g.cool(now, "report of the backend server")
 	}
 	g.server.cold = report.Cold
-	g.server.drainingUntil = time.Time{}
-	if report.Draining {
-		g.server.drainingUntil = now.Add(drainingTime)
+	g.reportCold(now, report)
+	g.reportDraining(now, report.Draining)
+}
+
+// replaced takes the name of a backend server that has taken the place of the one before. Nothing is known of it.
+func (g *Guard) replaced(now time.Time, instance string) {
+	old := g.own()
+	g.logger.Info("another backend server", zap.String("instance", instance), zap.String("before", old.GetInstance()))
+	g.self.Store(schema.Member_builder{
+		Instance: instance, Service: old.GetService(), Domain: old.GetDomain(), Address: old.GetAddress(),
+		Incarnation: old.GetIncarnation(), Version: old.GetVersion(), State: old.GetState(),
+	}.Build())
+	g.ineligible = ineligible(g.own(), g.applied)
+	g.cool(now, "another backend server")
+	g.identify(instance)
+}
+
+// reportCold takes over how long the backend server stays cold.
+func (g *Guard) reportCold(now time.Time, report *core.ServerReport) {
+	g.server.stateKnown = true
+	g.server.coldUntil = time.Time{}
+	if report.Cold {
+		g.server.coldUntil = now.Add(max(report.ColdFor, drainingTime))
+	}
+}
+
+// reportDraining takes over whether the backend server says that it is leaving. At the first such report the platform's
+// list is asked for.
+func (g *Guard) reportDraining(now time.Time, draining bool) {
+	if !draining {
+		g.server.drainingUntil, g.server.drainingSince = time.Time{}, time.Time{}
+		return
+	}
+	if g.server.drainingSince.IsZero() {
+		g.server.drainingSince = now
+		g.logger.Info("backend server says that it is leaving or unhealthy", zap.String("instance", g.own().GetInstance()))
+	}
+	g.server.drainingUntil = now.Add(drainingTime)
+	if g.listCheck != nil && !g.applied.Listed().After(g.server.drainingSince.Add(listDelay)) && now.Sub(g.server.listAsked) >= listDelay {
+		g.server.listAsked = now
+		g.listCheck()
 	}
 }
 
@@ -297,6 +357,7 @@
 }
 
 func (g *Guard) cool(now time.Time, cause string) {
-	g.logger.Debug("returning to the cold limit", zap.String("cause", cause))
+	g.logger.Info("treating the backend server as cold", zap.String("cause", cause))
+	g.server.stateKnown = false
 	g.limiter.Cool(now)
 }
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -13,13 +14,14 @@
 )
 
 const (
+	// tickInterval is the longest time between two ticks; a shorter report age shortens it.
 	tickInterval = 100 * time.Millisecond
 	// maxGap is the time without a tick that means a pause of the process.
 	maxGap = 500 * time.Millisecond
 	// checkTimeout bounds a probe or a connect to the backend server.
 	checkTimeout = time.Second
-	// reportAge is the age of the last report at which a probe is worth its cost; responses carry reports too.
-	reportAge = time.Second
+	// defaultReportAge is the age of the last report at which a probe is worth its cost if the document gives none.
+	defaultReportAge = time.Second
 	// minBackoff and maxBackoff bound the time between attempts to connect to a server that is down.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
@@ -42,13 +44,16 @@
 
 // probes is the probe budget.
 type probes struct {
-	rate    float64
+	rate float64
+	// age is that of the last report at which a probe is due.
+	age     time.Duration
 	bucket  *budget.Bucket
 	running bool
 }
 
 // configure sets the rate. The bucket never holds more than one token, and a new one is empty.
-func (p *probes) configure(rate float64) {
+func (p *probes) configure(rate float64, age time.Duration) {
+	p.age = cmp.Or(age, defaultReportAge)
 	if p.bucket != nil && rate == p.rate {
 		return
 	}
@@ -69,12 +74,22 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-g.clock.After(tickInterval):
+		case <-g.clock.After(g.tickWait()):
 		}
 		g.tick(ctx, &checks)
 	}
 }
 
+// tickWait returns the time between two ticks.
+func (g *Guard) tickWait() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.probes.age <= 0 {
+		return tickInterval
+	}
+	return min(tickInterval, g.probes.age)
+}
+
 func (g *Guard) tick(ctx context.Context, checks *conc.WaitGroup) {
 	g.tickets.Lock()
 	g.store.Expire(g.clock.Now())
@@ -93,7 +108,7 @@
 		g.startRecheck(ctx, now, checks)
 	case g.server.doubted || g.server.down:
 		g.startConnect(ctx, now, checks)
-	case now.Sub(g.server.reported) >= reportAge && g.probes.take(now):
+	case now.Sub(g.server.reported) >= g.probes.age && g.probes.take(now):
 		g.probes.running = true
 		checks.Go(func() { _ = g.probe(ctx) })
 	}
@@ -255,6 +270,7 @@
 
 // serverDown records that no connection can be opened; calls are refused until one can.
 func (g *Guard) serverDown(now time.Time, err error) {
+	g.server.stateKnown = false
 	if !g.server.down {
 		g.logger.Warn("backend server is down", zap.Error(err))
 	}
--- /dev/null
+++ b/io/answer.go
@@ -0,0 +1,160 @@
+package io
+
+import (
+	"bufio"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"verbenareel/core"
+	"verbenareel/schema"
+	"verbenareel/ticket"
+)
+
+const (
+	// defaultRetryAfter is how long a caller waits after a refusal for lack of room if the router gives no time.
+	defaultRetryAfter = time.Second
+	textPlain         = "text/plain; charset=utf-8"
+)
+
+// response is what a session writes to its caller.
+type response struct {
+	code    int
+	headers []*schema.Header
+	body    []byte
+	// bare tells that the body is left out: the request was a HEAD.
+	bare  bool
+	close bool
+}
+
+func (r *response) add(name, value string) {
+	if name != "" {
+		r.headers = append(r.headers, schema.Header_builder{Name: name, Value: []byte(value)}.Build())
+	}
+}
+
+// write writes the response. Errors are kept by the writer.
+func (r *response) write(w *bufio.Writer) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n", r.code, fasthttp.StatusMessage(r.code))
+	for _, h := range r.headers {
+		_, _ = w.WriteString(h.GetName())
+		_, _ = w.WriteString(": ")
+		_, _ = w.Write(h.GetValue())
+		_, _ = w.WriteString("\r\n")
+	}
+	if r.close {
+		_, _ = w.WriteString("Connection: close\r\n")
+	}
+	if hasBody(r.code) && !r.bare {
+		_, _ = fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", len(r.body))
+		_, _ = w.Write(r.body)
+		return
+	}
+	_, _ = w.WriteString("\r\n")
+}
+
+// hasBody reports whether responses with a status code have a body.
+func hasBody(code int) bool {
+	return code >= fasthttp.StatusOK && code != fasthttp.StatusNoContent && code != fasthttp.StatusNotModified
+}
+
+// newResponse returns the response to a call.
+func newResponse(w *core.Wire, call *core.Call, reply *schema.ExecuteReply) *response {
+	r := &response{bare: call.Method == fasthttp.MethodHead}
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED {
+		r.setAnswer(w, reply)
+	} else {
+		r.add(w.RequestID, call.ID)
+		r.setOutcome(w, reply, "")
+	}
+	if reply.GetNextTicket() != nil {
+		r.add(w.NextTicket, ticket.Encode(reply.GetNextTicket()))
+	}
+	if reply.GetRetried() {
+		r.add(w.Retried, "1")
+	}
+	return r
+}
+
+// newRefusal returns the response to a request that did not become a call; code 0 stands for the code of the reason.
+func newRefusal(w *core.Wire, reason schema.Reason, code int, err error) *response {
+	r := &response{}
+	r.setOutcome(w, core.NotRun(reason), err.Error())
+	if code != 0 {
+		r.code = code
+	}
+	return r
+}
+
+// setAnswer takes the response of the backend server as it came, but for the fields by which a node tells the outcome: a
+// server that copies them from the response to a nested call would make its caller misjudge its own call.
+func (r *response) setAnswer(w *core.Wire, reply *schema.ExecuteReply) {
+	r.code = int(reply.GetCode())
+	r.body = reply.GetBody()
+	for _, h := range reply.GetHeaders() {
+		if !w.IsOutcomeField(h.GetName()) {
+			r.headers = append(r.headers, h)
+		}
+	}
+}
+
+// setOutcome makes a response for a call without an answer.
+func (r *response) setOutcome(w *core.Wire, reply *schema.ExecuteReply, detail string) {
+	status, reason := reply.GetStatus(), reply.GetReason()
+	name := core.ReasonName(reason)
+	r.code = outcomeCode(status, reason)
+	r.add(w.Outcome, core.StatusName(status)+"; reason="+name)
+	r.add(fasthttp.HeaderContentType, textPlain)
+	if after := retryAfter(reply); after > 0 {
+		r.add(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	}
+	text := core.StatusName(status) + ": " + name
+	if detail != "" {
+		text += ": " + strings.ReplaceAll(detail, "\n", " ")
+	}
+	r.body = []byte(text + "\n")
+}
+
+// retryAfter returns the time after which the caller of a call that did not run may try again, or 0.
+func retryAfter(reply *schema.ExecuteReply) time.Duration {
+	if reply.GetStatus() != schema.Status_STATUS_NOT_RUN {
+		return 0
+	}
+	if after := reply.GetRetryAfterUs(); after > 0 {
+		return (time.Duration(after) * time.Microsecond).Round(time.Millisecond)
+	}
+	if reason := reply.GetReason(); reason == schema.Reason_REASON_BUSY || reason == schema.Reason_REASON_PREEMPTED {
+		return defaultRetryAfter
+	}
+	return 0
+}
+
+// notRunCodes gives the HTTP status codes of calls that did not run; others are 503.
+var notRunCodes = map[schema.Reason]int{
+	schema.Reason_REASON_RETRY_BUDGET:    fasthttp.StatusTooManyRequests,
+	schema.Reason_REASON_TICKET_REQUIRED: fasthttp.StatusPreconditionRequired,
+	schema.Reason_REASON_TICKET_INVALID:  fasthttp.StatusBadRequest,
+	schema.Reason_REASON_TICKET_MISMATCH: fasthttp.StatusUnprocessableEntity,
+	schema.Reason_REASON_TICKET_CLOSED:   fasthttp.StatusConflict,
+	schema.Reason_REASON_MALFORMED:       fasthttp.StatusBadRequest,
+	schema.Reason_REASON_DEPTH:           fasthttp.StatusBadRequest,
+	schema.Reason_REASON_NO_RULE:         fasthttp.StatusNotFound,
+	schema.Reason_REASON_TOO_LARGE:       fasthttp.StatusRequestEntityTooLarge,
+}
+
+// outcomeCode returns the HTTP status code of a call without an answer.
+func outcomeCode(status schema.Status, reason schema.Reason) int {
+	if status == schema.Status_STATUS_NOT_RUN {
+		if code, ok := notRunCodes[reason]; ok {
+			return code
+		}
+		return fasthttp.StatusServiceUnavailable
+	}
+	if reason == schema.Reason_REASON_DEADLINE || reason == schema.Reason_REASON_CONNECTION_SILENT {
+		return fasthttp.StatusGatewayTimeout
+	}
+	return fasthttp.StatusBadGateway
+}
--- a/io/backend.go
+++ b/io/backend.go
@@ -1,10 +1,12 @@
 package io
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +30,14 @@
 	unackedTime = time.Second
 	// minStall is the shortest time without a response after which idle connections are no longer trusted.
 	minStall = 250 * time.Millisecond
-	// maxInterim bounds the informational responses before the final one.
+	// cancelGrace is how long a cancelled request waits for the end of its connection. Most servers drop the request then.
+	cancelGrace = 250 * time.Millisecond
+	// onceIdle is how long a connection may have been idle for a request that may not be sent again: the server may close
+	// it, or a device on the path forget it, at the moment at which it is used.
+	onceIdle = time.Second
+	// shortBody is the length up to which a body fits into the buffers of a connection.
+	shortBody = 2 << 10
+	// maxInterim bounds the responses before that to the request: informational ones, and those to other requests.
 	maxInterim = 16
 	// noLength is what fasthttp gives for a response with neither a length nor chunked framing.
 	noLength = -2
@@ -54,6 +63,7 @@
 	once    sync.Once
 	// bodyLimit bounds a response body in bytes.
 	bodyLimit atomic.Int64
+	probePath atomic.Pointer[string]
 
 	mutex sync.Mutex
 	idle  []*backendConn
@@ -72,6 +82,7 @@
 		open:    make(map[*backendConn]struct{}),
 	}
 	b.bodyLimit.Store(int64(o.maxBody))
+	b.probePath.Store(&o.wire.ProbePath)
 	b.stopped, b.stop = context.WithCancel(context.Background())
 	b.group.Go(b.sweep)
 	return b
@@ -132,16 +143,39 @@
 
 // Probe implements core.Backend.
 func (b *Backend) Probe(ctx context.Context) (*core.ServerReport, error) {
-	result := b.Send(ctx, &core.Request{Method: fasthttp.MethodGet, URI: core.ProbePath})
+	result := b.Send(ctx, &core.Request{Method: fasthttp.MethodGet, URI: *b.probePath.Load()})
 	switch {
 	case result.Code == 0:
 		return nil, fmt.Errorf("probe %s: %s", b.address, core.ReasonName(result.Reason))
 	case result.Report == nil:
 		return nil, fmt.Errorf("probe %s: code %d: %w", b.address, result.Code, errNoReport)
 	}
+	if b.wire.Instance != "" {
+		b.completeReport(result)
+	}
 	return result.Report, nil
 }
 
+// completeReport adds what the response to a probe tells by its code and by fields of its own: an unhealthy server is
+// leaving or fails.
+func (b *Backend) completeReport(result *core.Result) {
+	r := result.Report
+	r.Draining = result.Code != fasthttp.StatusOK
+	r.HasState = result.Reason != schema.Reason_REASON_SHED
+	for _, h := range result.Headers {
+		switch {
+		case strings.EqualFold(h.GetName(), b.wire.Instance):
+			r.Instance = string(h.GetValue())
+		case strings.EqualFold(h.GetName(), b.wire.ColdTime):
+			left := 0
+			if core.ParseCount(string(h.GetValue()), &left) {
+				r.ColdFor = time.Duration(left) * time.Millisecond
+				r.Cold = left > 0
+			}
+		}
+	}
+}
+
 // Send implements core.Backend. A zero Deadline means none. Besides the reasons of core.Result it gives CANCELLED if ctx
 // was cancelled before the first byte.
 func (b *Backend) Send(ctx context.Context, request *core.Request) *core.Result {
@@ -149,7 +183,7 @@
 		return b.fail(&core.Result{Reason: endReason(ctx)})
 	}
 	defer b.slots.release()
-	c, err := b.acquire(ctx)
+	c, err := b.acquire(ctx, request.Once)
 	if c != nil && ctx.Err() != nil {
 		c.reusable = true
 		b.release(c)
@@ -166,8 +200,11 @@
 	return b.fail(result)
 }
 
-// Configure sets the bounds on open connections and on bodies in bytes; both come from the document and may change.
-func (b *Backend) Configure(connections, maxBody int) {
+// Configure sets the bounds on open connections and on bodies in bytes and the path of a probe; they come from the
+// document and may change.
+func (b *Backend) Configure(connections, maxBody int, probePath string) {
+	probePath = cmp.Or(probePath, b.wire.ProbePath)
+	b.probePath.Store(&probePath)
 	b.slots.setLimit(connections)
 	b.bodyLimit.Store(int64(maxBody))
 	b.closeIdle(b.clock.Now())
@@ -182,13 +219,18 @@
 }
 
 // acquire returns an idle connection that is still open, or a new one.
-func (b *Backend) acquire(ctx context.Context) (*backendConn, error) {
+func (b *Backend) acquire(ctx context.Context, once bool) (*backendConn, error) {
 	for {
 		c := b.pop()
 		if c == nil {
 			break
 		}
-		if b.clock.Now().Sub(c.used) < b.idleTime && c.alive() {
+		idle := b.clock.Now().Sub(c.used)
+		if once && idle >= onceIdle {
+			b.putBack(c)
+			break
+		}
+		if idle < b.idleTime && c.alive() {
 			return c, nil
 		}
 		b.drop(c)
@@ -265,6 +307,15 @@
 	return c
 }
 
+// putBack returns a connection that pop gave and that was not used.
+func (b *Backend) putBack(c *backendConn) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.stopped.Err() == nil {
+		b.idle = append(b.idle, c)
+	}
+}
+
 // release puts a connection back, or closes it if it cannot be used again.
 func (b *Backend) release(c *backendConn) {
 	if !c.reusable {
@@ -272,11 +323,7 @@
 		return
 	}
 	c.used = b.clock.Now()
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.stopped.Err() == nil {
-		b.idle = append(b.idle, c)
-	}
+	b.putBack(c)
 }
 
 func (b *Backend) drop(c *backendConn) {
--- a/io/backend_test.go
+++ b/io/backend_test.go
@@ -141,7 +141,7 @@
 		request.Headers = append(request.Headers, schema.Header_builder{Name: f[0], Value: []byte(f[1])}.Build())
 	}
 	result := backend.Send(t.Context(), request)
-	qt.Assert(t, result.Report, qt.DeepEquals, &core.ServerReport{InFlight: 3, Limit: 18, Cold: true, Incarnation: 7})
+	qt.Assert(t, result.Report, qt.DeepEquals, &core.ServerReport{InFlight: 3, Limit: 18, HasState: true, Cold: true, Incarnation: 7})
 	names := ""
 	for _, h := range result.Headers {
 		names += h.GetName() + "=" + string(h.GetValue()) + " "
@@ -234,7 +234,7 @@
 	result := backend.Send(ctx, post())
 	qt.Check(t, result.Written, qt.IsFalse)
 	qt.Check(t, runs.Load(), qt.Equals, int64(2))
-	backend.Configure(4, 1024)
+	backend.Configure(4, 1024, "")
 	time.Sleep(20 * time.Millisecond)
 	qt.Check(t, runs.Load(), qt.Equals, int64(4))
 	close(release)
--- a/io/exchange.go
+++ b/io/exchange.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"verbenareel/core"
@@ -29,6 +30,8 @@
 	stall    *time.Timer
 	written  int
 	read     int
+	// aligned tells that no response to another request was read.
+	aligned bool
 }
 
 func newBackendConn(b *Backend, conn *net.TCPConn) *backendConn {
@@ -72,7 +75,8 @@
 }
 
 // exchange writes the request and reads the response. When ctx ends it half-closes the connection, which tells the
-// server that the call is cancelled and frees a write that is blocked, and goes on reading.
+// server that the call is cancelled and frees a write that is blocked, and goes on reading: for a short time if the server
+// is expected to drop the request, else as long as the call may take.
 func (c *backendConn) exchange(ctx context.Context, request *core.Request) *core.Result {
 	c.reusable, c.written, c.read, c.deadline = false, 0, 0, request.Deadline
 	limit, stall := c.backend.limits(request.Deadline)
@@ -81,20 +85,52 @@
 		c.watchStall(stall)
 		defer c.stall.Stop()
 	}
-	cancelled := context.AfterFunc(ctx, func() { _ = c.CloseWrite() })
-	if err := c.send(request); err != nil {
-		return c.unsent(ctx, err, !cancelled())
-	}
+	cancelled := context.AfterFunc(ctx, func() {
+		_ = c.CloseWrite()
+		if c.backend.wire.DropsCancelled {
+			_ = c.SetReadDeadline(time.Now().Add(cancelGrace))
+		}
+	})
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	head := request.Method == fasthttp.MethodHead
-	err := c.receive(response, head)
+	sendErr, err := c.transfer(request, response)
 	running := cancelled()
-	if err != nil {
+	switch {
+	case err != nil && sendErr != nil:
+		return c.unsent(ctx, sendErr, !running)
+	case err != nil:
 		return c.broken(err, running)
 	}
-	c.reusable = running && !response.ConnectionClose() && c.reader.Buffered() == 0
-	return c.result(response, head)
+	c.reusable = sendErr == nil && running && !response.ConnectionClose() && c.reader.Buffered() == 0 && c.aligned
+	return c.result(request, response)
+}
+
+// transfer sends the request and receives the response. A server may answer before it has read a long body, and not read
+// on until its answer is taken, so a long request is sent while the response is awaited.
+func (c *backendConn) transfer(request *core.Request, response *fasthttp.Response) (sendErr, err error) {
+	if len(request.Body) <= shortBody {
+		if err := c.send(request); err != nil {
+			return err, err
+		}
+		return nil, c.receive(request, response)
+	}
+	var sender conc.WaitGroup
+	sent := false
+	sender.Go(func() {
+		sendErr = c.send(request)
+		if sendErr != nil {
+			// The wait for a response ends soon: nothing will come, or it is there already.
+			_ = c.SetReadDeadline(time.Now().Add(cancelGrace))
+		}
+		sent = sendErr == nil
+	})
+	err = c.receive(request, response)
+	_ = c.SetWriteDeadline(time.Now())
+	sender.Wait()
+	if err != nil && !sent && sendErr == nil {
+		sendErr = err
+	}
+	return sendErr, err
 }
 
 // watchStall calls distrust after the time, unless the timer is stopped. The timer is reused, because a new one for each
@@ -134,8 +170,9 @@
 	h.SetNoDefaultContentType(true)
 	h.SetMethod(request.Method)
 	h.SetRequestURI(request.URI)
+	w := c.backend.wire
 	for _, f := range request.Headers {
-		if name := f.GetName(); !isHopByHop(name) && !isCallField(name) {
+		if name := f.GetName(); !isHopByHop(name) && !w.IsCallField(name) {
 			h.AddBytesV(f.GetName(), f.GetValue())
 		}
 	}
@@ -144,9 +181,17 @@
 	}
 	if !request.Deadline.IsZero() {
 		left := max(0, request.Deadline.Sub(c.backend.clock.Now()))
-		h.Set(core.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+		h.Set(w.Timeout, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	for _, f := range [...]struct{ name, value string }{
+		{w.Depth, strconv.FormatUint(uint64(request.Depth), 10)},
+		{w.Target, request.Instance},
+		{w.Caller, request.Caller},
+	} {
+		if f.name != "" && f.value != "" {
+			h.Set(f.name, f.value)
+		}
 	}
-	h.Set(core.HeaderDepth, strconv.FormatUint(uint64(request.Depth), 10))
 	message.SetBodyRaw(request.Body)
 }
 
@@ -173,6 +218,8 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
 		result.Reason = schema.Reason_REASON_TOO_LARGE
+	case !running && c.backend.wire.DropsCancelled:
+		result.Reason = schema.Reason_REASON_CANCELLED
 	case errors.As(err, &slow) && slow.Timeout():
 		result.Reason = schema.Reason_REASON_DEADLINE
 	case c.read > 0:
@@ -188,26 +235,45 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, stdio.EOF)
 }
 
-// receive reads a whole response. It follows fasthttp's ReadLimitBody, but refuses a body that ends with the connection,
-// since its end cannot be told from a truncation.
-func (c *backendConn) receive(response *fasthttp.Response, head bool) error {
-	response.SkipBody = head
-	h := &response.Header
-	h.DisableNormalizing()
-	h.SetNoDefaultContentType(true)
+// receive reads a whole response. It follows fasthttp's ReadLimitBody, but skips responses to other requests, and refuses
+// a body that ends with the connection unless the wire format has such responses.
+func (c *backendConn) receive(request *core.Request, response *fasthttp.Response) error {
+	c.aligned = true
 	for range maxInterim {
-		if err := h.Read(c.reader); err != nil {
+		response.Reset()
+		if err := c.receiveOne(request, response); err != nil {
 			return err
 		}
-		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
-			break
+		if response.StatusCode() < fasthttp.StatusOK {
+			continue
+		}
+		if c.backend.answers(request, response) {
+			return nil
 		}
+		c.backend.faults.count("other-response")
+		c.aligned = false
+	}
+	return errNoResponse
+}
+
+// receiveOne reads the next response, which may be informational.
+func (c *backendConn) receiveOne(request *core.Request, response *fasthttp.Response) error {
+	h := &response.Header
+	h.DisableNormalizing()
+	h.SetNoDefaultContentType(true)
+	if err := h.Read(c.reader); err != nil {
+		return err
+	}
+	code := h.StatusCode()
+	if code == fasthttp.StatusSwitchingProtocols {
+		return errNoFraming
 	}
-	if head || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
+	response.SkipBody = request.Method == fasthttp.MethodHead
+	if response.SkipBody || !hasBody(code) {
 		return nil
 	}
 	length := h.ContentLength()
-	if length == noLength || h.StatusCode() < fasthttp.StatusOK {
+	if length == noLength && !c.backend.wire.UnframedBodies {
 		return errNoFraming
 	}
 	if err := response.ReadBody(c.reader, int(c.backend.bodyLimit.Load())); err != nil {
@@ -219,32 +285,64 @@
 	return nil
 }
 
-var errNoFraming = errors.New("response has neither a length nor chunked framing")
+// answers reports whether a response is the one to the request.
+func (b *Backend) answers(request *core.Request, response *fasthttp.Response) bool {
+	if b.wire.RequestID == "" || request.ID == "" {
+		return true
+	}
+	for name, value := range response.Header.All() {
+		if isFold(name, b.wire.RequestID) {
+			return string(value) == request.ID
+		}
+	}
+	return false
+}
+
+var (
+	errNoFraming  = errors.New("response has neither a length nor chunked framing")
+	errNoResponse = errors.New("no response to the request among those on the connection")
+)
 
 // result copies a response.
-func (c *backendConn) result(response *fasthttp.Response, head bool) *core.Result {
+func (c *backendConn) result(request *core.Request, response *fasthttp.Response) *core.Result {
+	w := c.backend.wire
 	result := &core.Result{Written: true, Code: response.StatusCode(), Body: response.SwapBody(nil)}
 	headers := newHeaderCopy()
-	length := head || result.Code == fasthttp.StatusNotModified
+	length := request.Method == fasthttp.MethodHead || result.Code == fasthttp.StatusNotModified
+	sealed := w.Seal == ""
 	for name, value := range response.Header.All() {
 		switch {
-		case isFold(name, core.HeaderLoad):
+		case isFold(name, w.Load):
 			c.setReport(result, string(value))
 			continue
-		case isFold(name, core.HeaderNotRun) && result.Code == fasthttp.StatusServiceUnavailable:
+		case isFold(name, w.NotRun) && result.Code >= fasthttp.StatusBadRequest:
 			result.Reason = schema.Reason_REASON_SHED
+		case isFold(name, w.Seal):
+			sealed = true
+		case isFold(name, fasthttp.HeaderContentEncoding) && w.Seal != "":
+			result.Reason = schema.Reason_REASON_GARBLED
 		case isFold(name, fasthttp.HeaderContentLength) && !length:
 			continue
 		}
 		headers.add(name, value)
 	}
 	result.Headers = keepEndToEnd(headers.finish(), length)
+	success := result.Code < fasthttp.StatusMultipleChoices
+	switch {
+	case w.Target != "" && result.Code == fasthttp.StatusMisdirectedRequest:
+		result.Reason = schema.Reason_REASON_WRONG_INSTANCE
+	case success && !sealed && request.ID != "":
+		result.Reason = schema.Reason_REASON_GARBLED
+	}
+	if result.Reason == schema.Reason_REASON_GARBLED {
+		result.Code = 0
+	}
 	return result
 }
 
 // setReport reads the load report, which is meant for the guard and not passed on.
 func (c *backendConn) setReport(result *core.Result, value string) {
-	report, ok := parseLoad(value)
+	report, ok := c.backend.wire.ParseLoad(value)
 	if !ok {
 		c.backend.faults.count("malformed-load")
 	}
--- a/io/fuzz_test.go
+++ b/io/fuzz_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"verbenareel/core"
 	"verbenareel/schema"
 )
 
@@ -41,7 +42,7 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, value string) {
-		report, ok := parseLoad(value)
+		report, ok := core.ParseLoad(value)
 		qt.Assert(t, report != nil, qt.Equals, ok)
 		if ok {
 			qt.Assert(t, report.InFlight >= 0 && report.Limit >= 0, qt.IsTrue)
--- a/io/header.go
+++ b/io/header.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"strconv"
 	"strings"
 	"sync"
 
-	"verbenareel/core"
 	"verbenareel/schema"
 )
 
@@ -32,30 +30,6 @@
 	return false
 }
 
-// isCallField reports whether a header field is one of those that the node reads from a call and sets anew.
-func isCallField(name string) bool {
-	switch len(name) {
-	case len(core.HeaderTimeout):
-		return strings.EqualFold(name, core.HeaderTimeout)
-	case len(core.HeaderDepth):
-		return strings.EqualFold(name, core.HeaderDepth)
-	case len(core.HeaderTicket):
-		return strings.EqualFold(name, core.HeaderTicket)
-	}
-	return false
-}
-
-// isOutcomeField reports whether a header field is one by which a node tells the outcome of a call.
-func isOutcomeField(name string) bool {
-	switch len(name) {
-	case len(core.HeaderOutcome):
-		return strings.EqualFold(name, core.HeaderOutcome)
-	case len(core.HeaderNextTicket):
-		return strings.EqualFold(name, core.HeaderNextTicket)
-	}
-	return false
-}
-
 // namedIn reports whether a list of tokens, the value of a Connection field, names the field.
 func namedIn(list, name string) bool {
 	for list != "" {
@@ -131,41 +105,3 @@
 func isFold(name []byte, field string) bool {
 	return len(name) == len(field) && strings.EqualFold(string(name), field)
 }
-
-// parseLoad parses the value of core.HeaderLoad. Unknown keys are ignored; ok is false if the value is malformed.
-func parseLoad(value string) (report *core.ServerReport, ok bool) {
-	report = &core.ServerReport{}
-	for value != "" {
-		field, rest, _ := strings.Cut(value, ";")
-		value = rest
-		name, text, found := strings.Cut(strings.TrimSpace(field), "=")
-		if !found || !setLoad(report, strings.TrimSpace(name), strings.TrimSpace(text)) {
-			return nil, false
-		}
-	}
-	return report, true
-}
-
-func setLoad(report *core.ServerReport, name, text string) bool {
-	switch name {
-	case "in-flight":
-		return parseCount(text, &report.InFlight)
-	case "limit":
-		return parseCount(text, &report.Limit)
-	case "state":
-		report.Cold = text == "cold"
-		report.Draining = text == "draining"
-		return text == "warm" || report.Cold || report.Draining
-	case "incarnation":
-		number, err := strconv.ParseUint(text, 10, 64)
-		report.Incarnation = number
-		return err == nil
-	}
-	return true
-}
-
-func parseCount(text string, count *int) bool {
-	number, err := strconv.ParseUint(text, 10, 31)
-	*count = int(number)
-	return err == nil
-}
--- a/io/option.go
+++ b/io/option.go
@@ -1,6 +1,6 @@
 // Package io connects a node to the world: RPC between nodes, HTTP from callers and HTTP to the backend server.
 //
-// Server and Transport speak net/rpc with a protobuf codec. Front serves callers with fiber. Backend writes and reads
+// Server and Transport speak net/rpc with a protobuf codec. Front serves callers with the parsers of fasthttp. Backend writes and reads
 // fasthttp's messages on its own connections, so that it knows whether any byte of a request was written and no library
 // resends it.
 package io
@@ -53,6 +53,7 @@
 	slotLimit    time.Duration
 	pingAfter    time.Duration
 	silentAfter  time.Duration
+	wire         *core.Wire
 }
 
 // Option sets a parameter of a Server, Transport, Backend or Front. An option that a part has no use for is ignored.
@@ -80,7 +81,7 @@
 	return func(o *options) { o.maxBody = size }
 }
 
-// WithConnections bounds the open connections of a Backend (default 256) or Server (default 4096).
+// WithConnections bounds the open connections of a Backend (default 256), Server or Front (default 4096).
 func WithConnections(count int) Option {
 	return func(o *options) { o.connections = count }
 }
@@ -116,6 +117,12 @@
 	return func(o *options) { o.pingAfter, o.silentAfter = pingAfter, silentAfter }
 }
 
+// WithWire sets the format in which a Front or Backend speaks to callers or its backend server; the default is that of
+// this project.
+func WithWire(wire *core.Wire) Option {
+	return func(o *options) { o.wire = wire }
+}
+
 func newOptions(opts []Option, idle time.Duration, connections int) options {
 	o := options{
 		logger:       zap.NewNop(),
@@ -129,6 +136,7 @@
 		slotLimit:    defaultSlotLimit,
 		pingAfter:    defaultPingAfter,
 		silentAfter:  defaultSilentAfter,
+		wire:         core.OwnWire(),
 	}
 	for _, set := range opts {
 		set(&o)
--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -64,10 +64,21 @@
 
 // Limit implements core.Limiter.
 func (a *Adaptive) Limit(now time.Time) int {
+	if a.bounds.Fixed {
+		return max(1, fixedLimit(a.bounds.Slots, a.bound))
+	}
 	limit := math.Min(a.limit, a.ramp(now))
 	return bounded(int(limit), a.bound)
 }
 
+// fixedLimit returns the lower of slots and bound, of which 0 stands for none.
+func fixedLimit(slots, bound int) int {
+	if slots == 0 {
+		return bound
+	}
+	return bounded(slots, bound)
+}
+
 // Warm reports whether the ramp of the last cold start has ended.
 func (a *Adaptive) Warm(now time.Time) bool { return now.Sub(a.cooled) >= a.bounds.WarmTime }
 
@@ -85,7 +96,7 @@
 // Observe implements core.Limiter. A failed call says nothing about normal latency, since failing may be fast.
 func (a *Adaptive) Observe(now time.Time, sample core.Sample) {
 	latency := sample.Latency.Seconds()
-	if latency <= 0 {
+	if latency <= 0 || a.bounds.Fixed {
 		return
 	}
 	if sample.Failed && latency <= a.baseline {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -15,9 +15,15 @@
 	Slots int
 	// WarmTime is the time from Cold to Slots.
 	WarmTime time.Duration
+	// Fixed makes the limit Slots in each state, or the limit that the backend server reports if Slots is 0.
+	Fixed bool
 }
 
 func (b Bounds) normal() Bounds {
+	if b.Fixed {
+		b.Cold, b.WarmTime = b.Slots, 0
+		return b
+	}
 	b.Cold = max(b.Cold, 1)
 	b.Slots = max(b.Slots, b.Cold)
 	b.WarmTime = max(b.WarmTime, 0)
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -15,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"verbenareel/beacon"
 	"verbenareel/core"
 	"verbenareel/guard"
 	"verbenareel/io"
@@ -35,6 +37,14 @@
 	pushedSuspects = 64
 	// freshInterval is the time between two looks at whether the exchange has caught up after a pause.
 	freshInterval = 5 * time.Millisecond
+	// adapterWatch is the time for which a watch of an adapter's platform may stay pending, adapterList the time between two
+	// reads of its list.
+	adapterWatch = 15 * time.Second
+	adapterList  = 3 * time.Second
+	// retireTime is how long a node that shuts down goes on serving, until callers have noticed that it is not ready.
+	retireTime = 2500 * time.Millisecond
+	// limitsInterval is the time between two looks at the limits of the document.
+	limitsInterval = 100 * time.Millisecond
 	// defaultDrainTimeout bounds a graceful shutdown if the settings give no time.
 	defaultDrainTimeout = 30 * time.Second
 )
@@ -54,7 +64,11 @@
 	server    *io.Server
 	front     *io.Front
 	status    *status
+	ready     *ready
+	beacon    *beacon.Beacon
 	chooser   core.Chooser
+	adapter   core.Adapter
+	leaving   atomic.Bool
 	done      chan struct{}
 }
 
@@ -76,6 +90,11 @@
 	return func(n *Node) { n.chooser = chooser }
 }
 
+// WithAdapter makes the node read another platform than that of this project's own protocol.
+func WithAdapter(adapter core.Adapter) Option {
+	return func(n *Node) { n.adapter = adapter }
+}
+
 // New opens the listeners of a node and joins its parts. Run starts it.
 func New(settings *schema.Settings, opts ...Option) (*Node, error) {
 	n := &Node{
@@ -116,12 +135,14 @@
 	n.self = n.record()
 	suspects := poison.New(suspectCapacity, suspectLife)
 	n.transport = io.NewTransport(n.clock, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
-	n.backend = io.NewBackend(n.settings.GetBackendAddress(), io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+	n.backend = io.NewBackend(n.settings.GetBackendAddress(), io.WithLogger(n.logger), io.WithRegisterer(n.registry),
+		io.WithWire(n.wire()))
 	n.exchange = peers.New(n.self, n.platform(), n.transport, n.clock, peers.WithSeeds(n.settings.GetSeeds()),
-		peers.WithLogger(n.logger), peers.WithRegisterer(n.registry), peers.WithSuspects(suspects))
+		peers.WithLogger(n.logger), peers.WithRegisterer(n.registry), peers.WithSuspects(suspects),
+		peers.WithReading(n.reading()))
 	store := ticket.New(n.settings.GetInstance(), n.self.GetIncarnation(), n.clock.Now())
 	n.guard = guard.New(n.self, n.exchange, n.backend, store, n.clock, guard.WithLogger(n.logger),
-		guard.WithRegisterer(n.registry), guard.WithSuspects(suspects), guard.WithRecheck(n.waitFresh),
+		guard.WithRegisterer(n.registry), guard.WithSuspects(suspects), guard.WithRecheck(n.waitFresh), guard.WithIdentify(n.exchange.Identify), guard.WithListCheck(n.listCheck()),
 		guard.WithSuspectPush(func(ctx context.Context, _ []uint64) {
 			records := suspects.Records(n.clock.Now(), pushedSuspects)
 			n.exchange.PushSuspects(ctx, n.settings.GetService(), records)
@@ -141,7 +162,8 @@
 	if err != nil {
 		return fmt.Errorf("open the rpc listener: %w", err)
 	}
-	n.front, err = io.NewFront(n.settings.GetHttpAddress(), n.router, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+	n.front, err = io.NewFront(n.settings.GetHttpAddress(), n.router, io.WithLogger(n.logger),
+		io.WithRegisterer(n.registry), io.WithWire(n.wire()))
 	if err != nil {
 		return fmt.Errorf("open the HTTP listener: %w", err)
 	}
@@ -149,10 +171,56 @@
 	if err != nil {
 		return fmt.Errorf("open the status listener: %w", err)
 	}
+	if address := n.settings.GetReadyAddress(); address != "" {
+		if n.ready, err = newReady(address, n); err != nil {
+			return fmt.Errorf("open the readiness listener: %w", err)
+		}
+	}
+	n.beacon, err = beacon.New(n.server.Addr(), n.settings.GetReportInterval().AsDuration(), n.exchange, n.guard, n.router,
+		n.clock, beacon.WithLogger(n.logger), beacon.WithRegisterer(n.registry))
+	if err != nil {
+		return fmt.Errorf("open the listener for load reports: %w", err)
+	}
 	return nil
 }
 
+// listCheck returns the function by which the guard asks for the platform's list, or nil if the list does not decide which
+// instances there are.
+func (n *Node) listCheck() func() {
+	if n.adapter == nil {
+		return nil
+	}
+	return n.exchange.WantList
+}
+
+// wire returns the format in which callers and the backend server speak.
+func (n *Node) wire() *core.Wire {
+	if n.adapter != nil {
+		return n.adapter.Wire()
+	}
+	return core.OwnWire()
+}
+
+// reading returns how the node reads its platform. With an adapter each node watches the document itself, and the list of
+// instances decides; a guard asks for it when its backend server says that it is leaving.
+func (n *Node) reading() peers.Reading {
+	if n.adapter == nil {
+		return peers.DefaultReading()
+	}
+	return peers.Reading{
+		Parse:       n.adapter.Parse,
+		Watch:       adapterWatch,
+		Everyone:    true,
+		List:        adapterList,
+		ListDecides: true,
+		Grace:       n.settings.GetListGrace().AsDuration(),
+	}
+}
+
 func (n *Node) platform() core.Platform {
+	if n.adapter != nil {
+		return n.adapter
+	}
 	if n.settings.GetPlatformUrl() == "" {
 		return nil
 	}
@@ -202,6 +270,11 @@
 	start("rpc server", n.server.Serve)
 	start("HTTP front", n.front.Serve)
 	start("status server", n.status.Serve)
+	start("load reports", n.beacon.Run)
+	start("limits of callers", n.followLimits)
+	if n.ready != nil {
+		start("readiness server", n.ready.Serve)
+	}
 	n.logger.Info("node started", zap.String("http", n.HTTPAddress()), zap.String("rpc", n.RPCAddress()),
 		zap.String("status", n.StatusAddress()))
 	select {
@@ -221,7 +294,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	n.leaving.Store(true)
 	n.exchange.Announce(schema.InstanceState_INSTANCE_STATE_LEAVING)
+	n.retire(ctx)
 	if err := n.guard.Drain(ctx); err != nil {
 		return fmt.Errorf("drain the guard: %w", err)
 	}
@@ -235,6 +310,38 @@
 	return nil
 }
 
+// retire goes on serving for a time in which callers notice that the node is not ready. Without a readiness listener
+// nobody is told, and it returns at once.
+func (n *Node) retire(ctx context.Context) {
+	if n.ready == nil {
+		return
+	}
+	n.front.Retire()
+	select {
+	case <-ctx.Done():
+	case <-n.clock.After(retireTime):
+	}
+}
+
+// followLimits gives the limits of the document in force to the front.
+func (n *Node) followLimits(ctx context.Context) error {
+	var applied *core.Snapshot
+	for {
+		if snapshot := n.exchange.Snapshot(); snapshot != applied {
+			applied = snapshot
+			n.front.Configure(snapshot.Document().GetLimits())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.clock.After(limitsInterval):
+		}
+	}
+}
+
+// Ready reports whether the node serves callers: it has a configuration and does not shut down.
+func (n *Node) Ready() bool { return n.exchange.Snapshot() != nil && !n.leaving.Load() }
+
 // waitFresh waits until the exchange has caught up after a pause of the process.
 func (n *Node) waitFresh(ctx context.Context) error {
 	for !n.exchange.Fresh() {
@@ -255,4 +362,7 @@
 	if n.backend != nil {
 		_ = n.backend.Close()
 	}
+	if n.adapter != nil {
+		n.adapter.Close()
+	}
 }
--- a/node/status.go
+++ b/node/status.go
@@ -17,6 +17,9 @@
 // statusTimeout bounds reads and writes of the status listener.
 const statusTimeout = 5 * time.Second
 
+// notReady is the response of a node that does not serve callers.
+const notReady = "no accepted configuration, or shutting down\n"
+
 // status serves metrics, liveness, readiness and the node's view over HTTP.
 type status struct {
 	node     *Node
@@ -71,8 +74,8 @@
 
 // ready answers 200 once the node has a configuration.
 func (s *status) ready(c *fiber.Ctx) error {
-	if s.node.exchange.Snapshot() == nil {
-		return c.Status(fiber.StatusServiceUnavailable).SendString("no accepted configuration\n")
+	if !s.node.Ready() {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(notReady)
 	}
 	return c.SendString("ready\n")
 }
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -44,6 +44,7 @@
 	logger    *zap.Logger
 	seeds     []string
 	initial   *initial
+	reading   Reading
 
 	inbox   chan event
 	started chan struct{}
@@ -62,7 +63,10 @@
 	seen published
 }
 
-type published struct{ revision, changes uint64 }
+type published struct {
+	revision, changes uint64
+	listed            time.Time
+}
 
 type initial struct {
 	revision uint64
@@ -91,12 +95,15 @@
 	return func(e *Exchange) { e.initial = &initial{revision: revision, text: text} }
 }
 
+// WithReading sets how the node reads its platform; the default is DefaultReading.
+func WithReading(reading Reading) Option { return func(e *Exchange) { e.reading = reading } }
+
 // New returns the exchange of the node with the record self: instance, service, domain, address and incarnation. The
 // platform may be nil.
 func New(self *schema.Member, platform core.Platform, transport core.PeerTransport, clock core.Clock, opts ...Option) *Exchange {
 	e := &Exchange{
 		self: self, platform: platform, transport: transport, clock: clock, logger: zap.NewNop(),
-		inbox: make(chan event, inboxSize), started: make(chan struct{}), done: make(chan struct{}),
+		reading: DefaultReading(), inbox: make(chan event, inboxSize), started: make(chan struct{}), done: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(e)
@@ -104,6 +111,7 @@
 	now := clock.Now()
 	random := rand.New(rand.NewPCG(self.GetIncarnation(), uint64(now.UnixNano())))
 	e.state = NewState(now, self, platform != nil, e.seeds, e.suspects, random)
+	e.state.reading = e.reading
 	if e.initial != nil {
 		e.state.offer(now, e.initial.revision, e.initial.text, time.Time{})
 	}
@@ -205,7 +213,7 @@
 // publish stores a new snapshot if the document or a member changed.
 func (e *Exchange) publish() {
 	e.report()
-	seen := published{revision: e.state.Revision(), changes: e.state.table.changes}
+	seen := published{revision: e.state.Revision(), changes: e.state.table.changes, listed: e.state.listed}
 	if seen == e.seen {
 		return
 	}
@@ -263,8 +271,20 @@
 
 // Announce changes the state of the node's own record, and pushes it to several peers at once.
 func (e *Exchange) Announce(state schema.InstanceState) {
+	e.post(func(now time.Time) { e.state.Announce(now, state) })
+}
+
+// Identify gives the node's own record the name of the backend server beside it.
+func (e *Exchange) Identify(instance string) {
+	e.post(func(now time.Time) { e.state.Identify(now, instance) })
+}
+
+// WantList asks for a read of the platform's list.
+func (e *Exchange) WantList() { e.post(e.state.WantList) }
+
+func (e *Exchange) post(f event) {
 	select {
-	case e.inbox <- func(now time.Time) { e.state.Announce(now, state) }:
+	case e.inbox <- f:
 	case <-e.done:
 	}
 }
@@ -323,7 +343,7 @@
 	request := schema.SuspectsRequest_builder{Suspects: suspects}.Build()
 	var group conc.WaitGroup
 	for _, i := range snapshot.Instances(service) {
-		if i.Name() == e.self.GetInstance() || i.State() == schema.InstanceState_INSTANCE_STATE_GONE {
+		if i.Address() == e.self.GetAddress() || i.State() == schema.InstanceState_INSTANCE_STATE_GONE {
 			continue
 		}
 		group.Go(func() {
--- a/peers/members.go
+++ b/peers/members.go
@@ -40,6 +40,8 @@
 	hash   uint64
 	// listed is its entry in the platform's list, or nil.
 	listed *schema.Member
+	// unlisted tells that the list, which decides alone on this platform, does not name the instance.
+	unlisted bool
 	// contact is the time of the last direct exchange, or of the first record.
 	contact time.Time
 	// failures counts attempts without an answer since the last contact; skip is the end of the pause after them.
@@ -52,10 +54,10 @@
 	if m.record == nil {
 		return m.listed
 	}
-	if m.listed.GetState() <= m.record.GetState() {
-		return m.record
+	if state := m.state(); state > m.record.GetState() {
+		return withState(m.record, state)
 	}
-	return withState(m.record, m.listed.GetState())
+	return m.record
 }
 
 func (m *member) address() string {
@@ -66,7 +68,11 @@
 }
 
 func (m *member) state() schema.InstanceState {
-	return max(m.record.GetState(), m.listed.GetState())
+	state := max(m.record.GetState(), m.listed.GetState())
+	if m.unlisted {
+		return max(state, schema.InstanceState_INSTANCE_STATE_LEAVING)
+	}
+	return state
 }
 
 func withState(record *schema.Member, state schema.InstanceState) *schema.Member {
@@ -160,6 +166,8 @@
 	removed   map[string]removal
 	// changes counts changes of effective records.
 	changes uint64
+	// decisive tells that the platform's list was read and decides alone which instances there are.
+	decisive bool
 }
 
 func newTable() *table {
@@ -236,32 +244,41 @@
 	if m.record.GetIncarnation() != joined.GetIncarnation() {
 		m.contact, m.failures, m.skip = now, 0, time.Time{}
 	}
-	t.change(m, func() { m.record = joined })
+	t.change(m, func() {
+		m.record = joined
+		m.unlisted = t.decisive && m.listed == nil
+	})
 	return joined
 }
 
-// list takes the platform's list.
-func (t *table) list(members []*schema.Member, now time.Time) {
+// list takes the platform's list. With keep, instances that it no longer names stay as they were.
+func (t *table) list(members []*schema.Member, now time.Time, keep bool) {
 	named := make(map[string]*schema.Member, len(members))
 	for _, r := range members {
 		named[r.GetInstance()] = r
 	}
 	for _, m := range append([]*member{}, t.order...) {
-		if m.listed == nil || named[m.name] != nil {
+		if named[m.name] != nil || keep {
 			continue
 		}
 		if m.record == nil {
 			t.remove(m)
 			continue
 		}
-		t.change(m, func() { m.listed = nil })
+		t.change(m, func() {
+			m.listed = nil
+			m.unlisted = t.decisive
+		})
 	}
 	for _, r := range members {
 		if t.members[r.GetInstance()] == nil && len(t.members) >= maxMembers {
 			continue
 		}
 		m := t.add(r.GetInstance(), now)
-		t.change(m, func() { m.listed = r })
+		t.change(m, func() {
+			m.listed = r
+			m.unlisted = false
+		})
 	}
 }
 
--- a/peers/pull.go
+++ b/peers/pull.go
@@ -174,7 +174,7 @@
 	case revision == s.rejected.revision && candidate.manifest == s.rejected.manifest:
 		return
 	}
-	document, err := config.ParseDocument(text)
+	document, err := s.reading.Parse(text)
 	if err != nil {
 		s.counters.Rejected++
 		if revision >= s.rejected.revision {
--- a/peers/read.go
+++ b/peers/read.go
@@ -20,9 +20,9 @@
 	jitter float64
 }
 
-// pending reports whether a read has no result yet.
-func (r *read) pending(now time.Time) bool {
-	return r.number != 0 && now.Sub(r.began) < readLimit
+// pending reports whether a read has no result yet and is not given up after limit.
+func (r *read) pending(now time.Time, limit time.Duration) bool {
+	return r.number != 0 && now.Sub(r.began) < limit
 }
 
 // finish ends the read with the number, if it is still the pending one.
@@ -110,16 +110,16 @@
 	if !s.platform {
 		return
 	}
-	watch := s.accepted == nil || s.reader(now)
-	if !s.document.pending(now) && !now.Before(s.documentDue(now, watch)) && s.take(now) {
+	watch := s.accepted == nil || s.reading.Everyone || s.reader(now)
+	if !s.documentPending(now) && !now.Before(s.documentDue(now, watch)) && s.take(now) {
 		wait := time.Duration(0)
 		if watch {
-			wait = watchWait
+			wait = s.reading.Watch
 		}
 		s.readDocument(now, wait, 0)
 	}
 	held := !watch && s.documentSoon(now)
-	if !held && !s.members.pending(now) && !now.Before(s.membersDue()) && s.take(now) {
+	if !held && !s.members.pending(now, readLimit) && !now.Before(s.membersDue()) && s.take(now) {
 		s.number++
 		s.members.number, s.members.began, s.members.jitter = s.number, now, s.random.Float64()
 		s.counters.PlatformCalls++
@@ -127,6 +127,10 @@
 	}
 }
 
+func (s *State) documentPending(now time.Time) bool {
+	return s.document.pending(now, s.reading.Watch+readLimit)
+}
+
 func (s *State) readDocument(now time.Time, wait time.Duration, wake uint64) {
 	s.number++
 	s.document.number, s.document.began, s.document.jitter = s.number, now, s.random.Float64()
@@ -155,7 +159,7 @@
 // documentSoon reports whether the document may be due before the budget has a call again: the list then waits.
 func (s *State) documentSoon(now time.Time) bool {
 	later := now.Add(scale(time.Second, 1/callRate))
-	return !s.document.pending(now) && (s.documentDue(now, false).Before(later) || s.stale(later))
+	return !s.documentPending(now) && (s.documentDue(now, false).Before(later) || s.stale(later))
 }
 
 // membersDue returns the time of the next read of the list.
@@ -163,8 +167,11 @@
 	if s.members.began.IsZero() {
 		return s.began.Add(scale(startJitter, s.members.jitter))
 	}
+	if s.listDemand.After(s.members.began) {
+		return s.members.backoff()
+	}
 	interval := time.Duration(len(s.table.order)) * listBytes * time.Second / listRate
-	interval = min(max(interval, minListRead), maxListRead)
+	interval = min(max(interval, s.reading.List), maxListRead)
 	return latest(s.members.began.Add(scale(interval, 0.8+0.4*s.members.jitter)), s.members.backoff())
 }
 
@@ -180,6 +187,7 @@
 	s.observe(now)
 	s.document.finish(now, sent.number, err)
 	if err != nil {
+		s.failed = now
 		s.counters.PlatformFailures++
 		s.settled(sent.wake, 0)
 		s.settle()
@@ -207,8 +215,11 @@
 	s.observe(now)
 	s.members.finish(now, sent.number, err)
 	if err != nil {
+		s.failed = now
 		s.counters.PlatformFailures++
 		return
 	}
-	s.table.list(list, now)
+	s.listed = sent.at
+	s.table.decisive = s.reading.ListDecides
+	s.table.list(list, now, !s.failed.IsZero() && now.Sub(s.failed) < s.reading.Grace)
 }
--- a/peers/state.go
+++ b/peers/state.go
@@ -127,10 +127,15 @@
 	// hot holds records that are to be announced with the next tick.
 	hot []*schema.Member
 
+	reading           Reading
 	document, members read
-	number            uint64
-	tokens            float64
-	filled            time.Time
+	// listed is the time as of which the platform's list is known, failed that of the last failed read.
+	listed, failed time.Time
+	// listDemand is a time as of which the list is wanted.
+	listDemand time.Time
+	number     uint64
+	tokens     float64
+	filled     time.Time
 
 	// rechecking is set from a pause until peers or the platform answered; awaited and answered count their answers.
 	rechecking        bool
@@ -148,11 +153,33 @@
 	known, reader            bool
 }
 
+// Reading says how a node reads its platform.
+type Reading struct {
+	// Parse returns the document of a text, or its faults.
+	Parse func(text []byte) (*schema.Document, error)
+	// Watch is the time for which a watch of the document may stay pending.
+	Watch time.Duration
+	// Everyone makes each node watch the document, not only a few of each failure domain.
+	Everyone bool
+	// List is the shortest time between two reads of the list.
+	List time.Duration
+	// ListDecides makes an instance that the list does not name count as leaving, whatever it announces.
+	ListDecides bool
+	// Grace is the time after a failed read for which instances that the list no longer names stay as they were: their
+	// entries may have lapsed while the platform was down.
+	Grace time.Duration
+}
+
+// DefaultReading returns how a node reads a platform of this project's own protocol.
+func DefaultReading() Reading {
+	return Reading{Parse: config.ParseDocument, Watch: watchWait, List: minListRead}
+}
+
 // NewState returns the state of a node that has just started. The platform argument tells whether the node can read the
 // platform; random decides on peers and jitter.
 func NewState(now time.Time, self *schema.Member, platform bool, seeds []string, suspects core.Suspects, random *rand.Rand) *State {
 	s := &State{
-		table: newTable(), seeds: seeds, suspects: suspects, random: random, platform: platform,
+		table: newTable(), seeds: seeds, suspects: suspects, random: random, platform: platform, reading: DefaultReading(),
 		began: now, ticked: now, nextSync: now, contact: now, expired: now, filled: now, tokens: 1,
 	}
 	version := max(self.GetVersion(), uint64(now.UnixMilli()))
@@ -197,14 +224,17 @@
 	if s.accepted == nil {
 		return nil
 	}
-	return core.NewSnapshot(s.accepted.revision, s.accepted.document, s.table.effective())
+	return core.NewSnapshot(s.accepted.revision, s.accepted.document, s.table.effective()).WithListed(s.listed)
 }
 
 // setSelf changes the node's own record and announces it at once.
 func (s *State) setSelf(now time.Time, record *schema.Member) {
 	s.self = record
 	m := s.table.add(record.GetInstance(), now)
-	s.table.change(m, func() { m.record = record })
+	s.table.change(m, func() {
+		m.record = record
+		m.unlisted = s.table.decisive && m.listed == nil
+	})
 	s.hot = append(s.hot, record)
 }
 
@@ -219,6 +249,30 @@
 	s.flush(now)
 }
 
+// Identify gives the node's own record another name: another backend server has taken the place of the one before, whose
+// record is announced as gone.
+func (s *State) Identify(now time.Time, instance string) {
+	s.observe(now)
+	if instance == "" || instance == s.self.GetInstance() {
+		return
+	}
+	state := min(s.self.GetState(), schema.InstanceState_INSTANCE_STATE_LEAVING)
+	if state == schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE {
+		state = schema.InstanceState_INSTANCE_STATE_SERVING
+	}
+	s.bump(now, s.self.GetVersion()+1, schema.InstanceState_INSTANCE_STATE_GONE)
+	version := max(s.self.GetVersion()+1, uint64(now.UnixMilli()))
+	s.setSelf(now, schema.Member_builder{
+		Instance: instance, Service: s.self.GetService(), Domain: s.self.GetDomain(), Address: s.self.GetAddress(),
+		Incarnation: s.self.GetIncarnation(), Version: version, State: state,
+	}.Build())
+	s.flush(now)
+	s.WantList(now)
+}
+
+// WantList asks for a read of the platform's list as of now.
+func (s *State) WantList(now time.Time) { s.listDemand = now }
+
 func (s *State) bump(now time.Time, version uint64, state schema.InstanceState) {
 	s.setSelf(now, schema.Member_builder{
 		Instance: s.self.GetInstance(), Service: s.self.GetService(), Domain: s.self.GetDomain(),
@@ -257,6 +311,7 @@
 	s.awaited, s.answered = 0, 0
 	s.document.number = 0
 	s.document.failures = 0
+	s.WantList(now)
 	for _, to := range s.choose(now, fanout) {
 		s.awaited++
 		s.send(now, to, s.request(now, true), s.wakes)
--- a/router/call.go
+++ b/router/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 const (
 	// maxAttempts bounds the sends of one call, whatever the budget allows.
 	maxAttempts = 4
+	// minReturn and maxReturn bound the time after which a refused caller may try again.
+	minReturn = 100 * time.Millisecond
+	maxReturn = 500 * time.Millisecond
 	// maxCrashes bounds the backend servers that one call may crash: it is sent to a second one as a suspect, and to no
 	// other.
 	maxCrashes = 2
@@ -20,18 +24,26 @@
 
 // call is the state of one call in the router.
 type call struct {
-	input       *core.Call
-	rule        *schema.Rule
-	group       *group
-	deadline    time.Time
+	input *core.Call
+	rule  *schema.Rule
+	// service is that of the rule, or the part of its split that the call was given to.
+	service  string
+	group    *group
+	deadline time.Time
+	// target is the end of the rule's target latency, or zero.
+	target      time.Time
 	fingerprint uint64
 	ticket      *schema.Ticket
 	// refusal is the reason of the last refusal of a ticket.
 	refusal schema.Reason
 	// crashes counts the backend servers that crashed with the call in flight.
 	crashes int
-	// tried holds the instances that the call was sent to.
+	// arrivals counts the sends that may have reached a backend server, bounces those that a guard refused.
+	arrivals int
+	bounces  int
+	// tried holds the instances that the call was sent to, and trail what came of each send.
 	tried []*picker.View
+	trail []hop
 	// possible is the reply of an attempt that ran or may have run. Once it is set, the call cannot end as not run.
 	possible *schema.ExecuteReply
 }
@@ -46,20 +58,23 @@
 			refusal = core.Unknown(refusal.GetReason())
 		}
 		r.metrics.finished("", refusal, 0)
+		r.logRefusal(input, refusal)
 		return refusal
 	}
 	ctx, stop := context.WithTimeout(ctx, c.deadline.Sub(start))
 	defer stop()
 	c.group.usage.called(start, c.rule.GetRepeatable())
 	reply := r.run(ctx, c)
-	r.metrics.finished(c.rule.GetService(), reply, r.clock.Now().Sub(start))
+	took := r.clock.Now().Sub(start)
+	r.metrics.finished(c.service, reply, took)
+	r.logCall(c, reply, took)
 	return reply
 }
 
 // run performs an accepted call.
 func (r *Router) run(ctx context.Context, c *call) *schema.ExecuteReply {
 	switch {
-	case c.rule.GetRepeatable():
+	case c.rule.GetRepeatable(), c.once():
 		return r.repeat(ctx, c)
 	case c.ticket == nil:
 		return r.requireTicket(ctx, c)
@@ -76,8 +91,9 @@
 	if input.Depth >= core.MaxDepth {
 		return nil, final(core.NotRun(schema.Reason_REASON_DEPTH))
 	}
-	rule := t.snapshot.Route(input.Method, input.Path)
-	g := t.groups[rule.GetService()]
+	rule := t.snapshot.Route(input.Method, input.Host, input.Path)
+	service := r.splits.service(rule)
+	g := t.groups[service]
 	if g == nil {
 		return nil, final(core.NotRun(schema.Reason_REASON_NO_RULE))
 	}
@@ -85,18 +101,29 @@
 		return nil, final(core.NotRun(schema.Reason_REASON_TOO_LARGE))
 	}
 	timeout := g.settings.GetTimeout().AsDuration()
+	if rule.HasTimeout() {
+		timeout = rule.GetTimeout().AsDuration()
+	}
 	if input.Timeout > 0 {
 		timeout = min(timeout, input.Timeout)
 	}
-	c := &call{input: input, rule: rule, group: g, deadline: now.Add(timeout)}
-	c.fingerprint = core.Fingerprint(rule.GetService(), input.Method, input.URI, input.Body)
+	c := &call{input: input, rule: rule, service: service, group: g, deadline: now.Add(timeout)}
+	if rule.HasTargetLatency() {
+		c.target = now.Add(rule.GetTargetLatency().AsDuration())
+	}
+	c.fingerprint = core.Fingerprint(service, input.Method, input.URI, input.Body)
 	if !rule.GetRepeatable() {
 		c.ticket = input.Ticket
 	}
 	return c, nil
 }
 
-// repeat sends a repeatable call until it is answered or may not be retried.
+// once reports whether the call may not be sent again once it may have run, and needs no ticket.
+func (c *call) once() bool {
+	return !c.rule.GetRepeatable() && c.rule.GetOnce() == schema.Once_ONCE_REQUEST
+}
+
+// repeat sends a call that needs no ticket until it is answered or may not be sent again.
 func (r *Router) repeat(ctx context.Context, c *call) *schema.ExecuteReply {
 	last := core.NotRun(schema.Reason_REASON_NO_INSTANCE)
 	for attempt := range maxAttempts {
@@ -104,16 +131,15 @@
 		if view == nil {
 			break
 		}
-		if attempt > 0 && !c.group.usage.retry(r.clock.Now()) {
-			r.metrics.budgetSpent(c.rule.GetService())
+		if attempt > 0 && !r.mayResend(c) {
 			last = overBudget(last)
 			break
 		}
 		if attempt > 0 {
-			r.metrics.retried(c.rule.GetService(), last.GetReason())
+			r.metrics.retried(c.service, last.GetReason())
 		}
 		begin := r.clock.Now()
-		if attempt == 0 {
+		if attempt == 0 && !c.once() {
 			last = r.hedged(ctx, c, view)
 		} else {
 			last = r.attempt(ctx, c, view)
@@ -123,23 +149,45 @@
 			c.group.usage.answered(now.Sub(begin))
 		}
 		c.group.usage.refused(now, last.GetReason())
-		if ctx.Err() != nil || c.crashes >= maxCrashes || !retryable(last) {
+		if ctx.Err() != nil || c.crashes >= maxCrashes || !c.retryable(last) {
 			break
 		}
 	}
 	return c.conclude(last)
 }
 
+// mayResend reports whether the call may be sent to another instance, by its rule and the retry budget. A call that no
+// backend server has met costs no budget at first.
+func (r *Router) mayResend(c *call) bool {
+	if limit := int(c.rule.GetMaxAttempts()); limit > 0 && c.arrivals >= limit {
+		return false
+	}
+	if c.arrivals == 0 && c.bounces <= int(c.group.settings.GetFreeResends()) {
+		return true
+	}
+	if !c.group.usage.retry(r.clock.Now()) {
+		r.metrics.budgetSpent(c.service)
+		return false
+	}
+	return true
+}
+
 // attempt sends the call to the instance and notes whether it may have run there.
 func (r *Router) attempt(ctx context.Context, c *call, view *picker.View) *schema.ExecuteReply {
 	c.tried = append(c.tried, view)
 	reply := r.send(ctx, c, view).reply
-	c.note(reply)
+	c.note(view, reply)
 	return reply
 }
 
 // note keeps the reply of an attempt that may have run. A whole response is worth more than none.
-func (c *call) note(reply *schema.ExecuteReply) {
+func (c *call) note(view *picker.View, reply *schema.ExecuteReply) {
+	c.trail = append(c.trail, newHop(view, reply))
+	if reached(reply) {
+		c.arrivals++
+	} else {
+		c.bounces++
+	}
 	if reply.GetSuspect() {
 		c.crashes++
 	}
@@ -159,7 +207,27 @@
 	if c.possible != nil {
 		return final(c.possible)
 	}
-	return final(last)
+	last = final(last)
+	if wait := backoff(last.GetReason()); wait > 0 {
+		last.SetRetryAfterUs(wait.Microseconds())
+	}
+	return last
+}
+
+// backoff returns the time after which a caller may try again after a refusal, drawn at random so that the callers of one
+// moment do not return together, or 0 if a later try would meet the same.
+func backoff(reason schema.Reason) time.Duration {
+	switch reason {
+	case schema.Reason_REASON_NO_RULE, schema.Reason_REASON_TOO_LARGE, schema.Reason_REASON_DEPTH,
+		schema.Reason_REASON_MALFORMED, schema.Reason_REASON_POISONED:
+		return 0
+	}
+	return minReturn + time.Duration(rand.Int64N(int64(maxReturn-minReturn)))
+}
+
+// reached reports whether a backend server may have met the request.
+func reached(reply *schema.ExecuteReply) bool {
+	return reply.GetStatus() != schema.Status_STATUS_NOT_RUN || reply.GetReason() == schema.Reason_REASON_SHED
 }
 
 func succeeded(reply *schema.ExecuteReply) bool {
@@ -197,12 +265,13 @@
 		SupersededBy: reply.GetSupersededBy(),
 		Retried:      reply.GetRetried(),
 		Suspect:      reply.GetSuspect(),
+		RetryAfterUs: reply.GetRetryAfterUs(),
 	}.Build()
 }
 
-// retryable reports whether a repeatable call may be sent to another instance after the reply.
-func retryable(reply *schema.ExecuteReply) bool {
-	if reply.GetRetried() {
+// retryable reports whether the call may be sent to another instance after the reply.
+func (c *call) retryable(reply *schema.ExecuteReply) bool {
+	if reply.GetRetried() || c.once() && reply.GetStatus() != schema.Status_STATUS_NOT_RUN {
 		return false
 	}
 	if reply.GetStatus() == schema.Status_STATUS_ANSWERED {
@@ -225,6 +294,8 @@
 		schema.Reason_REASON_PAUSED,
 		schema.Reason_REASON_WRONG_INSTANCE,
 		schema.Reason_REASON_TICKETS_FULL,
+		schema.Reason_REASON_GARBLED,
+		schema.Reason_REASON_COLD,
 		schema.Reason_REASON_CRASHED:
 		return true
 	}
@@ -236,7 +307,7 @@
 func (r *Router) choose(c *call) *picker.View {
 	now := r.clock.Now()
 	t := r.current(now)
-	g := t.groups[c.rule.GetService()]
+	g := t.groups[c.service]
 	if g == nil {
 		return nil
 	}
--- a/router/hedge.go
+++ b/router/hedge.go
@@ -22,12 +22,12 @@
 	}
 	select {
 	case reply := <-first:
-		c.note(reply)
+		c.note(view, reply)
 		return reply
 	case <-r.clock.After(delay):
 	}
-	second := r.hedge(ctx, c)
-	reply, overtaken := r.race(c, first, second)
+	other, second := r.hedge(ctx, c)
+	reply, overtaken := r.race(c, hedge{view, first}, hedge{other, second})
 	if overtaken {
 		// The cancelled call leaves no latency behind; without this, a stalled instance would be chosen again.
 		view.Fail(r.clock.Now())
@@ -36,18 +36,24 @@
 }
 
 // hedge sends the call to a second instance if the budget allows it. It returns nil if not.
-func (r *Router) hedge(ctx context.Context, c *call) <-chan *schema.ExecuteReply {
+func (r *Router) hedge(ctx context.Context, c *call) (*picker.View, <-chan *schema.ExecuteReply) {
 	now := r.clock.Now()
 	view := r.choose(c)
 	if view == nil || !c.group.usage.hedge(now) {
-		return nil
+		return nil, nil
 	}
-	return r.start(ctx, c, view)
+	return view, r.start(ctx, c, view)
+}
+
+// hedge is one of two attempts of a call.
+type hedge struct {
+	view    *picker.View
+	replies <-chan *schema.ExecuteReply
 }
 
 // start sends the call in a goroutine, which does not use the call's state. It returns nil once Run has ended.
 func (r *Router) start(ctx context.Context, c *call, view *picker.View) <-chan *schema.ExecuteReply {
-	request := c.request(r.clock.Now(), view)
+	request := c.request(r.clock.Now(), view, r.self.GetService())
 	replies := make(chan *schema.ExecuteReply, 1)
 	if !r.spawn(func() { replies <- r.sendRequest(ctx, view, request).reply }) {
 		return nil
@@ -58,27 +64,28 @@
 
 // race waits for the first success of two attempts, or for both, and reports whether the second overtook the first. The
 // caller cancels the loser.
-func (r *Router) race(c *call, first, second <-chan *schema.ExecuteReply) (reply *schema.ExecuteReply, overtaken bool) {
-	if second == nil {
-		reply = <-first
-		c.note(reply)
+func (r *Router) race(c *call, first, second hedge) (reply *schema.ExecuteReply, overtaken bool) {
+	if second.replies == nil {
+		reply = <-first.replies
+		c.note(first.view, reply)
 		return reply, false
 	}
 	winner := "first"
 	for range 2 {
 		select {
-		case reply = <-first:
-			winner, first = "first", nil
-		case reply = <-second:
-			winner, second = "second", nil
+		case reply = <-first.replies:
+			winner, first.replies = "first", nil
+			c.note(first.view, reply)
+		case reply = <-second.replies:
+			winner, second.replies = "second", nil
+			c.note(second.view, reply)
 		}
-		c.note(reply)
 		if succeeded(reply) {
 			break
 		}
 	}
-	r.metrics.hedged(c.rule.GetService(), winner)
-	return reply, first != nil
+	r.metrics.hedged(c.service, winner)
+	return reply, first.replies != nil
 }
 
 // spawn runs f in a goroutine that Run waits for. It returns false once Run has ended.
--- a/router/router.go
+++ b/router/router.go
@@ -41,6 +41,7 @@
 	stopped  bool
 	tasks    conc.WaitGroup
 
+	splits splits
 	table  atomic.Pointer[table]
 	mu     sync.Mutex
 	views  map[string]*picker.View
@@ -114,6 +115,14 @@
 // Done is closed when Run has returned.
 func (r *Router) Done() <-chan struct{} { return r.done }
 
+// Report takes a load report that a guard sent by itself; hash is core.InstanceHash of its instance.
+func (r *Router) Report(hash uint64, load core.LoadReport) {
+	now := r.clock.Now()
+	if v := r.current(now).hashes[hash]; v != nil {
+		v.Receive(now, load)
+	}
+}
+
 // tick runs the periodic work; gap is the time since the last tick.
 func (r *Router) tick(now time.Time, gap time.Duration) {
 	t := r.current(now)
@@ -130,6 +139,8 @@
 type table struct {
 	snapshot *core.Snapshot
 	groups   map[string]*group
+	// hashes holds the views by the hash of their name, as load reports give it.
+	hashes map[uint64]*picker.View
 }
 
 // group holds the instances of one service. Only the views change.
@@ -168,13 +179,19 @@
 
 // build returns the table of a snapshot. Views of instances that the snapshot still holds are kept.
 func (r *Router) build(now time.Time, snapshot *core.Snapshot) *table {
-	t := &table{snapshot: snapshot, groups: make(map[string]*group)}
+	t := &table{snapshot: snapshot, groups: make(map[string]*group), hashes: make(map[uint64]*picker.View)}
 	if snapshot == nil {
 		return t
 	}
 	for name, settings := range snapshot.Document().GetServices() {
 		t.groups[name] = r.buildGroup(now, snapshot, name, settings)
 	}
+	for _, g := range t.groups {
+		for _, v := range g.views {
+			t.hashes[core.InstanceHash(v.Instance().Name())] = v
+		}
+	}
+	r.splits.keep(snapshot.Document().GetRules())
 	maps.DeleteFunc(r.views, func(name string, _ *picker.View) bool { return snapshot.Instance(name) == nil })
 	maps.DeleteFunc(r.usages, func(name string, _ *usage) bool { return snapshot.Service(name) == nil })
 	return t
--- a/router/send.go
+++ b/router/send.go
@@ -25,7 +25,7 @@
 }
 
 // request returns the message for one send of the call, with a fresh attempt number, or nil if too little time is left.
-func (c *call) request(now time.Time, view *picker.View) *schema.ExecuteRequest {
+func (c *call) request(now time.Time, view *picker.View, caller string) *schema.ExecuteRequest {
 	remaining := c.deadline.Sub(now) - view.Delay()
 	if remaining <= 0 {
 		return nil
@@ -33,7 +33,7 @@
 	return schema.ExecuteRequest_builder{
 		Attempt:     rand.Uint64(),
 		Instance:    view.Instance().Name(),
-		Service:     c.rule.GetService(),
+		Service:     c.service,
 		Method:      c.input.Method,
 		Uri:         c.input.URI,
 		Headers:     c.input.Headers,
@@ -46,12 +46,24 @@
 		Fingerprint: c.fingerprint,
 		Suspect:     c.crashes > 0,
 		IssueNext:   c.ticket != nil,
+		Once:        c.once(),
+		Caller:      caller,
+		RequestId:   c.input.ID,
+		TargetUs:    c.targetLeft(now).Microseconds(),
 	}.Build()
 }
 
+// targetLeft returns the time that is left of the rule's target latency, or 0 if there is none.
+func (c *call) targetLeft(now time.Time) time.Duration {
+	if c.target.IsZero() {
+		return 0
+	}
+	return max(0, c.target.Sub(now))
+}
+
 // send sends the call to one instance and records what the reply says of its load.
 func (r *Router) send(ctx context.Context, c *call, view *picker.View) exchange {
-	return r.sendRequest(ctx, view, c.request(r.clock.Now(), view))
+	return r.sendRequest(ctx, view, c.request(r.clock.Now(), view, r.self.GetService()))
 }
 
 // sendRequest sends a message to the instance; a nil message is out of time.
@@ -118,7 +130,7 @@
 }
 
 func (r *Router) isLocal(view *picker.View) bool {
-	return view.Instance().Name() == r.self.GetInstance()
+	return view.Instance().Address() == r.self.GetAddress()
 }
 
 // guardReply returns the exchange of a guard's reply. A reply without a known status says nothing about the call.
--- /dev/null
+++ b/router/split.go
@@ -0,0 +1,69 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"verbenareel/schema"
+)
+
+// splits divides the calls of each rule with a split among its services, in proportion to their weights. Each share is
+// within one call of its weight at any time. It is safe for concurrent use.
+type splits struct {
+	mu sync.Mutex
+	// credits holds, for each rule and service, the calls that are due to the service.
+	credits map[splitKey]float64
+}
+
+type splitKey struct {
+	method, host, path string
+	service            string
+}
+
+// service returns the service for the next call of a rule, which may be nil.
+func (s *splits) service(rule *schema.Rule) string {
+	if len(rule.GetSplit()) == 0 {
+		return rule.GetService()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.credits == nil {
+		s.credits = make(map[splitKey]float64)
+	}
+	total := 0.0
+	for _, share := range rule.GetSplit() {
+		total += share.GetWeight()
+	}
+	best := splitKey{}
+	for _, share := range rule.GetSplit() {
+		key := splitKey{rule.GetMethod(), rule.GetHost(), rule.GetPath(), share.GetService()}
+		credit, ok := s.credits[key]
+		if !ok {
+			// A random start, so that the first calls of many routers do not all go to the same service.
+			credit = rand.Float64()
+		}
+		credit += share.GetWeight() / total
+		s.credits[key] = credit
+		if share.GetWeight() > 0 && (best.service == "" || credit > s.credits[best]) {
+			best = key
+		}
+	}
+	s.credits[best]--
+	return best.service
+}
+
+// keep forgets rules that a document no longer has.
+func (s *splits) keep(rules []*schema.Rule) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := make(map[splitKey]float64)
+	for _, rule := range rules {
+		for _, share := range rule.GetSplit() {
+			key := splitKey{rule.GetMethod(), rule.GetHost(), rule.GetPath(), share.GetService()}
+			if credit, ok := s.credits[key]; ok {
+				kept[key] = credit
+			}
+		}
+	}
+	s.credits = kept
+}
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -46,7 +46,7 @@
 			break
 		}
 		c.tried = append(c.tried, view)
-		reply, err := r.issueAt(ctx, c.rule.GetService(), view)
+		reply, err := r.issueAt(ctx, c.service, view)
 		if err == nil && reply.HasTicket() {
 			return reply.GetTicket(), schema.Reason_REASON_NONE
 		}
@@ -89,7 +89,7 @@
 
 // runTicket runs a call with a ticket, and gets the caller's next ticket at the same time.
 func (r *Router) runTicket(ctx context.Context, c *call) *schema.ExecuteReply {
-	if c.ticket.GetService() != c.rule.GetService() {
+	if c.ticket.GetService() != c.service {
 		// The rules may have changed since an earlier send that ran.
 		return core.Unknown(schema.Reason_REASON_TICKET_MISMATCH)
 	}
@@ -116,7 +116,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	var issued *schema.Ticket
 	var task conc.WaitGroup
-	service := c.rule.GetService()
+	service := c.service
 	task.Go(func() {
 		if reply, err := r.issueAt(ctx, service, view); err == nil {
 			issued = reply.GetTicket()
@@ -212,7 +212,7 @@
 		if unreachable >= maxUnreachable {
 			return exchange{reply: core.Unknown(schema.Reason_REASON_UNREACHABLE)}
 		}
-		r.metrics.retried(c.rule.GetService(), x.reply.GetReason())
+		r.metrics.retried(c.service, x.reply.GetReason())
 		select {
 		case <-ctx.Done():
 			return x
@@ -231,12 +231,12 @@
 	case view == nil || ctx.Err() != nil:
 		t.Stop(c.refusal)
 	case !c.group.usage.retry(now):
-		r.metrics.budgetSpent(c.rule.GetService())
+		r.metrics.budgetSpent(c.service)
 		t.Stop(schema.Reason_REASON_RETRY_BUDGET)
 	default:
-		r.metrics.retried(c.rule.GetService(), c.refusal)
+		r.metrics.retried(c.service, c.refusal)
 		c.tried = append(c.tried, view)
-		t.OnIssue(r.issueAt(ctx, c.rule.GetService(), view))
+		t.OnIssue(r.issueAt(ctx, c.service, view))
 	}
 }
 
