--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"verbenareel/guard"
 	"verbenareel/io"
 	"verbenareel/peers"
+	"verbenareel/picker"
 	"verbenareel/plat"
 	"verbenareel/poison"
 	"verbenareel/router"
@@ -148,6 +149,9 @@
 			n.exchange.PushSuspects(ctx, n.settings.GetService(), records)
 		}))
 	routerOptions := []router.Option{router.WithLogger(n.logger), router.WithRegisterer(n.registry)}
+	if n.chooser == nil && n.adapter != nil {
+		n.chooser = picker.NewFinish(n.settings.GetDomain(), n.settings.GetRemoteCost(), nil)
+	}
 	if n.chooser != nil {
 		routerOptions = append(routerOptions, router.WithChooser(n.chooser))
 	}
