--- a/admit/admit.go
+++ b/admit/admit.go
@@ -37,6 +37,8 @@
 	Priority schema.Priority
 	// Repeatable calls are started last and refused first.
 	Repeatable bool
+	// Eager calls are refused if they cannot start at once.
+	Eager bool
 	// Alone marks a suspect of crashing the backend server, which runs with no other call in flight.
 	Alone bool
 	// Deadline is the time after which the call does not start.
@@ -102,11 +104,13 @@
 	// rate bounds the starts of the last second; 0 sets no bound.
 	rate   int
 	starts window
+	// gate reports whether the backend server is at a moment at which starts are worth while.
+	gate func(now time.Time) bool
 }
 
 // New returns a controller whose queue holds at most capacity calls, and as many suspects again.
 func New(limiter core.Limiter, capacity int) *Controller {
-	return &Controller{limiter: limiter, capacity: max(capacity, 0)}
+	return &Controller{limiter: limiter, capacity: max(capacity, 0), gate: func(time.Time) bool { return true }}
 }
 
 // SetCapacity changes the bound of the queue; calls that wait already stay.
@@ -115,6 +119,26 @@
 // SetRate bounds the starts within any second; 0 sets no bound.
 func (c *Controller) SetRate(perSecond float64) { c.rate = int(math.Ceil(perSecond)) }
 
+// SetGate sets a function that is asked before each start. While it returns false, calls wait; Tick asks again.
+func (c *Controller) SetGate(gate func(now time.Time) bool) { c.gate = gate }
+
+// Evict refuses the calls that wait and match.
+func (c *Controller) Evict(now time.Time, reason schema.Reason, match func(*Call) bool) []Event {
+	c.events = c.events[:0]
+	for i := range c.queues {
+		for call := c.queues[i].first; call != nil; {
+			next := call.next
+			if match(call) {
+				c.dequeue(call)
+				c.refuse(call, reason)
+			}
+			call = next
+		}
+	}
+	c.start(now)
+	return c.events
+}
+
 // spent reports whether no call may start now since too many started within the last second.
 func (c *Controller) spent(now time.Time) bool {
 	return c.rate > 0 && c.starts.count(now) >= c.rate
@@ -235,6 +259,8 @@
 	case c.startable(now, call):
 	case call.Alone:
 		return c.admitSuspect(now, call)
+	case call.Eager && !c.undecided(now):
+		return schema.Reason_REASON_BUSY
 	case c.late(now, call, c.ahead(call.rank())):
 		return schema.Reason_REASON_BUSY
 	case c.queued >= c.capacity && !c.preempt(call.rank()):
@@ -244,6 +270,11 @@
 	return schema.Reason_REASON_NONE
 }
 
+// undecided reports whether only the gate holds calls back, which may be since the pace is being asked for.
+func (c *Controller) undecided(now time.Time) bool {
+	return !c.paused && !c.exclusive && c.suspects.length == 0 && c.inFlight+c.queued < c.limiter.Limit(now)
+}
+
 // admitSuspect queues a call that has to run alone.
 func (c *Controller) admitSuspect(now time.Time, call *Call) schema.Reason {
 	if c.suspects.length >= c.capacity || c.late(now, call, c.limiter.Limit(now)*(c.suspects.length+1)) {
@@ -261,7 +292,7 @@
 	if call.Alone {
 		return c.inFlight == 0
 	}
-	return c.inFlight < c.limiter.Limit(now) && c.ahead(call.rank()) == 0
+	return c.inFlight < c.limiter.Limit(now) && c.ahead(call.rank()) == 0 && c.gate(now)
 }
 
 // late reports whether a call that waits for ahead others is expected to miss its deadline.
@@ -352,12 +383,12 @@
 // choose returns the next call to start, or nil.
 func (c *Controller) choose(now time.Time) *Call {
 	if c.suspectNext() {
-		if c.inFlight > 0 || c.spent(now) {
+		if c.inFlight > 0 || c.spent(now) || !c.gate(now) {
 			return nil
 		}
 		return c.suspects.first
 	}
-	if c.inFlight >= c.limiter.Limit(now) || c.spent(now) {
+	if c.queued == 0 || c.inFlight >= c.limiter.Limit(now) || c.spent(now) || !c.gate(now) {
 		return nil
 	}
 	for i := ranks - 1; i >= 0; i-- {
--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -38,6 +38,12 @@
 	Report(instance uint64, load core.LoadReport)
 }
 
+// Standing is what nodes tell each other of the document in force.
+type Standing interface {
+	Standing() (revision, manifest uint64, confirmed uint32)
+	Heard(from string, revision, manifest uint64, confirmed uint32)
+}
+
 // Beacon sends and receives reports.
 type Beacon struct {
 	conn      *net.UDPConn
@@ -45,6 +51,7 @@
 	snapshots core.Snapshots
 	source    Source
 	sink      Sink
+	standing  Standing
 	clock     core.Clock
 	interval  time.Duration
 	logger    *zap.Logger
@@ -72,7 +79,7 @@
 
 // New listens for datagrams on address, an IP:port. Reports go to the addresses of the other nodes in the snapshot, every
 // interval.
-func New(address string, interval time.Duration, snapshots core.Snapshots, source Source, sink Sink, clock core.Clock, opts ...Option) (*Beacon, error) {
+func New(address string, interval time.Duration, snapshots core.Snapshots, source Source, sink Sink, standing Standing, clock core.Clock, opts ...Option) (*Beacon, error) {
 	local, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("address for load reports: %w", err)
@@ -87,6 +94,7 @@
 		snapshots: snapshots,
 		source:    source,
 		sink:      sink,
+		standing:  standing,
 		clock:     clock,
 		interval:  interval,
 		logger:    zap.NewNop(),
@@ -144,10 +152,15 @@
 		return
 	}
 	b.sequence++
+	load := b.source.Load()
+	revision, manifest, confirmed := b.standing.Standing()
+	load.Revision = revision
 	datagram, err := proto.Marshal(schema.LoadReport_builder{
-		Instance: core.InstanceHash(b.source.Instance()),
-		Sequence: b.sequence,
-		Load:     b.source.Load().Message(),
+		Instance:    core.InstanceHash(b.source.Instance()),
+		Sequence:    b.sequence,
+		Load:        load.Message(),
+		Manifest:    manifest,
+		ConfirmedMs: confirmed,
 	}.Build())
 	if err != nil {
 		b.failed.Inc()
@@ -189,10 +202,10 @@
 func (b *Beacon) receive() {
 	var buffer [maxDatagram]byte
 	for {
-		n, _, err := b.conn.ReadFromUDPAddrPort(buffer[:])
+		n, from, err := b.conn.ReadFromUDPAddrPort(buffer[:])
 		switch {
 		case err == nil:
-			b.take(buffer[:n])
+			b.take(from, buffer[:n])
 		case b.stopped.Load() || errors.Is(err, net.ErrClosed):
 			return
 		default:
@@ -202,12 +215,15 @@
 	}
 }
 
-func (b *Beacon) take(datagram []byte) {
+func (b *Beacon) take(from netip.AddrPort, datagram []byte) {
 	report := &schema.LoadReport{}
 	if err := proto.Unmarshal(datagram, report); err != nil || !report.HasLoad() {
 		b.failed.Inc()
 		return
 	}
 	b.received.Inc()
-	b.sink.Report(report.GetInstance(), core.NewLoadReport(report.GetLoad()))
+	load := core.NewLoadReport(report.GetLoad())
+	b.sink.Report(report.GetInstance(), load)
+	address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	b.standing.Heard(address.String(), load.Revision, report.GetManifest(), report.GetConfirmedMs())
 }
--- a/guard/call.go
+++ b/guard/call.go
@@ -40,6 +40,7 @@
 	c.admit = admit.Call{
 		Priority:   request.GetPriority(),
 		Repeatable: request.GetRepeatable() && !request.HasTicket(),
+		Eager:      request.GetEager(),
 		Deadline:   now.Add(timeout),
 		Owner:      c,
 	}
@@ -182,6 +183,7 @@
 		g.attempts[attempt] = c
 	}
 	g.handle(now, g.controller.Offer(now, &c.admit))
+	g.followPace(now)
 }
 
 // check returns why a request cannot run on this instance at all, or REASON_NONE.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -60,6 +60,9 @@
 	cancelled  cancelledAttempts
 	pause      pause
 	probes     probes
+	pace       pace
+	// paceAsking tells that askPace runs.
+	paceAsking bool
 }
 
 // Option changes a setting of New.
@@ -121,6 +124,7 @@
 		o(g)
 	}
 	g.controller = admit.New(g.limiter, 0)
+	g.controller.SetGate(g.pace.open)
 	g.ineligible = ineligible(self, nil)
 	g.metrics = newMetrics(g)
 	g.mu.Lock()
@@ -161,7 +165,7 @@
 		State:       g.state(now),
 		Revision:    g.revision(),
 		Incarnation: g.own().GetIncarnation(),
-		Pace:        float64(g.server.pace) / 100,
+		Pace:        float64(g.pace.percent) / 100,
 	}
 }
 
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -543,16 +543,16 @@
 		state  schema.InstanceState
 	}{
 		{name: "none", limit: slots},
-		{name: "higher limit", result: core.Result{Report: &core.ServerReport{Limit: 100, Incarnation: 1}}, limit: slots},
-		{name: "lower limit", result: core.Result{Report: &core.ServerReport{Limit: 5, Incarnation: 1}}, limit: 5},
-		{name: "cold", result: core.Result{Report: &core.ServerReport{Cold: true, Incarnation: 1}}, limit: cold},
-		{name: "new incarnation", result: core.Result{Report: &core.ServerReport{Incarnation: 2}}, limit: cold},
-		{name: "draining", result: core.Result{Report: &core.ServerReport{Draining: true, Incarnation: 1}}, limit: 0},
+		{name: "higher limit", result: core.Result{Report: &core.ServerReport{HasState: true, Limit: 100, Incarnation: 1}}, limit: slots},
+		{name: "lower limit", result: core.Result{Report: &core.ServerReport{HasState: true, Limit: 5, Incarnation: 1}}, limit: 5},
+		{name: "cold", result: core.Result{Report: &core.ServerReport{HasState: true, Cold: true, Incarnation: 1}}, limit: cold},
+		{name: "new incarnation", result: core.Result{Report: &core.ServerReport{HasState: true, Incarnation: 2}}, limit: cold},
+		{name: "draining", result: core.Result{Report: &core.ServerReport{HasState: true, Draining: true, Incarnation: 1}}, limit: 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			run(t, nil, func(b *bench) {
-				result := core.Result{Written: true, Code: 200, Report: &core.ServerReport{Incarnation: 1}}
+				result := core.Result{Written: true, Code: 200, Report: &core.ServerReport{HasState: true, Incarnation: 1}}
 				b.warm(&result)
 				result.Report = test.result.Report
 				b.Check(int(b.Execute(b.Context(), lookup()).GetLoad().GetLimit()), qt.Equals, test.limit)
--- a/guard/run.go
+++ b/guard/run.go
@@ -46,8 +46,6 @@
 	// stateKnown tells that its state was reported since its last start, and coldUntil how long it stays cold.
 	stateKnown bool
 	coldUntil  time.Time
-	// pace is the time that work takes in hundredths of the usual time; 0 if it is not known.
-	pace   int
 	reset  time.Time
 	resets int
 	// answered is the latest start of a call that was answered.
@@ -167,6 +165,7 @@
 	}
 	g.release(now, c)
 	g.settle(now, c, reply)
+	g.followPace(now)
 }
 
 // release gives the slot of a call to others.
@@ -278,7 +277,9 @@
 // restart it only if it has ended.
 func (g *Guard) report(now time.Time, report *core.ServerReport) {
 	g.limiter.Bound(now, report.Limit)
-	g.server.pace = report.Pace
+	if report.Pace > 0 {
+		g.pace.take(now, report.Pace)
+	}
 	if !report.HasState {
 		return
 	}
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -103,6 +103,7 @@
 	g.refresh(now)
 	g.observeAges(now)
 	g.handle(now, g.controller.Tick(now))
+	g.followPace(now)
 	switch {
 	case g.pause.pending:
 		g.startRecheck(ctx, now, checks)
--- a/node/node.go
+++ b/node/node.go
@@ -41,7 +41,9 @@
 	// adapterWatch is the time for which a watch of an adapter's platform may stay pending, adapterList the time between two
 	// reads of its list.
 	adapterWatch = 15 * time.Second
-	adapterList  = 3 * time.Second
+	adapterList  = 10 * time.Second
+	// adapterStale is the age of the last confirmation of the document at which a node reads it beside its watch.
+	adapterStale = 700 * time.Millisecond
 	// retireTime is how long a node that shuts down goes on serving, until callers have noticed that it is not ready.
 	retireTime = 2500 * time.Millisecond
 	// limitsInterval is the time between two looks at the limits of the document.
@@ -181,7 +183,7 @@
 		}
 	}
 	n.beacon, err = beacon.New(n.server.Addr(), n.settings.GetReportInterval().AsDuration(), n.exchange, n.guard, n.router,
-		n.clock, beacon.WithLogger(n.logger), beacon.WithRegisterer(n.registry))
+		n.exchange, n.clock, beacon.WithLogger(n.logger), beacon.WithRegisterer(n.registry))
 	if err != nil {
 		return fmt.Errorf("open the listener for load reports: %w", err)
 	}
@@ -217,6 +219,7 @@
 		Everyone:    true,
 		List:        adapterList,
 		ListDecides: true,
+		Stale:       adapterStale,
 		Grace:       n.settings.GetListGrace().AsDuration(),
 	}
 }
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -24,6 +24,8 @@
 	pullTimeout = 2 * time.Second
 	// inboxSize is the number of inputs that wait for the loop before their senders do.
 	inboxSize = 256
+	// heardStep is by how much a confirmation must be newer to be taken from a load report.
+	heardStep = 100 * time.Millisecond
 	// maxOutstanding bounds the exchanges that wait for an answer; further ones fail at once.
 	maxOutstanding = 128
 )
@@ -58,6 +60,8 @@
 	// ticked is the time of the last tick in Unix nanoseconds; caughtUp is the state's Fresh.
 	ticked   atomic.Int64
 	caughtUp atomic.Bool
+	// standing is the state's, for readers outside the loop.
+	standing atomic.Pointer[standing]
 	last     atomic.Pointer[Status]
 	// seen is what the published snapshot was made of.
 	seen published
@@ -68,6 +72,11 @@
 	listed            time.Time
 }
 
+type standing struct {
+	revision, manifest uint64
+	confirmed          time.Time
+}
+
 type initial struct {
 	revision uint64
 	text     []byte
@@ -116,6 +125,7 @@
 		e.state.offer(now, e.initial.revision, e.initial.text, time.Time{})
 	}
 	e.publish()
+	e.stand()
 	e.store(now)
 	return e
 }
@@ -179,6 +189,7 @@
 // apply publishes what changed and starts the effects.
 func (e *Exchange) apply(ctx context.Context, now time.Time) {
 	e.publish()
+	e.stand()
 	e.caughtUp.Store(e.state.Fresh(now))
 	for _, effect := range e.state.Take() {
 		e.perform(ctx, effect)
@@ -226,6 +237,14 @@
 	e.snapshot.Store(snapshot)
 }
 
+// stand stores the standing of the state if it changed.
+func (e *Exchange) stand() {
+	now := standing{revision: e.state.Revision(), manifest: e.state.manifest(), confirmed: e.state.confirmed}
+	if before := e.standing.Load(); before == nil || *before != now {
+		e.standing.Store(&now)
+	}
+}
+
 // report logs a newly rejected document.
 func (e *Exchange) report() {
 	r := e.state.rejected
@@ -279,6 +298,33 @@
 	e.post(func(now time.Time) { e.state.Identify(now, instance) })
 }
 
+// Standing returns what the node tells others of its document, as State.Standing.
+func (e *Exchange) Standing() (revision, manifest uint64, confirmed uint32) {
+	s := e.standing.Load()
+	age := uint32(0)
+	if !s.confirmed.IsZero() {
+		age = uint32(e.clock.Now().Sub(s.confirmed).Milliseconds()) + 1
+	}
+	return s.revision, s.manifest, age
+}
+
+// Heard takes the standing of the node at an address, as State.Heard. What changes nothing does not reach the loop.
+func (e *Exchange) Heard(from string, revision, manifest uint64, confirmed uint32) {
+	s := e.standing.Load()
+	if revision < s.revision || confirmed == 0 {
+		return
+	}
+	at := e.clock.Now().Add(-time.Duration(confirmed) * time.Millisecond)
+	if revision == s.revision && manifest == s.manifest && at.Sub(s.confirmed) < heardStep {
+		return
+	}
+	select {
+	case e.inbox <- func(now time.Time) { e.state.Heard(now, from, revision, manifest, confirmed) }:
+	default:
+		e.dropped.Add(1)
+	}
+}
+
 // WantList asks for a read of the platform's list.
 func (e *Exchange) WantList() { e.post(e.state.WantList) }
 
--- a/peers/members.go
+++ b/peers/members.go
@@ -40,7 +40,7 @@
 	hash   uint64
 	// listed is its entry in the platform's list, or nil.
 	listed *schema.Member
-	// unlisted tells that the list, which decides alone on this platform, does not name the instance.
+	// unlisted tells that the list, which decides on this platform, does not name the node's own instance.
 	unlisted bool
 	// contact is the time of the last direct exchange, or of the first record.
 	contact time.Time
@@ -166,7 +166,7 @@
 	removed   map[string]removal
 	// changes counts changes of effective records.
 	changes uint64
-	// decisive tells that the platform's list was read and decides alone which instances there are.
+	// decisive tells that the platform's list was read and decides whether the node's own instance may work.
 	decisive bool
 }
 
@@ -244,15 +244,12 @@
 	if m.record.GetIncarnation() != joined.GetIncarnation() {
 		m.contact, m.failures, m.skip = now, 0, time.Time{}
 	}
-	t.change(m, func() {
-		m.record = joined
-		m.unlisted = t.decisive && m.listed == nil
-	})
+	t.change(m, func() { m.record = joined })
 	return joined
 }
 
 // list takes the platform's list. With keep, instances that it no longer names stay as they were.
-func (t *table) list(members []*schema.Member, now time.Time, keep bool) {
+func (t *table) list(members []*schema.Member, now time.Time, self string, keep bool) {
 	named := make(map[string]*schema.Member, len(members))
 	for _, r := range members {
 		named[r.GetInstance()] = r
@@ -267,7 +264,7 @@
 		}
 		t.change(m, func() {
 			m.listed = nil
-			m.unlisted = t.decisive
+			m.unlisted = t.decisive && m.name == self
 		})
 	}
 	for _, r := range members {
--- a/peers/read.go
+++ b/peers/read.go
@@ -118,6 +118,9 @@
 		}
 		s.readDocument(now, wait, 0)
 	}
+	if s.unconfirmed(now) && s.take(now) {
+		s.checkDocument(now)
+	}
 	held := !watch && s.documentSoon(now)
 	if !held && !s.members.pending(now, readLimit) && !now.Before(s.membersDue()) && s.take(now) {
 		s.number++
@@ -131,9 +134,27 @@
 	return s.document.pending(now, s.reading.Watch+readLimit)
 }
 
+// unconfirmed reports whether the document is to be read although a watch is pending.
+func (s *State) unconfirmed(now time.Time) bool {
+	if s.reading.Stale == 0 || s.accepted == nil || s.check.pending(now, readLimit) {
+		return false
+	}
+	age := now.Sub(s.confirmed)
+	return age > scale(s.reading.Stale, 1+staleSpread*s.check.jitter) && !now.Before(s.check.backoff())
+}
+
+// checkDocument reads the document as it is now, beside a pending watch.
+func (s *State) checkDocument(now time.Time) {
+	s.read(now, &s.check, 0, 0)
+}
+
 func (s *State) readDocument(now time.Time, wait time.Duration, wake uint64) {
+	s.read(now, &s.document, wait, wake)
+}
+
+func (s *State) read(now time.Time, r *read, wait time.Duration, wake uint64) {
 	s.number++
-	s.document.number, s.document.began, s.document.jitter = s.number, now, s.random.Float64()
+	r.number, r.began, r.jitter = s.number, now, s.random.Float64()
 	s.counters.PlatformCalls++
 	after := max(s.Revision(), s.rejected.revision)
 	s.emit(ReadDocument{After: after, Wait: wait, at: now, number: s.number, wake: wake, wakes: s.wakes})
@@ -186,6 +207,7 @@
 func (s *State) DocumentDone(now time.Time, sent ReadDocument, revision uint64, text []byte, err error) {
 	s.observe(now)
 	s.document.finish(now, sent.number, err)
+	s.check.finish(now, sent.number, err)
 	if err != nil {
 		s.failed = now
 		s.counters.PlatformFailures++
@@ -221,5 +243,5 @@
 	}
 	s.listed = sent.at
 	s.table.decisive = s.reading.ListDecides
-	s.table.list(list, now, !s.failed.IsZero() && now.Sub(s.failed) < s.reading.Grace)
+	s.table.list(list, now, s.self.GetInstance(), !s.failed.IsZero() && now.Sub(s.failed) < s.reading.Grace)
 }
--- a/peers/state.go
+++ b/peers/state.go
@@ -24,6 +24,8 @@
 	// off from each node that reads the platform.
 	staleAfter  = 2 * time.Second
 	staleJitter = 300 * time.Millisecond
+	// staleSpread spreads the reads of nodes whose confirmation is of the same age: the first one tells the others.
+	staleSpread = 0.7
 	// staleRead is the shortest time between two such reads; staleReadJitter is added at random.
 	staleRead       = 2 * time.Second
 	staleReadJitter = 600 * time.Millisecond
@@ -129,6 +131,8 @@
 
 	reading           Reading
 	document, members read
+	// check is a read of the document beside a pending watch.
+	check read
 	// listed is the time as of which the platform's list is known, failed that of the last failed read.
 	listed, failed time.Time
 	// listDemand is a time as of which the list is wanted.
@@ -163,8 +167,12 @@
 	Everyone bool
 	// List is the shortest time between two reads of the list.
 	List time.Duration
-	// ListDecides makes an instance that the list does not name count as leaving, whatever it announces.
+	// ListDecides makes the node's own instance count as leaving while the list does not name it. Other nodes learn of it
+	// by its announcements and load reports.
 	ListDecides bool
+	// Stale is the age of the last confirmation of the document at which a node reads it although a watch is pending; 0
+	// leaves it to the watch. A watch may hear nothing of a change.
+	Stale time.Duration
 	// Grace is the time after a failed read for which instances that the list no longer names stay as they were: their
 	// entries may have lapsed while the platform was down.
 	Grace time.Duration
@@ -192,6 +200,18 @@
 	return s
 }
 
+// Standing returns what the node tells others of its document: the accepted revision, its manifest and the age of the
+// confirmation as messages carry it.
+func (s *State) Standing(now time.Time) (revision, manifest uint64, confirmed uint32) {
+	return s.Revision(), s.manifest(), s.age(now)
+}
+
+// Heard takes the standing of the node at an address.
+func (s *State) Heard(now time.Time, from string, revision, manifest uint64, confirmed uint32) {
+	s.observe(now)
+	s.consider(from, revision, manifest, s.confirmedAt(now, confirmed))
+}
+
 // Take returns the effects since the last call.
 func (s *State) Take() []Effect {
 	effects := s.effects
--- a/picker/view.go
+++ b/picker/view.go
@@ -15,6 +15,8 @@
 	// round trips, so that a restarted process is found quickly; the last bounds connection attempts to dead addresses.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = time.Second
+	// slowPace is the pace from which an instance works slowly.
+	slowPace = 1.5
 	// stateLife is how long the state in a load report overrides a better state in the snapshot. It covers the time
 	// that the lists need to agree.
 	stateLife = time.Second
@@ -251,6 +253,17 @@
 	return v.avoid.CompareAndSwap(until, since+int64(backoff(count)))
 }
 
+// Ready reports whether a call sent now would probably start at once: the last report is recent, the instance works at the
+// usual pace and has room beyond the calls of this router.
+func (v *View) Ready(now time.Time) bool {
+	r := v.report.Load()
+	if r == nil || now.Sub(r.received) > silentAfter || v.Avoided(now) {
+		return false
+	}
+	sent := max(0, v.InFlight()-r.own)
+	return r.load.Pace < slowPace && r.load.InFlight+r.load.Queued+sent < r.load.Limit
+}
+
 // Eligible reports whether the instance may receive new work: by the snapshot of the revision, and by its own last
 // report of the last second. A report of an older revision does not tell what is out of service by the newer one.
 func (v *View) Eligible(now time.Time, revision uint64) bool {
--- a/router/call.go
+++ b/router/call.go
@@ -41,6 +41,8 @@
 	// arrivals counts the sends that may have reached a backend server, bounces those that a guard refused.
 	arrivals int
 	bounces  int
+	// eager tells that the next send is to be refused if the call cannot start at once.
+	eager bool
 	// tried holds the instances that the call was sent to, and trail what came of each send.
 	tried []*picker.View
 	trail []hop
@@ -139,6 +141,7 @@
 			r.metrics.retried(c.service, last.GetReason())
 		}
 		begin := r.clock.Now()
+		c.eager = c.bounces < int(c.group.settings.GetFreeResends()) && r.hasBetter(begin, c, view)
 		if attempt == 0 && !c.once() {
 			last = r.hedged(ctx, c, view)
 		} else {
@@ -296,12 +299,24 @@
 		schema.Reason_REASON_TICKETS_FULL,
 		schema.Reason_REASON_GARBLED,
 		schema.Reason_REASON_COLD,
+		schema.Reason_REASON_SLOW,
 		schema.Reason_REASON_CRASHED:
 		return true
 	}
 	return false
 }
 
+// hasBetter reports whether another instance that the call was not sent to looks as if the call could start there at once.
+func (r *Router) hasBetter(now time.Time, c *call, chosen *picker.View) bool {
+	t := r.current(now)
+	for _, v := range c.group.views {
+		if v != chosen && v.Ready(now) && v.Eligible(now, t.snapshot.Revision()) && !slices.Contains(c.tried, v) {
+			return true
+		}
+	}
+	return false
+}
+
 // choose returns an instance that the call was not sent to, by the snapshot in force now, or nil. Instances that were
 // unreachable a short time ago are used only if there is no other.
 func (r *Router) choose(c *call) *picker.View {
--- a/router/send.go
+++ b/router/send.go
@@ -50,6 +50,7 @@
 		Caller:      caller,
 		RequestId:   c.input.ID,
 		TargetUs:    c.targetLeft(now).Microseconds(),
+		Eager:       c.eager,
 	}.Build()
 }
 
