--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -94,7 +94,7 @@
 func TestRatioBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ratio, floor := rapid.Float64Range(0, 1).Draw(t, "ratio"), rapid.Float64Range(0.1, 20).Draw(t, "floor")
-		r := budget.NewRatio(ratio, floor)
+		r := budget.NewRatio(ratio, floor, budget.RetryMemory)
 		bound, high := 1e-6, epoch
 		for _, now := range drawTimes(t, floor) {
 			bound += floor * later(now, high).Sub(high).Seconds()
@@ -115,13 +115,13 @@
 // TestRatioDecays guards against a calm hour that pays for a storm of retries, and against a share that is lost.
 func TestRatioDecays(t *testing.T) {
 	c := qt.New(t)
-	r := budget.NewRatio(0.5, 0)
+	r := budget.NewRatio(0.5, 0, budget.HedgeMemory)
 	now := epoch
 	for _, test := range []struct {
 		calls       int
 		apart, then time.Duration
 		want        int
-	}{{36_000, 100 * time.Millisecond, 0, 50}, {20, 0, 10 * budget.Memory, 0}, {20, 0, 0, 10}} {
+	}{{36_000, 100 * time.Millisecond, 0, 50}, {20, 0, 10 * budget.HedgeMemory, 0}, {20, 0, 0, 10}} {
 		for range test.calls {
 			now = now.Add(test.apart)
 			r.Earn(now)
--- a/router/usage.go
+++ b/router/usage.go
@@ -46,14 +46,14 @@
 	ratio, floor := settings.GetRetryRatio(), settings.GetRetryFloor()
 	if u.retries == nil || u.retryRatio != ratio || u.retryFloor != floor {
 		u.retryRatio, u.retryFloor = ratio, floor
-		u.retries = budget.NewRatio(ratio, floor)
+		u.retries = budget.NewRatio(ratio, floor, budget.RetryMemory)
 	}
 	ratio = settings.GetHedgeRatio()
 	if u.hedges != nil && u.hedgeRatio == ratio {
 		return
 	}
 	u.hedgeRatio = ratio
-	u.hedges = budget.NewRatio(ratio, 0)
+	u.hedges = budget.NewRatio(ratio, 0, budget.HedgeMemory)
 	u.latencies, u.delay = nil, 0
 	if ratio > 0 {
 		u.latencies = hdrhistogram.NewWindowed(latencyWindows, 1, maxLatency, 2)
