--- a/admit/admit.go
+++ b/admit/admit.go
@@ -43,6 +43,11 @@
 	Alone bool
 	// Deadline is the time after which the call does not start.
 	Deadline time.Time
+	// Target is the time up to which an answer has its full worth; zero if there is none. Of the calls that wait, those that
+	// can still meet theirs go first, the earliest target before the others.
+	Target time.Time
+	// Expected is how long the call probably runs; 0 stands for the average of all calls.
+	Expected time.Duration
 	// Owner is what the owner associates with the call.
 	Owner any
 
@@ -261,7 +266,7 @@
 		return c.admitSuspect(now, call)
 	case call.Eager && !c.undecided(now):
 		return schema.Reason_REASON_BUSY
-	case c.late(now, call, c.ahead(call.rank())):
+	case c.late(now, call, c.before(call)):
 		return schema.Reason_REASON_BUSY
 	case c.queued >= c.capacity && !c.preempt(call.rank()):
 		return schema.Reason_REASON_BUSY
@@ -295,11 +300,16 @@
 	return c.inFlight < c.limiter.Limit(now) && c.ahead(call.rank()) == 0 && c.gate(now)
 }
 
-// late reports whether a call that waits for ahead others is expected to miss its deadline.
+// late reports whether a call that waits for ahead others is expected to miss its deadline, or its target while others
+// wait too: it would take the place of calls that can still meet theirs.
 func (c *Controller) late(now time.Time, call *Call, ahead int) bool {
 	limit := max(c.limiter.Limit(now), 1)
 	wait := c.service * time.Duration(ahead+1) / time.Duration(limit)
-	return now.Add(wait + c.service).After(call.Deadline)
+	end := now.Add(wait + c.expected(call))
+	if !call.Target.IsZero() && c.queued > 0 && end.After(call.Target) {
+		return true
+	}
+	return end.After(call.Deadline)
 }
 
 // ahead returns the number of calls that wait with at least the rank.
@@ -311,6 +321,23 @@
 	return count
 }
 
+// before returns the number of calls that start before a new one: all that wait if it has a target, since they are started
+// in the order of their targets, else those of at least its rank.
+func (c *Controller) before(call *Call) int {
+	if call.Target.IsZero() {
+		return c.ahead(call.rank())
+	}
+	count := 0
+	for i := range c.queues {
+		for waiting := c.queues[i].first; waiting != nil; waiting = waiting.next {
+			if !waiting.Target.After(call.Target) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // preempt refuses the latest call of the lowest rank below rank, and reports whether there was one.
 func (c *Controller) preempt(rank int) bool {
 	for i := range rank {
@@ -391,6 +418,9 @@
 	if c.queued == 0 || c.inFlight >= c.limiter.Limit(now) || c.spent(now) || !c.gate(now) {
 		return nil
 	}
+	if call := c.mostUrgent(now); call != nil {
+		return call
+	}
 	for i := ranks - 1; i >= 0; i-- {
 		if call := c.queues[i].first; call != nil {
 			return call
@@ -399,6 +429,30 @@
 	return nil
 }
 
+// mostUrgent returns the call with the earliest target of those that can still meet theirs, or nil.
+func (c *Controller) mostUrgent(now time.Time) *Call {
+	var best *Call
+	for i := ranks - 1; i >= 0; i-- {
+		for call := c.queues[i].first; call != nil; call = call.next {
+			if call.Target.IsZero() || now.Add(c.expected(call)).After(call.Target) {
+				continue
+			}
+			if best == nil || call.Target.Before(best.Target) {
+				best = call
+			}
+		}
+	}
+	return best
+}
+
+// expected returns how long a call probably runs.
+func (c *Controller) expected(call *Call) time.Duration {
+	if call.Expected > 0 {
+		return call.Expected
+	}
+	return c.service
+}
+
 func (c *Controller) run(now time.Time, call *Call) {
 	call.state = stateRunning
 	call.started = now
--- a/guard/call.go
+++ b/guard/call.go
@@ -25,6 +25,8 @@
 	// index is the position in Guard.running, and sampled tells that the age of the call was observed as a latency.
 	index   int
 	sampled bool
+	// percent is the pace of the backend server in hundredths when the call started.
+	percent int
 	// withdrawn tells that the router or caller gave up a call that runs; its end says nothing about the server.
 	withdrawn bool
 	// outcome receives the reply exactly once.
@@ -44,6 +46,9 @@
 		Deadline:   now.Add(timeout),
 		Owner:      c,
 	}
+	if left := request.GetTargetUs(); left > 0 {
+		c.admit.Target = now.Add(time.Duration(left) * time.Microsecond)
+	}
 	if request.HasTicket() || request.GetOnce() {
 		c.ctx = context.Background()
 		return c
@@ -182,6 +187,7 @@
 	if attempt := c.request.GetAttempt(); attempt != 0 {
 		g.attempts[attempt] = c
 	}
+	c.admit.Expected = g.typical.expect(c.request.GetRule())
 	g.handle(now, g.controller.Offer(now, &c.admit))
 	g.followPace(now)
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -61,6 +61,10 @@
 	pause      pause
 	probes     probes
 	pace       pace
+	typical    typical
+	knee       knee
+	// slots is the limit that the backend server last reported.
+	slots int
 	// paceAsking tells that askPace runs.
 	paceAsking bool
 }
--- a/guard/run.go
+++ b/guard/run.go
@@ -66,6 +66,7 @@
 			g.settle(now, c, core.NotRun(e.Reason))
 			continue
 		}
+		g.noteStart(e)
 		c.index = len(g.running)
 		g.running = append(g.running, c)
 		g.calls.Go(func() { g.send(c) })
@@ -247,6 +248,9 @@
 	latency := now.Sub(started)
 	failed := reply.GetStatus() == schema.Status_STATUS_UNKNOWN || result.Code >= http.StatusInternalServerError
 	g.server.measure(latency, failed)
+	if !failed {
+		g.observeTime(now, c, latency)
+	}
 	g.limiter.Observe(now, core.Sample{Latency: latency, InFlight: c.admit.InFlight(), Failed: failed})
 }
 
@@ -276,7 +280,8 @@
 // cold during the whole of its ramp; the first such report starts the ramp of the limiter, and the following ones
 // restart it only if it has ended.
 func (g *Guard) report(now time.Time, report *core.ServerReport) {
-	g.limiter.Bound(now, report.Limit)
+	g.slots = report.Limit
+	g.limiter.Bound(now, g.knee.limit(now, report.Limit))
 	if report.Pace > 0 {
 		g.pace.take(now, report.Pace)
 	}
@@ -308,6 +313,7 @@
 		Incarnation: old.GetIncarnation(), Version: old.GetVersion(), State: old.GetState(),
 	}.Build())
 	g.ineligible = ineligible(g.own(), g.applied)
+	g.knee, g.pace = knee{}, pace{}
 	g.cool(now, "another backend server")
 	g.identify(instance)
 }
--- a/router/send.go
+++ b/router/send.go
@@ -51,6 +51,7 @@
 		RequestId:   c.input.ID,
 		TargetUs:    c.targetLeft(now).Microseconds(),
 		Eager:       c.eager,
+		Rule:        c.rule.GetName(),
 	}.Build()
 }
 
