Skip the instance that ran at an address before; queue for cold servers within their rate

Cause: for 10 s after a restart of all machines a third of the sends went to the entries of servers that were gone (wrong-instance), and calls bounced between cold servers until their retry budget was spent.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -149,6 +149,14 @@
 	return c.rate > 0 && c.starts.count(now) >= c.rate
 }
 
+// StartsLeft returns the bound on the starts of a second, 0 if there is none, and how many calls may start now.
+func (c *Controller) StartsLeft(now time.Time) (rate, left int) {
+	if c.rate == 0 {
+		return 0, 0
+	}
+	return c.rate, max(0, c.rate-c.starts.count(now))
+}
+
 // InFlight returns the calls that occupy the backend server.
 func (c *Controller) InFlight() int { return c.inFlight }
 
@@ -259,7 +267,7 @@
 		return c.closed
 	case !now.Before(call.Deadline):
 		return schema.Reason_REASON_DEADLINE
-	case c.spent(now):
+	case call.Eager && c.spent(now):
 		return schema.Reason_REASON_COLD
 	case c.startable(now, call):
 	case call.Alone:
@@ -297,7 +305,7 @@
 	if call.Alone {
 		return c.inFlight == 0
 	}
-	return c.inFlight < c.limiter.Limit(now) && c.ahead(call.rank()) == 0 && c.gate(now)
+	return c.inFlight < c.limiter.Limit(now) && c.ahead(call.rank()) == 0 && !c.spent(now) && c.gate(now)
 }
 
 // late reports whether a call that waits for ahead others is expected to miss its deadline, or its target while others
@@ -305,6 +313,9 @@
 func (c *Controller) late(now time.Time, call *Call, ahead int) bool {
 	limit := max(c.limiter.Limit(now), 1)
 	wait := c.service * time.Duration(ahead+1) / time.Duration(limit)
+	if c.spent(now) {
+		wait = max(wait, time.Second*time.Duration(ahead+1)/time.Duration(c.rate))
+	}
 	end := now.Add(wait + c.expected(call))
 	if !call.Target.IsZero() && c.queued > 0 && end.After(call.Target) {
 		return true
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -87,8 +87,13 @@
 		instances: make(map[string]*Instance, len(members)),
 		services:  make(map[string][]*Instance),
 	}
+	running := runningAt(members)
 	for _, m := range members {
-		instance := NewInstance(m, stateInForce(document, m))
+		state := stateInForce(document, m)
+		if name, ok := running[m.GetAddress()]; ok && name != m.GetInstance() {
+			state = schema.InstanceState_INSTANCE_STATE_GONE
+		}
+		instance := NewInstance(m, state)
 		s.instances[m.GetInstance()] = instance
 		s.services[m.GetService()] = append(s.services[m.GetService()], instance)
 	}
@@ -98,6 +103,22 @@
 	return s
 }
 
+// runningAt returns the instances that nodes announce themselves, by address. A platform's list may go on naming the
+// instance that ran at an address before.
+func runningAt(members []*schema.Member) map[string]string {
+	running := make(map[string]string)
+	latest := make(map[string]uint64)
+	for _, m := range members {
+		address := m.GetAddress()
+		if m.GetIncarnation() == 0 || m.GetState() == schema.InstanceState_INSTANCE_STATE_GONE || m.GetVersion() < latest[address] {
+			continue
+		}
+		running[address] = m.GetInstance()
+		latest[address] = m.GetVersion()
+	}
+	return running
+}
+
 // stateInForce returns the worse of the member's own state and the document's.
 func stateInForce(document *schema.Document, member *schema.Member) schema.InstanceState {
 	state := max(member.GetState(), schema.InstanceState_INSTANCE_STATE_SERVING)
@@ -208,6 +229,10 @@
 	Incarnation uint64
 	// Pace is the time that work takes now relative to the usual time; 0 if it is not known.
 	Pace float64
+	// StartRate is how many calls a second the backend server can begin, and StartsLeft how many of them are left; StartRate
+	// is 0 if the rate is not bounded.
+	StartRate  int
+	StartsLeft int
 }
 
 // NewLoadReport returns the plain value of a message; a nil message gives the zero report.
@@ -222,6 +247,8 @@
 		Revision:    load.GetRevision(),
 		Incarnation: load.GetIncarnation(),
 		Pace:        float64(load.GetPacePercent()) / 100,
+		StartRate:   int(load.GetStartRate()),
+		StartsLeft:  int(load.GetStartsLeft()),
 	}
 }
 
@@ -237,5 +264,7 @@
 		Revision:        r.Revision,
 		Incarnation:     r.Incarnation,
 		PacePercent:     uint32(math.Round(r.Pace * 100)),
+		StartRate:       uint32(r.StartRate),
+		StartsLeft:      uint32(r.StartsLeft),
 	}.Build()
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -160,7 +160,10 @@
 	if g.controller.Closed() == schema.Reason_REASON_NONE {
 		limit = g.limiter.Limit(now)
 	}
+	rate, left := g.controller.StartsLeft(now)
 	return core.LoadReport{
+		StartRate:   rate,
+		StartsLeft:  left,
 		InFlight:    g.controller.InFlight(),
 		Queued:      g.controller.Queued(),
 		Limit:       limit,
--- a/guard/run.go
+++ b/guard/run.go
@@ -46,8 +46,8 @@
 	// stateKnown tells that its state was reported since its last start, and coldUntil how long it stays cold.
 	stateKnown bool
 	coldUntil  time.Time
-	reset  time.Time
-	resets int
+	reset      time.Time
+	resets     int
 	// answered is the latest start of a call that was answered.
 	answered time.Time
 	// down tells that no connection can be opened. doubted asks the next tick to try one.
@@ -296,7 +296,7 @@
 	if report.Incarnation != 0 {
 		g.server.incarnation = report.Incarnation
 	}
-	if restarted || report.Cold && (!g.server.cold || g.warm(now)) {
+	if restarted || report.Cold && (!g.server.cold || g.coldRate == 0 && g.warm(now)) {
 		g.cool(now, "report of the backend server")
 	}
 	g.server.cold = report.Cold
--- a/picker/finish.go
+++ b/picker/finish.go
@@ -73,6 +73,7 @@
 	if !received.IsZero() && age > silentAfter {
 		cost *= silentCost
 	}
+	cost += startWait(candidate, load, e.usual)
 	cost *= 1 + failurePenalty*e.failures
 	if candidate.Instance().Domain() != f.domain {
 		cost += f.remote
@@ -88,6 +89,19 @@
 	return usualPace + half(max(age, 0), float64(paceLife))*(load.Pace-usualPace)
 }
 
+// startWait returns the wait until an instance whose starts are bounded may begin another call, in service times.
+func startWait(candidate core.Candidate, load core.LoadReport, usual float64) float64 {
+	if load.StartRate == 0 || usual <= 0 {
+		return 0
+	}
+	sent := 0
+	if view, ok := candidate.(*View); ok {
+		sent = view.SentSince()
+	}
+	missing := sent + 1 + load.Queued - load.StartsLeft
+	return float64(max(0, missing)) / float64(load.StartRate) * float64(time.Second) / usual
+}
+
 // crowding returns how many times as long a call takes since others are in flight or wait.
 func (f *Finish) crowding(e evidence) float64 {
 	if e.limit <= 0 {
--- a/picker/view.go
+++ b/picker/view.go
@@ -253,6 +253,15 @@
 	return v.avoid.CompareAndSwap(until, since+int64(backoff(count)))
 }
 
+// SentSince returns how many more calls of this router are unanswered than when the last report arrived.
+func (v *View) SentSince() int {
+	r := v.report.Load()
+	if r == nil {
+		return v.InFlight()
+	}
+	return max(0, v.InFlight()-r.own)
+}
+
 // Ready reports whether a call sent now would probably start at once: the last report is recent, the instance works at the
 // usual pace and has room beyond the calls of this router.
 func (v *View) Ready(now time.Time) bool {
@@ -260,7 +269,10 @@
 	if r == nil || now.Sub(r.received) > silentAfter || v.Avoided(now) {
 		return false
 	}
-	sent := max(0, v.InFlight()-r.own)
+	sent := v.SentSince()
+	if r.load.StartRate > 0 && r.load.StartsLeft <= sent {
+		return false
+	}
 	return r.load.Pace < slowPace && r.load.InFlight+r.load.Queued+sent < r.load.Limit
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -33,7 +33,7 @@
 			Instance:    fmt.Sprintf("sheets-%d", i+1),
 			Service:     "sheets",
 			Domain:      "a",
-			Address:     "127.0.0.1:1",
+			Address:     fmt.Sprintf("127.0.0.%d:1", i+1),
 			Incarnation: uint64(i + 1),
 			State:       schema.InstanceState_INSTANCE_STATE_SERVING,
 		}.Build())
