--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -21,6 +21,8 @@
 )
 
 const (
+	// farEvery is how many reports go to the nodes of the own failure domain for one that goes to those of others.
+	farEvery = 2
 	// maxDatagram bounds a report, which has about 40 bytes.
 	maxDatagram = 512
 	// idlePeriod is the time between two looks at whether reports are to be sent.
@@ -47,7 +49,7 @@
 // Beacon sends and receives reports.
 type Beacon struct {
 	conn      *net.UDPConn
-	self      string
+	self      *schema.Member
 	snapshots core.Snapshots
 	source    Source
 	sink      Sink
@@ -57,9 +59,10 @@
 	logger    *zap.Logger
 	done      chan struct{}
 	sequence  uint64
-	// targets are the addresses of the other nodes by the snapshot they were made from.
-	snapshot *core.Snapshot
-	targets  []netip.AddrPort
+	// near and far are the addresses of the other nodes in the own failure domain and in others, by the snapshot they were
+	// made from.
+	snapshot  *core.Snapshot
+	near, far []netip.AddrPort
 	sent     prometheus.Counter
 	received prometheus.Counter
 	failed   prometheus.Counter
@@ -77,10 +80,10 @@
 	return func(b *Beacon) { registerer.MustRegister(b.sent, b.received, b.failed) }
 }
 
-// New listens for datagrams on address, an IP:port. Reports go to the addresses of the other nodes in the snapshot, every
-// interval.
-func New(address string, interval time.Duration, snapshots core.Snapshots, source Source, sink Sink, standing Standing, clock core.Clock, opts ...Option) (*Beacon, error) {
-	local, err := net.ResolveUDPAddr("udp", address)
+// New listens for datagrams on the address of self. Reports go to the addresses of the other nodes in the snapshot: to those
+// of the same failure domain every interval, to others less often.
+func New(self *schema.Member, interval time.Duration, snapshots core.Snapshots, source Source, sink Sink, standing Standing, clock core.Clock, opts ...Option) (*Beacon, error) {
+	local, err := net.ResolveUDPAddr("udp", self.GetAddress())
 	if err != nil {
 		return nil, fmt.Errorf("address for load reports: %w", err)
 	}
@@ -90,7 +93,7 @@
 	}
 	b := &Beacon{
 		conn:      conn,
-		self:      address,
+		self:      self,
 		snapshots: snapshots,
 		source:    source,
 		sink:      sink,
@@ -147,14 +150,18 @@
 
 // send sends the report of the own guard to each other node.
 func (b *Beacon) send() {
-	targets := b.addresses()
-	if len(targets) == 0 {
+	b.resolve()
+	b.sequence++
+	far := b.far
+	if b.sequence%farEvery != 0 {
+		far = nil
+	}
+	if len(b.near)+len(far) == 0 {
 		return
 	}
-	b.sequence++
 	load := b.source.Load()
 	revision, manifest, confirmed := b.standing.Standing()
-	load.Revision = revision
+	load.Revision, load.Incarnation, load.Latency = revision, 0, 0
 	datagram, err := proto.Marshal(schema.LoadReport_builder{
 		Instance:    core.InstanceHash(b.source.Instance()),
 		Sequence:    b.sequence,
@@ -166,6 +173,11 @@
 		b.failed.Inc()
 		return
 	}
+	b.sendTo(b.near, datagram)
+	b.sendTo(far, datagram)
+}
+
+func (b *Beacon) sendTo(targets []netip.AddrPort, datagram []byte) {
 	for _, to := range targets {
 		if _, err := b.conn.WriteToUDPAddrPort(datagram, to); err != nil {
 			b.failed.Inc()
@@ -175,27 +187,29 @@
 	}
 }
 
-// addresses returns the addresses of the other nodes.
-func (b *Beacon) addresses() []netip.AddrPort {
+// resolve updates the addresses of the other nodes.
+func (b *Beacon) resolve() {
 	snapshot := b.snapshots.Snapshot()
 	if snapshot == nil || snapshot == b.snapshot {
-		return b.targets
+		return
 	}
 	b.snapshot = snapshot
-	b.targets = b.targets[:0]
-	seen := map[string]bool{b.self: true}
+	b.near, b.far = b.near[:0], b.far[:0]
+	seen := map[string]bool{b.self.GetAddress(): true}
 	for name := range snapshot.Document().GetServices() {
 		for _, i := range snapshot.Instances(name) {
-			if seen[i.Address()] || i.State() == schema.InstanceState_INSTANCE_STATE_GONE {
+			address, err := netip.ParseAddrPort(i.Address())
+			if err != nil || seen[i.Address()] || i.State() == schema.InstanceState_INSTANCE_STATE_GONE {
 				continue
 			}
 			seen[i.Address()] = true
-			if address, err := netip.ParseAddrPort(i.Address()); err == nil {
-				b.targets = append(b.targets, address)
+			if i.Domain() == b.self.GetDomain() {
+				b.near = append(b.near, address)
+			} else {
+				b.far = append(b.far, address)
 			}
 		}
 	}
-	return b.targets
 }
 
 // receive takes reports until the connection is closed.
--- a/node/node.go
+++ b/node/node.go
@@ -41,7 +41,7 @@
 	// adapterWatch is the time for which a watch of an adapter's platform may stay pending, adapterList the time between two
 	// reads of its list.
 	adapterWatch = 15 * time.Second
-	adapterList  = 10 * time.Second
+	adapterList  = 20 * time.Second
 	// adapterStale is the age of the last confirmation of the document at which a node reads it beside its watch.
 	adapterStale = 700 * time.Millisecond
 	// retireTime is how long a node that shuts down goes on serving, until callers have noticed that it is not ready.
@@ -182,7 +182,7 @@
 			return fmt.Errorf("open the readiness listener: %w", err)
 		}
 	}
-	n.beacon, err = beacon.New(n.server.Addr(), n.settings.GetReportInterval().AsDuration(), n.exchange, n.guard, n.router,
+	n.beacon, err = beacon.New(n.self, n.settings.GetReportInterval().AsDuration(), n.exchange, n.guard, n.router,
 		n.exchange, n.clock, beacon.WithLogger(n.logger), beacon.WithRegisterer(n.registry))
 	if err != nil {
 		return fmt.Errorf("open the listener for load reports: %w", err)
--- a/picker/finish.go
+++ b/picker/finish.go
@@ -21,6 +21,9 @@
 	spreadCost = 0.5
 	// coldCost is how many times as long work takes in cold start.
 	coldCost = 2
+	// trySome is one in how many calls goes to any instance at which it would start at once, so that new instances and those
+	// far away get some work and are known to answer.
+	trySome = 25
 	// silentAfter is the age of the last report at which an instance that reports by itself may be cut off, and silentCost
 	// what this costs.
 	silentAfter = 300 * time.Millisecond
@@ -47,6 +50,11 @@
 	if n == 0 {
 		return -1
 	}
+	if f.source.below(trySome) == 0 {
+		if index := f.source.draw(n, func(i int) bool { return exclude(i) || !isReady(now, candidates[i]) }); index >= 0 {
+			return index
+		}
+	}
 	best, lowest := -1, math.Inf(1)
 	start := f.source.below(n)
 	for i := range n {
@@ -61,6 +69,12 @@
 	return best
 }
 
+// isReady reports whether a call that is sent now would probably start at once.
+func isReady(now time.Time, candidate core.Candidate) bool {
+	view, ok := candidate.(*View)
+	return ok && view.Ready(now)
+}
+
 // cost returns the expected time of a call in service times of the usual pace.
 func (f *Finish) cost(now time.Time, candidate core.Candidate) float64 {
 	load, received := candidate.Load()
