--- a/admit/admit.go
+++ b/admit/admit.go
@@ -19,6 +19,10 @@
 	// until a suspect can run alone.
 	patienceFactor = 4
 	minPatience    = 100 * time.Millisecond
+	// lateWorth is what a call that misses its target is worth, relative to one that meets it.
+	lateWorth = 0.25
+	// shortFactor is how many times shorter than the average a short call is at least.
+	shortFactor = 2
 )
 
 // state is where a call is in its life.
@@ -44,7 +48,7 @@
 	// Deadline is the time after which the call does not start.
 	Deadline time.Time
 	// Target is the time up to which an answer has its full worth; zero if there is none. Of the calls that wait, those that
-	// can still meet theirs go first, the earliest target before the others.
+	// are short and those that can still meet theirs go first, the earliest target before the others.
 	Target time.Time
 	// Expected is how long the call probably runs; 0 stands for the average of all calls.
 	Expected time.Duration
@@ -317,12 +321,16 @@
 		wait = max(wait, time.Second*time.Duration(ahead+1)/time.Duration(c.rate))
 	}
 	end := now.Add(wait + c.expected(call))
-	if !call.Target.IsZero() && c.queued > 0 && end.After(call.Target) {
+	if !call.Target.IsZero() && c.queued > 0 && !c.short(call) && end.After(call.Target) {
 		return true
 	}
 	return end.After(call.Deadline)
 }
 
+// short reports whether a call takes far less time than others. Such a call costs others little, and is often one that a
+// running call waits for.
+func (c *Controller) short(call *Call) bool { return shortFactor*c.expected(call) < c.service }
+
 // ahead returns the number of calls that wait with at least the rank.
 func (c *Controller) ahead(rank int) int {
 	count := 0
@@ -429,7 +437,7 @@
 	if c.queued == 0 || c.inFlight >= c.limiter.Limit(now) || c.spent(now) || !c.gate(now) {
 		return nil
 	}
-	if call := c.mostUrgent(now); call != nil {
+	if call := c.worthiest(now); call != nil {
 		return call
 	}
 	for i := ranks - 1; i >= 0; i-- {
@@ -440,22 +448,35 @@
 	return nil
 }
 
-// mostUrgent returns the call with the earliest target of those that can still meet theirs, or nil.
-func (c *Controller) mostUrgent(now time.Time) *Call {
+// worthiest returns the call with a target that is worth most for the time that it holds its slot, or nil. Of calls that
+// are worth the same, the one with the earliest target goes first.
+func (c *Controller) worthiest(now time.Time) *Call {
 	var best *Call
+	highest := 0.0
 	for i := ranks - 1; i >= 0; i-- {
 		for call := c.queues[i].first; call != nil; call = call.next {
-			if call.Target.IsZero() || now.Add(c.expected(call)).After(call.Target) {
+			if call.Target.IsZero() {
 				continue
 			}
-			if best == nil || call.Target.Before(best.Target) {
-				best = call
+			worth := c.worth(now, call)
+			if best == nil || worth > highest || worth == highest && call.Target.Before(best.Target) {
+				best, highest = call, worth
 			}
 		}
 	}
 	return best
 }
 
+// worth returns what a call that starts now is worth for each second that it holds its slot.
+func (c *Controller) worth(now time.Time, call *Call) float64 {
+	expected := max(c.expected(call), time.Millisecond)
+	worth := 1 / expected.Seconds()
+	if now.Add(expected).After(call.Target) {
+		worth *= lateWorth
+	}
+	return worth
+}
+
 // expected returns how long a call probably runs.
 func (c *Controller) expected(call *Call) time.Duration {
 	if call.Expected > 0 {
--- a/router/call.go
+++ b/router/call.go
@@ -43,8 +43,10 @@
 	bounces  int
 	// eager tells that the next send is to be refused if the call cannot start at once.
 	eager bool
-	// tried holds the instances that the call was sent to, and trail what came of each send.
-	tried []*picker.View
+	// tried holds the instances that are not to get the call again, declined those that could not start it at once, and
+	// trail what came of each send.
+	tried    []*picker.View
+	declined []*picker.View
 	trail []hop
 	// possible is the reply of an attempt that ran or may have run. Once it is set, the call cannot end as not run.
 	possible *schema.ExecuteReply
@@ -130,6 +132,11 @@
 	last := core.NotRun(schema.Reason_REASON_NO_INSTANCE)
 	for attempt := range maxAttempts {
 		view := r.choose(c)
+		if view == nil && len(c.declined) > 0 {
+			// Each instance that looked better has declined; one of them has to queue the call.
+			c.declined = nil
+			view = r.choose(c)
+		}
 		if view == nil {
 			break
 		}
@@ -177,7 +184,6 @@
 
 // attempt sends the call to the instance and notes whether it may have run there.
 func (r *Router) attempt(ctx context.Context, c *call, view *picker.View) *schema.ExecuteReply {
-	c.tried = append(c.tried, view)
 	reply := r.send(ctx, c, view).reply
 	c.note(view, reply)
 	return reply
@@ -186,6 +192,12 @@
 // note keeps the reply of an attempt that may have run. A whole response is worth more than none.
 func (c *call) note(view *picker.View, reply *schema.ExecuteReply) {
 	c.trail = append(c.trail, newHop(view, reply))
+	c.tried = slices.DeleteFunc(c.tried, func(v *picker.View) bool { return v == view })
+	if c.eager && isDeclined(reply) {
+		c.declined = append(c.declined, view)
+	} else {
+		c.tried = append(c.tried, view)
+	}
 	if reached(reply) {
 		c.arrivals++
 	} else {
@@ -228,6 +240,18 @@
 	return minReturn + time.Duration(rand.Int64N(int64(maxReturn-minReturn)))
 }
 
+// isDeclined reports whether an eager call was refused since it could not start at once.
+func isDeclined(reply *schema.ExecuteReply) bool {
+	if reply.GetStatus() != schema.Status_STATUS_NOT_RUN {
+		return false
+	}
+	switch reply.GetReason() {
+	case schema.Reason_REASON_BUSY, schema.Reason_REASON_SLOW, schema.Reason_REASON_COLD:
+		return true
+	}
+	return false
+}
+
 // reached reports whether a backend server may have met the request.
 func reached(reply *schema.ExecuteReply) bool {
 	return reply.GetStatus() != schema.Status_STATUS_NOT_RUN || reply.GetReason() == schema.Reason_REASON_SHED
@@ -306,11 +330,16 @@
 	return false
 }
 
+// has reports whether the call was sent to the instance and is not to be sent there now.
+func (c *call) has(v *picker.View) bool {
+	return slices.Contains(c.tried, v) || slices.Contains(c.declined, v)
+}
+
 // hasBetter reports whether another instance that the call was not sent to looks as if the call could start there at once.
 func (r *Router) hasBetter(now time.Time, c *call, chosen *picker.View) bool {
 	t := r.current(now)
 	for _, v := range c.group.views {
-		if v != chosen && v.Ready(now) && v.Eligible(now, t.snapshot.Revision()) && !slices.Contains(c.tried, v) {
+		if v != chosen && v.Ready(now) && v.Eligible(now, t.snapshot.Revision()) && !c.has(v) {
 			return true
 		}
 	}
@@ -328,7 +357,7 @@
 	}
 	c.group = g
 	usable := func(v *picker.View) bool {
-		return v.Eligible(now, t.snapshot.Revision()) && !slices.Contains(c.tried, v)
+		return v.Eligible(now, t.snapshot.Revision()) && !c.has(v)
 	}
 	for range g.views {
 		i := r.chooser.Choose(now, g.candidates, func(i int) bool {
