Faster recovery after all machines lose power

Cause: a new process had one platform call for its first 0.67 s, so the list came 1.5 s late; until its server was known it announced a placeholder that hid the server at its address; calls beyond 17 a second were refused by cold servers that can take 5 more. Ruled out: the cold servers' crashes (none fell over). Also logs what a node believes of instances, revision and failure domains.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -125,8 +125,8 @@
 // SetCapacity changes the bound of the queue; calls that wait already stay.
 func (c *Controller) SetCapacity(capacity int) { c.capacity = max(capacity, 0) }
 
-// SetRate bounds the starts within any second; 0 sets no bound.
-func (c *Controller) SetRate(perSecond float64) { c.rate = int(math.Ceil(perSecond)) }
+// SetRate bounds the starts within any second; below 1 it sets no bound.
+func (c *Controller) SetRate(perSecond float64) { c.rate = int(math.Floor(perSecond)) }
 
 // SetGate sets a function that is asked before each start. While it returns false, calls wait; Tick asks again.
 func (c *Controller) SetGate(gate func(now time.Time) bool) { c.gate = gate }
--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -63,10 +63,10 @@
 	// made from.
 	snapshot  *core.Snapshot
 	near, far []netip.AddrPort
-	sent     prometheus.Counter
-	received prometheus.Counter
-	failed   prometheus.Counter
-	stopped  atomic.Bool
+	sent      prometheus.Counter
+	received  prometheus.Counter
+	failed    prometheus.Counter
+	stopped   atomic.Bool
 }
 
 // Option changes a Beacon.
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -54,15 +56,25 @@
 // Incarnation returns the random number of the node's process, or 0 if only the platform's list names the instance.
 func (i *Instance) Incarnation() uint64 { return i.incarnation }
 
-// State returns the worst state that the document, the platform's list and the node itself give.
-func (i *Instance) State() schema.InstanceState { return i.state }
+// State returns the worst state that the document, the platform's list and the node itself give, and no state for a nil
+// instance.
+func (i *Instance) State() schema.InstanceState {
+	if i == nil {
+		return schema.InstanceState_INSTANCE_STATE_UNSPECIFIED
+	}
+	return i.state
+}
 
 // Eligible reports whether the instance may receive new work. A nil instance may not.
 func (i *Instance) Eligible() bool {
 	if i == nil {
 		return false
 	}
-	return i.state == schema.InstanceState_INSTANCE_STATE_SERVING || i.state == schema.InstanceState_INSTANCE_STATE_COLD
+	return isEligible(i.state)
+}
+
+func isEligible(state schema.InstanceState) bool {
+	return state == schema.InstanceState_INSTANCE_STATE_SERVING || state == schema.InstanceState_INSTANCE_STATE_COLD
 }
 
 // Snapshot is the configuration and the members in force. It is immutable and safe for concurrent use.
@@ -103,14 +115,14 @@
 	return s
 }
 
-// runningAt returns the instances that nodes announce themselves, by address. A platform's list may go on naming the
+// runningAt returns the instances that nodes announce as able to work, by address. A platform's list may go on naming the
 // instance that ran at an address before.
 func runningAt(members []*schema.Member) map[string]string {
 	running := make(map[string]string)
 	latest := make(map[string]uint64)
 	for _, m := range members {
 		address := m.GetAddress()
-		if m.GetIncarnation() == 0 || m.GetState() == schema.InstanceState_INSTANCE_STATE_GONE || m.GetVersion() < latest[address] {
+		if m.GetIncarnation() == 0 || !isEligible(m.GetState()) || m.GetVersion() < latest[address] {
 			continue
 		}
 		running[address] = m.GetInstance()
@@ -136,8 +148,13 @@
 	return !ok || place.GetOutOfService() || places.GetInstances()[instance].GetOutOfService()
 }
 
-// Revision returns the platform's revision of the document.
-func (s *Snapshot) Revision() uint64 { return s.revision }
+// Revision returns the platform's revision of the document, or 0 for a nil snapshot.
+func (s *Snapshot) Revision() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.revision
+}
 
 // Document returns the accepted document, which is not to be changed, or nil for a nil snapshot.
 func (s *Snapshot) Document() *schema.Document {
@@ -151,7 +168,20 @@
 func (s *Snapshot) Service(name string) *schema.Service { return s.document.GetServices()[name] }
 
 // Instance returns the instance with the name, or nil.
-func (s *Snapshot) Instance(name string) *Instance { return s.instances[name] }
+func (s *Snapshot) Instance(name string) *Instance {
+	if s == nil {
+		return nil
+	}
+	return s.instances[name]
+}
+
+// Names returns the names of the instances in order.
+func (s *Snapshot) Names() []string {
+	if s == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(s.instances))
+}
 
 // Instances returns the instances of a service in order of name, in each state; the slice is not to be changed.
 func (s *Snapshot) Instances(service string) []*Instance { return s.services[service] }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -49,6 +49,7 @@
 	limiter    core.Limiter
 	server     server
 	crash      crash
+	// coldRate is the number of calls that a cold backend server can begin within a second; 0 sets no bound.
 	coldRate   float64
 	running    []*call
 	unsettled  int
@@ -275,6 +276,9 @@
 	g.controller.SetCapacity(int(service.GetQueue()))
 	g.probes.configure(service.GetProbesPerSecond(), service.GetReportAge().AsDuration())
 	g.coldRate = service.GetColdRate()
+	if g.coldRate > 0 {
+		g.coldRate += service.GetColdBurst()
+	}
 	if service.GetConnections() > 0 && service.GetMaxBody() > 0 {
 		g.backend.Configure(int(service.GetConnections()), int(service.GetMaxBody()), service.GetProbePath())
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,10 @@
 	adapterList  = 20 * time.Second
 	// adapterStale is the age of the last confirmation of the document at which a node reads it beside its watch.
 	adapterStale = 700 * time.Millisecond
+	// adapterBurst lets a new process read the document and the list together.
+	adapterBurst = 2
+	// adapterSpread spreads the first reads of nodes that start together.
+	adapterSpread = 50 * time.Millisecond
 	// retireTime is how long a node that shuts down goes on serving, until callers have noticed that it is not ready.
 	retireTime = 2500 * time.Millisecond
 	// limitsInterval is the time between two looks at the limits of the document.
@@ -122,6 +126,11 @@
 
 // record returns the node's own member record, with a new incarnation.
 func (n *Node) record() *schema.Member {
+	state := schema.InstanceState_INSTANCE_STATE_SERVING
+	if n.adapter != nil {
+		// The backend server gives the name of the instance; until then there is none to send work to.
+		state = schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
+	}
 	return schema.Member_builder{
 		Instance:    n.settings.GetInstance(),
 		Service:     n.settings.GetService(),
@@ -129,7 +138,7 @@
 		Address:     cmp.Or(n.settings.GetAdvertiseAddress(), n.settings.GetRpcAddress()),
 		Incarnation: rand.Uint64(),
 		Version:     uint64(n.clock.Now().UnixMilli()),
-		State:       schema.InstanceState_INSTANCE_STATE_SERVING,
+		State:       state,
 	}.Build()
 }
 
@@ -220,6 +229,8 @@
 		List:        adapterList,
 		ListDecides: true,
 		Stale:       adapterStale,
+		StartSpread: adapterSpread,
+		Burst:       adapterBurst,
 		Grace:       n.settings.GetListGrace().AsDuration(),
 	}
 }
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -121,6 +121,7 @@
 	random := rand.New(rand.NewPCG(self.GetIncarnation(), uint64(now.UnixNano())))
 	e.state = NewState(now, self, platform != nil, e.seeds, e.suspects, random)
 	e.state.reading = e.reading
+	e.state.tokens = max(1, e.reading.Burst)
 	if e.initial != nil {
 		e.state.offer(now, e.initial.revision, e.initial.text, time.Time{})
 	}
@@ -234,7 +235,8 @@
 		return
 	}
 	e.state.counters.Published++
-	e.snapshot.Store(snapshot)
+	before := e.snapshot.Swap(snapshot)
+	e.logChanges(before, snapshot)
 }
 
 // stand stores the standing of the state if it changed.
--- /dev/null
+++ b/peers/log.go
@@ -0,0 +1,46 @@
+package peers
+
+import (
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"verbenareel/core"
+)
+
+// logChanges logs what a new snapshot changes: the revision in force, the failure domains out of service, and the states
+// of instances.
+func (e *Exchange) logChanges(before, after *core.Snapshot) {
+	if before.Revision() != after.Revision() {
+		e.logger.Info("configuration in force", zap.Uint64("revision", after.Revision()),
+			zap.Uint64("revision_before", before.Revision()), zap.String("deployment", after.Document().GetDeployment()),
+			zap.Strings("domains_out_of_service", outOfService(after)))
+	}
+	for _, name := range after.Names() {
+		i := after.Instance(name)
+		old := before.Instance(name)
+		if old == nil || old.State() != i.State() {
+			e.logger.Info("instance", zap.String("name", name), zap.String("service", i.Service()),
+				zap.String("domain", i.Domain()), zap.String("address", i.Address()), zap.String("state", core.StateName(i.State())),
+				zap.String("state_before", core.StateName(old.State())), zap.Time("list_as_of", after.Listed()))
+		}
+	}
+	for _, name := range before.Names() {
+		if after.Instance(name) == nil {
+			e.logger.Info("instance is no longer known", zap.String("name", name), zap.Time("list_as_of", after.Listed()))
+		}
+	}
+}
+
+// outOfService returns the failure domains that the document takes out of service, in order.
+func outOfService(s *core.Snapshot) []string {
+	var names []string
+	domains := s.Document().GetPlaces().GetDomains()
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		if domains[name].GetOutOfService() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/peers/read.go
+++ b/peers/read.go
@@ -94,7 +94,7 @@
 
 // take takes a call from the platform budget.
 func (s *State) take(now time.Time) bool {
-	s.tokens = min(1, s.tokens+callRate*now.Sub(s.filled).Seconds())
+	s.tokens = min(max(1, s.reading.Burst), s.tokens+callRate*now.Sub(s.filled).Seconds())
 	s.filled = now
 	const rounding = 1e-9
 	if s.tokens < 1-rounding {
@@ -166,7 +166,7 @@
 	due := s.document.began
 	switch {
 	case due.IsZero():
-		due = s.began.Add(scale(startJitter, jitter))
+		due = s.began.Add(scale(s.reading.StartSpread, jitter))
 	case watch:
 	case s.stale(now):
 		due = due.Add(staleRead + scale(staleReadJitter, jitter))
@@ -186,7 +186,7 @@
 // membersDue returns the time of the next read of the list.
 func (s *State) membersDue() time.Time {
 	if s.members.began.IsZero() {
-		return s.began.Add(scale(startJitter, s.members.jitter))
+		return s.began.Add(scale(s.reading.StartSpread, s.members.jitter))
 	}
 	if s.listDemand.After(s.members.began) {
 		return s.members.backoff()
--- a/peers/state.go
+++ b/peers/state.go
@@ -173,6 +173,10 @@
 	// Stale is the age of the last confirmation of the document at which a node reads it although a watch is pending; 0
 	// leaves it to the watch. A watch may hear nothing of a change.
 	Stale time.Duration
+	// Burst is the number of platform calls that may follow each other at once; 0 stands for 1.
+	Burst float64
+	// StartSpread spreads the first reads of processes that start together; 0 spreads nothing.
+	StartSpread time.Duration
 	// Grace is the time after a failed read for which instances that the list no longer names stay as they were: their
 	// entries may have lapsed while the platform was down.
 	Grace time.Duration
@@ -180,7 +184,7 @@
 
 // DefaultReading returns how a node reads a platform of this project's own protocol.
 func DefaultReading() Reading {
-	return Reading{Parse: config.ParseDocument, Watch: watchWait, List: minListRead}
+	return Reading{Parse: config.ParseDocument, Watch: watchWait, List: minListRead, StartSpread: startJitter}
 }
 
 // NewState returns the state of a node that has just started. The platform argument tells whether the node can read the
--- a/router/call.go
+++ b/router/call.go
@@ -47,7 +47,7 @@
 	// trail what came of each send.
 	tried    []*picker.View
 	declined []*picker.View
-	trail []hop
+	trail    []hop
 	// possible is the reply of an attempt that ran or may have run. Once it is set, the call cannot end as not run.
 	possible *schema.ExecuteReply
 }
