--- a/admit/admit.go
+++ b/admit/admit.go
@@ -21,6 +21,8 @@
 	minPatience    = 100 * time.Millisecond
 	// lateWorth is what a call that misses its target is worth, relative to one that meets it.
 	lateWorth = 0.25
+	// lateMargin is the part of the expected time that a call has to spare at least to be queued behind others.
+	lateMargin = 5
 	// shortFactor is how many times shorter than the average a short call is at least.
 	shortFactor = 2
 )
@@ -278,9 +280,9 @@
 		return c.admitSuspect(now, call)
 	case call.Eager && !c.undecided(now):
 		return schema.Reason_REASON_BUSY
-	case c.late(now, call, c.before(call)):
+	case c.late(now, call, c.before(now, call)):
 		return schema.Reason_REASON_BUSY
-	case c.queued >= c.capacity && !c.preempt(call.rank()):
+	case c.queued >= c.capacity && !c.makeRoom(now, call):
 		return schema.Reason_REASON_BUSY
 	}
 	c.enqueue(call)
@@ -294,7 +296,7 @@
 
 // admitSuspect queues a call that has to run alone.
 func (c *Controller) admitSuspect(now time.Time, call *Call) schema.Reason {
-	if c.suspects.length >= c.capacity || c.late(now, call, c.limiter.Limit(now)*(c.suspects.length+1)) {
+	if c.suspects.length >= c.capacity || c.late(now, call, c.service*time.Duration(c.limiter.Limit(now)*(c.suspects.length+1))) {
 		return schema.Reason_REASON_SUSPECT
 	}
 	c.enqueue(call)
@@ -312,16 +314,16 @@
 	return c.inFlight < c.limiter.Limit(now) && c.ahead(call.rank()) == 0 && !c.spent(now) && c.gate(now)
 }
 
-// late reports whether a call that waits for ahead others is expected to miss its deadline, or its target while others
-// wait too: it would take the place of calls that can still meet theirs.
-func (c *Controller) late(now time.Time, call *Call, ahead int) bool {
+// late reports whether a call that waits for others, which take the time ahead together, is expected to miss its deadline,
+// or its target while others wait too: it would take the place of calls that can still meet theirs.
+func (c *Controller) late(now time.Time, call *Call, ahead time.Duration) bool {
 	limit := max(c.limiter.Limit(now), 1)
-	wait := c.service * time.Duration(ahead+1) / time.Duration(limit)
+	wait := (ahead + c.service) / time.Duration(limit)
 	if c.spent(now) {
-		wait = max(wait, time.Second*time.Duration(ahead+1)/time.Duration(c.rate))
+		wait = max(wait, time.Second*time.Duration(c.queued+1)/time.Duration(c.rate))
 	}
 	end := now.Add(wait + c.expected(call))
-	if !call.Target.IsZero() && c.queued > 0 && !c.short(call) && end.After(call.Target) {
+	if !call.Target.IsZero() && c.queued > 0 && !c.short(call) && end.Add(c.expected(call)/lateMargin).After(call.Target) {
 		return true
 	}
 	return end.After(call.Deadline)
@@ -340,21 +342,42 @@
 	return count
 }
 
-// before returns the number of calls that start before a new one: all that wait if it has a target, since they are started
-// in the order of their targets, else those of at least its rank.
-func (c *Controller) before(call *Call) int {
+// before returns the time that the calls that start before a new one take together: of calls with targets those that
+// precede it, else those of at least its rank.
+func (c *Controller) before(now time.Time, call *Call) time.Duration {
 	if call.Target.IsZero() {
-		return c.ahead(call.rank())
+		return c.service * time.Duration(c.ahead(call.rank()))
 	}
-	count := 0
+	var sum time.Duration
 	for i := range c.queues {
 		for waiting := c.queues[i].first; waiting != nil; waiting = waiting.next {
-			if !waiting.Target.After(call.Target) {
-				count++
+			if waiting.Target.IsZero() || !c.precedes(now, call, waiting) {
+				sum += c.expected(waiting)
 			}
 		}
 	}
-	return count
+	return sum
+}
+
+// makeRoom refuses a call that waits and is worth less than a new one, and reports whether there was one.
+func (c *Controller) makeRoom(now time.Time, call *Call) bool {
+	if call.Target.IsZero() {
+		return c.preempt(call.rank())
+	}
+	var least *Call
+	for i := range c.queues {
+		for waiting := c.queues[i].first; waiting != nil; waiting = waiting.next {
+			if !waiting.Target.IsZero() && (least == nil || c.precedes(now, least, waiting)) {
+				least = waiting
+			}
+		}
+	}
+	if least == nil || !c.precedes(now, call, least) {
+		return false
+	}
+	c.dequeue(least)
+	c.refuse(least, schema.Reason_REASON_PREEMPTED)
+	return true
 }
 
 // preempt refuses the latest call of the lowest rank below rank, and reports whether there was one.
@@ -452,15 +475,10 @@
 // are worth the same, the one with the earliest target goes first.
 func (c *Controller) worthiest(now time.Time) *Call {
 	var best *Call
-	highest := 0.0
 	for i := ranks - 1; i >= 0; i-- {
 		for call := c.queues[i].first; call != nil; call = call.next {
-			if call.Target.IsZero() {
-				continue
-			}
-			worth := c.worth(now, call)
-			if best == nil || worth > highest || worth == highest && call.Target.Before(best.Target) {
-				best, highest = call, worth
+			if !call.Target.IsZero() && (best == nil || c.precedes(now, call, best)) {
+				best = call
 			}
 		}
 	}
@@ -470,13 +488,19 @@
 // worth returns what a call that starts now is worth for each second that it holds its slot.
 func (c *Controller) worth(now time.Time, call *Call) float64 {
 	expected := max(c.expected(call), time.Millisecond)
-	worth := 1 / expected.Seconds()
+	worth := float64(max(call.Priority, schema.Priority_PRIORITY_LOW)) / expected.Seconds()
 	if now.Add(expected).After(call.Target) {
 		worth *= lateWorth
 	}
 	return worth
 }
 
+// precedes reports whether a call is started before another one, both with a target.
+func (c *Controller) precedes(now time.Time, call, other *Call) bool {
+	a, b := c.worth(now, call), c.worth(now, other)
+	return a > b || a == b && call.Target.Before(other.Target)
+}
+
 // expected returns how long a call probably runs.
 func (c *Controller) expected(call *Call) time.Duration {
 	if call.Expected > 0 {
@@ -504,7 +528,7 @@
 	c.events = append(c.events, Event{Call: call, Reason: reason})
 }
 
-// expire refuses the calls that wait and whose deadline has passed.
+// expire refuses the calls that wait and whose deadline has passed, or that others outrun.
 func (c *Controller) expire(now time.Time) {
 	for i := range c.queues {
 		c.expireList(now, &c.queues[i])
@@ -515,15 +539,28 @@
 func (c *Controller) expireList(now time.Time, l *list) {
 	for call := l.first; call != nil; {
 		next := call.next
-		if !now.Before(call.Deadline) {
+		switch {
+		case !now.Before(call.Deadline):
 			c.dequeue(call)
 			c.refuse(call, schema.Reason_REASON_DEADLINE)
 			c.forgo(now, call)
+		case c.outrun(now, call):
+			c.dequeue(call)
+			c.refuse(call, schema.Reason_REASON_BUSY)
 		}
 		call = next
 	}
 }
 
+// outrun reports whether a call that waits can no longer meet its target while many others wait, which go first. It would
+// wait until its deadline.
+func (c *Controller) outrun(now time.Time, call *Call) bool {
+	if call.Target.IsZero() || c.short(call) || 2*c.queued < c.limiter.Limit(now) {
+		return false
+	}
+	return now.Add(c.expected(call)).After(call.Target)
+}
+
 func (c *Controller) handBack(l *list, reason schema.Reason) {
 	for l.first != nil {
 		call := l.first
--- /dev/null
+++ b/admit/pattern_test.go
@@ -0,0 +1,223 @@
+package admit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenareel/admit"
+	"verbenareel/schema"
+)
+
+// kind is a kind of request in a load pattern.
+type kind struct {
+	name       string
+	perSecond  float64
+	work       time.Duration
+	target     time.Duration
+	timeout    time.Duration
+	priority   schema.Priority
+	repeatable bool
+}
+
+// pattern is a load on one backend server.
+type pattern struct {
+	slots  int
+	length time.Duration
+	kinds  []kind
+	// busy multiplies the arrivals at a time since the start.
+	busy func(at time.Duration) float64
+	// gate tells whether starts are worth while at a time.
+	gate func(at time.Duration) bool
+}
+
+// tally counts what became of the calls of one kind.
+type tally struct {
+	asked, inTime, late, refused int
+	// held is the time that refused calls waited before.
+	held time.Duration
+}
+
+func (t tally) share() float64 { return float64(t.inTime) / float64(max(1, t.asked)) }
+
+type arrival struct {
+	admit.Call
+	kind kind
+	at   time.Time
+	end  time.Time
+}
+
+// play steps a controller through a pattern and returns the tallies by kind. Without targets, the controller orders
+// calls by rank and refuses them by their deadlines alone.
+func play(p pattern, targets bool) map[string]*tally {
+	random := rand.New(rand.NewPCG(1, 2))
+	began := time.Unix(1000, 0)
+	now := began
+	controller := admit.New(&constant{limit: p.slots}, 2*p.slots)
+	if p.gate != nil {
+		controller.SetGate(func(now time.Time) bool { return p.gate(now.Sub(began)) })
+	}
+	tallies := make(map[string]*tally)
+	var running []*arrival
+	apply := func(events []admit.Event) {
+		for _, e := range events {
+			a := e.Call.Owner.(*arrival)
+			t := tallies[a.kind.name]
+			if e.Reason != none {
+				t.refused++
+				t.held += now.Sub(a.at)
+				continue
+			}
+			a.end = now.Add(a.kind.work)
+			running = append(running, a)
+			if a.end.After(a.at.Add(a.kind.target)) {
+				t.late++
+			} else {
+				t.inTime++
+			}
+		}
+	}
+	const step = time.Millisecond
+	for ; now.Sub(began) < p.length; now = now.Add(step) {
+		for i := 0; i < len(running); {
+			if a := running[i]; !a.end.After(now) {
+				running = append(running[:i], running[i+1:]...)
+				apply(controller.Finish(now, &a.Call))
+				i = 0
+				continue
+			}
+			i++
+		}
+		apply(controller.Tick(now))
+		for _, k := range p.kinds {
+			if tallies[k.name] == nil {
+				tallies[k.name] = &tally{}
+			}
+			if random.Float64() >= k.perSecond*p.busy(now.Sub(began))*step.Seconds() {
+				continue
+			}
+			tallies[k.name].asked++
+			a := &arrival{kind: k, at: now}
+			a.Priority, a.Repeatable, a.Deadline, a.Owner = k.priority, k.repeatable, now.Add(k.timeout), a
+			if targets {
+				a.Target, a.Expected = now.Add(k.target), k.work
+			}
+			apply(controller.Offer(now, &a.Call))
+		}
+	}
+	return tallies
+}
+
+func steady(factor float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return factor }
+}
+
+var (
+	view = kind{name: "view", perSecond: 40, work: 260 * time.Millisecond, target: 600 * time.Millisecond, timeout: 1200 * time.Millisecond,
+		priority: schema.Priority_PRIORITY_LOW, repeatable: true}
+	deposit = kind{name: "deposit", perSecond: 8, work: 300 * time.Millisecond, target: 800 * time.Millisecond, timeout: 1500 * time.Millisecond,
+		priority: schema.Priority_PRIORITY_NORMAL}
+	nested = kind{name: "nested", perSecond: 40, work: 55 * time.Millisecond, target: 150 * time.Millisecond, timeout: 600 * time.Millisecond,
+		priority: schema.Priority_PRIORITY_NORMAL, repeatable: true}
+)
+
+// TestOverload answers a service that gets half as much again as it can serve for as long as the pattern lasts. In the
+// order of arrival, each call waits until it is late; it guards against that.
+func TestOverload(t *testing.T) {
+	p := pattern{slots: 14, length: 20 * time.Second, kinds: []kind{view}, busy: steady(2)}
+	before, after := play(p, false)["view"], play(p, true)["view"]
+	t.Logf("without targets %+v, with targets %+v", *before, *after)
+	qt.Check(t, after.share() > before.share()+0.2, qt.IsTrue)
+	qt.Check(t, after.held < time.Duration(after.refused+1)*view.target/8, qt.IsTrue)
+}
+
+// TestBurst answers three seconds of twice the usual arrivals. It guards against a queue that is late long after the
+// burst has ended.
+func TestBurst(t *testing.T) {
+	burst := func(at time.Duration) float64 {
+		if at > 5*time.Second && at < 8*time.Second {
+			return 2.5
+		}
+		return 0.8
+	}
+	p := pattern{slots: 14, length: 15 * time.Second, kinds: []kind{view}, busy: burst}
+	before, after := play(p, false)["view"], play(p, true)["view"]
+	t.Logf("without targets %+v, with targets %+v", *before, *after)
+	qt.Check(t, after.inTime > before.inTime, qt.IsTrue)
+}
+
+// TestNestedCalls answers calls that running calls of another service wait for, beside long ones, under too much load. It
+// guards against short calls that are refused or served last: what their callers have done so far would be lost.
+func TestNestedCalls(t *testing.T) {
+	p := pattern{slots: 14, length: 20 * time.Second, kinds: []kind{deposit, nested}, busy: steady(5)}
+	before, after := play(p, false), play(p, true)
+	t.Logf("without targets %+v, with targets %+v", *before["nested"], *after["nested"])
+	qt.Check(t, after["nested"].share() > 0.95, qt.IsTrue)
+	qt.Check(t, after["nested"].share() > before["nested"].share(), qt.IsTrue)
+	qt.Check(t, after["nested"].refused*20 < after["nested"].asked, qt.IsTrue)
+}
+
+// TestSlowPhases answers a server that is slow a quarter of the time in phases of 150 ms, in which no start is worth
+// while. It guards against calls that are refused since they wait for the end of such a phase.
+func TestSlowPhases(t *testing.T) {
+	open := func(at time.Duration) bool { return at/(150*time.Millisecond)%4 != 0 }
+	p := pattern{slots: 14, length: 20 * time.Second, kinds: []kind{view}, busy: steady(0.8), gate: open}
+	after := play(p, true)["view"]
+	t.Logf("%+v", *after)
+	qt.Check(t, after.share() > 0.98, qt.IsTrue)
+	qt.Check(t, after.refused, qt.Equals, 0)
+}
+
+// TestColdStarts answers a cold server that can begin 17 calls a second. It guards against more starts in any second, and
+// against a server that is left idle meanwhile.
+func TestColdStarts(t *testing.T) {
+	const rate = 17
+	now := time.Unix(1000, 0)
+	controller := admit.New(&constant{limit: 18}, 36)
+	controller.SetRate(rate)
+	var starts []time.Time
+	apply := func(events []admit.Event) {
+		for _, e := range events {
+			if e.Reason == none {
+				starts = append(starts, now)
+				controller.Finish(now, e.Call)
+			}
+		}
+	}
+	for range 5000 {
+		now = now.Add(time.Millisecond)
+		call := &admit.Call{Deadline: now.Add(time.Second), Repeatable: true}
+		apply(controller.Offer(now, call))
+		apply(controller.Tick(now))
+	}
+	for i := rate; i < len(starts); i++ {
+		qt.Assert(t, starts[i].Sub(starts[i-rate]) >= time.Second, qt.IsTrue)
+	}
+	qt.Check(t, len(starts) >= 4*rate, qt.IsTrue, qt.Commentf("%d starts", len(starts)))
+	perSecond, left := controller.StartsLeft(now)
+	qt.Check(t, perSecond, qt.Equals, rate)
+	qt.Check(t, left <= rate, qt.IsTrue)
+}
+
+// TestEvict guards against calls that stay in the queue although they were to be sent away, and against others that leave
+// with them.
+func TestEvict(t *testing.T) {
+	now := time.Unix(1000, 0)
+	controller := admit.New(&constant{limit: 1}, 4)
+	call := func(eager bool) *admit.Call {
+		return &admit.Call{Deadline: now.Add(time.Second), Repeatable: true, Eager: eager}
+	}
+	running, staying := call(false), call(false)
+	qt.Assert(t, controller.Offer(now, running), qt.HasLen, 1)
+	qt.Assert(t, controller.Offer(now, staying), qt.HasLen, 0)
+	events := controller.Offer(now, call(true))
+	qt.Assert(t, events, qt.HasLen, 1)
+	qt.Check(t, events[0].Reason, qt.Equals, schema.Reason_REASON_BUSY)
+	qt.Check(t, controller.Evict(now, schema.Reason_REASON_SLOW, func(c *admit.Call) bool { return c != staying }), qt.HasLen, 0)
+	events = controller.Evict(now, schema.Reason_REASON_SLOW, func(c *admit.Call) bool { return c == staying })
+	qt.Assert(t, events, qt.HasLen, 1)
+	qt.Check(t, events[0].Call, qt.Equals, staying)
+	qt.Check(t, controller.Queued(), qt.Equals, 0)
+}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -127,6 +127,12 @@
 
 // run runs a test in a bubble with a guard that ticks. By default each call takes the service time.
 func run(t *testing.T, opts []guard.Option, test func(*bench)) {
+	t.Helper()
+	runWith(t, func(b *backend) core.Backend { return b }, opts, test)
+}
+
+// runWith is run with the backend that wrap makes of the usual one.
+func runWith(t *testing.T, wrap func(*backend) core.Backend, opts []guard.Option, test func(*bench)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		b := &bench{C: qt.New(t), clock: &clock{Clock: clockwork.NewRealClock()}, snapshots: &snapshots{}}
@@ -135,7 +141,7 @@
 			return answered()
 		}}
 		b.snapshots.set(1, false)
-		b.Guard = guard.New(member(), b.snapshots, b.backend, ticket.New("sheets-1", 7, b.clock.Now()), b.clock, opts...)
+		b.Guard = guard.New(member(), b.snapshots, wrap(b.backend), ticket.New("sheets-1", 7, b.clock.Now()), b.clock, opts...)
 		ctx, cancel := context.WithCancel(t.Context())
 		b.group.Go(func() { _ = b.Guard.Run(ctx) })
 		synctest.Wait()
