--- /dev/null
+++ b/beacon/beacon_test.go
@@ -0,0 +1,146 @@
+package beacon_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"verbenareel/beacon"
+	"verbenareel/core"
+	"verbenareel/fakes"
+	"verbenareel/schema"
+)
+
+type source struct{ name string }
+
+func (s source) Instance() string { return s.name }
+
+func (s source) Load() core.LoadReport {
+	return core.LoadReport{InFlight: 3, Queued: 1, Limit: 18, Pace: 1.25, StartRate: 22, StartsLeft: 5, State: schema.InstanceState_INSTANCE_STATE_COLD}
+}
+
+type snapshots struct{ snapshot *core.Snapshot }
+
+func (s snapshots) Snapshot() *core.Snapshot { return s.snapshot }
+
+// receiver collects what arrives.
+type receiver struct {
+	mu      sync.Mutex
+	reports map[uint64]core.LoadReport
+	from    string
+	heard   uint64
+}
+
+func (r *receiver) Report(instance uint64, load core.LoadReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reports[instance] = load
+}
+
+func (r *receiver) Standing() (revision, manifest uint64, confirmed uint32) { return 7, 77, 5 }
+
+func (r *receiver) Heard(from string, revision, _ uint64, _ uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.from, r.heard = from, revision
+}
+
+func (r *receiver) load(name string) (core.LoadReport, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	load, ok := r.reports[core.InstanceHash(name)]
+	return load, ok
+}
+
+func member(t testing.TB, name, domain string) *schema.Member {
+	address, err := fakes.NewAddress()
+	qt.Assert(t, err, qt.IsNil)
+	return schema.Member_builder{
+		Instance: name, Service: "sheets", Domain: domain, Address: address, Incarnation: 1,
+		State: schema.InstanceState_INSTANCE_STATE_SERVING,
+	}.Build()
+}
+
+// newBeacon runs the beacon of a member until the end of the test.
+func newBeacon(t testing.TB, self *schema.Member, all []*schema.Member) *receiver {
+	document := schema.Document_builder{Services: map[string]*schema.Service{"sheets": {}}}.Build()
+	r := &receiver{reports: make(map[uint64]core.LoadReport)}
+	b, err := beacon.New(self, 5*time.Millisecond, snapshots{core.NewSnapshot(1, document, all)}, source{self.GetInstance()}, r, r,
+		clockwork.NewRealClock())
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = b.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		<-b.Done()
+	})
+	return r
+}
+
+func eventually(t testing.TB, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not within 5 s")
+		}
+	}
+}
+
+// TestReports guards against a report that loses a figure on the way, and against nodes of other failure domains that get
+// none.
+func TestReports(t *testing.T) {
+	all := []*schema.Member{member(t, "sheets-1", "a"), member(t, "sheets-2", "a"), member(t, "sheets-3", "b")}
+	var receivers []*receiver
+	for _, m := range all {
+		receivers = append(receivers, newBeacon(t, m, all))
+	}
+	for i, r := range receivers {
+		for j, m := range all {
+			if i == j {
+				continue
+			}
+			eventually(t, func() bool { _, ok := r.load(m.GetInstance()); return ok })
+			load, _ := r.load(m.GetInstance())
+			want := source{}.Load()
+			want.Revision = 7
+			qt.Check(t, load, qt.Equals, want)
+		}
+		_, own := r.load(all[i].GetInstance())
+		qt.Check(t, own, qt.IsFalse)
+	}
+	receivers[0].mu.Lock()
+	defer receivers[0].mu.Unlock()
+	qt.Check(t, receivers[0].heard, qt.Equals, uint64(7))
+	qt.Check(t, receivers[0].from == all[1].GetAddress() || receivers[0].from == all[2].GetAddress(), qt.IsTrue)
+}
+
+// TestStrayDatagrams guards against datagrams of others that stop the beacon or are taken for reports.
+func TestStrayDatagrams(t *testing.T) {
+	self := member(t, "sheets-1", "a")
+	r := newBeacon(t, self, []*schema.Member{self})
+	conn, err := net.Dial("udp", self.GetAddress())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	whole, err := proto.Marshal(schema.LoadReport_builder{
+		Instance: core.InstanceHash("sheets-2"), Load: schema.Load_builder{InFlight: 1}.Build(),
+	}.Build())
+	qt.Assert(t, err, qt.IsNil)
+	bare, err := proto.Marshal(schema.LoadReport_builder{Instance: core.InstanceHash("sheets-3")}.Build())
+	qt.Assert(t, err, qt.IsNil)
+	for _, datagram := range [][]byte{{}, []byte("\xff\xff\xff"), make([]byte, 2000), whole[:len(whole)-1], bare, whole} {
+		_, err := conn.Write(datagram)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	eventually(t, func() bool { _, ok := r.load("sheets-2"); return ok })
+	_, ok := r.load("sheets-3")
+	qt.Check(t, ok, qt.IsFalse)
+}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -134,3 +134,26 @@
 		c.Check(takes, qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
+
+// TestRetryWindow guards against a calm time that lets the retries of the 10 s after it exceed their share by half.
+func TestRetryWindow(t *testing.T) {
+	const perSecond, ratio = 50, 0.1
+	r := budget.NewRatio(ratio, 0, budget.RetryMemory)
+	now := epoch
+	call := func() {
+		now = now.Add(time.Second / perSecond)
+		r.Earn(now)
+	}
+	for range 60 * perSecond {
+		call()
+	}
+	takes := 0
+	for range 10 * perSecond {
+		call()
+		for r.Take(now) {
+			takes++
+		}
+	}
+	qt.Check(t, float64(takes) <= 1.25*ratio*10*perSecond, qt.IsTrue, qt.Commentf("%d retries", takes))
+	qt.Check(t, float64(takes) >= 0.9*ratio*10*perSecond, qt.IsTrue, qt.Commentf("%d retries", takes))
+}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -46,6 +46,23 @@
 	c.Assert(settings.GetDrainTimeout().AsDuration(), qt.Equals, DefaultDrainTimeout)
 }
 
+// Guards against properties of hosts, splits, limits and cold starts that are lost.
+func TestHostsAndSplits(t *testing.T) {
+	c := qt.New(t)
+	d, err := ParseDocument(example(c, "hosts.toml"))
+	c.Assert(err, qt.IsNil)
+	c.Check(d.GetLimits().GetMaxHeader(), qt.Equals, uint32(16384))
+	c.Check(d.GetServices()["sheets"].GetColdRate(), qt.Equals, 17.0)
+	c.Check(d.GetServices()["sheets"].GetFixedLimit(), qt.IsTrue)
+	c.Check(d.GetServices()["cutting-room"].GetReportAge().AsDuration(), qt.Equals, DefaultReportAge)
+	rules := d.GetRules()
+	c.Check(rules[0].GetHost(), qt.Equals, "sheets.example")
+	c.Check(rules[0].GetSplit()[1].GetWeight(), qt.Equals, 10.0)
+	c.Check(rules[1].GetOnce(), qt.Equals, schema.Once_ONCE_REQUEST)
+	c.Check(rules[1].GetMaxAttempts(), qt.Equals, uint32(2))
+	c.Check(rules[2].GetOnce(), qt.Equals, schema.Once_ONCE_TICKET)
+}
+
 // fault is what a test expects of a Fault; Message is a part of the message.
 type fault struct {
 	section, key string
@@ -144,6 +161,26 @@
 		{"second region", "[places.domains.sapporo]", "[places.regions.honshu]\ndelay = \"1ms\"\nremote_delay = \"5ms\"\n[places.domains.sapporo]", []fault{
 			{"places.regions.hokkaido", "remote_delay", 2, "is missing"},
 		}},
+		{"host", `path = "/sheets"`, "path = \"/sheets\"\nhost = \"Sheets.example:80\"", []fault{{"rules[1]", "host", 14, "without a port"}}},
+		{"service and split", "path = \"/\"\nservice = \"sheets\"", "path = \"/\"\nservice = \"sheets\"\nsplit = [{service = \"sheets\", weight = 1}]", []fault{
+			{"rules[2]", "split", 19, "beside service"},
+		}},
+		{"split", "path = \"/\"\nservice = \"sheets\"", "path = \"/\"\nsplit = [{service = \"sheet\", weight = 0}]", []fault{
+			{"rules[2]", "split", 18, `did you mean "sheets"?`}, {"rules[2]", "split", 18, "no weight above 0"},
+		}},
+		{"negative weight", "path = \"/\"\nservice = \"sheets\"", "path = \"/\"\nsplit = [{service = \"sheets\", weight = -1}]", []fault{
+			{"rules[2]", "split", 18, "weight -1"}, {"rules[2]", "split", 18, "no weight above 0"},
+		}},
+		{"once", "repeatable = true", "repeatable = true\nonce = \"request\"", []fault{{"rules[1]", "once", 16, "no effect"}}},
+		{"times of a rule", "repeatable = true", "repeatable = true\ntimeout = \"0s\"\ntarget_latency = \"1h\"\nmax_attempts = 101", []fault{
+			{"rules[1]", "timeout", 16, "expected"}, {"rules[1]", "target_latency", 17, "expected"}, {"rules[1]", "max_attempts", 18, "0 to 100"},
+		}},
+		{"limits", "[services.sheets]", "[limits]\nmax_header = 65536\nidle_timeout = \"0s\"\n[services.sheets]", []fault{
+			{"limits", "max_header", 7, "0 to 32768"}, {"limits", "idle_timeout", 8, "expected"},
+		}},
+		{"cold rate", "slots = 18", "slots = 18\ncold_rate = -1\nprobe_path = \"health\"\nreport_age = \"0s\"", []fault{
+			{"services.sheets", "cold_rate", 8, "0 to"}, {"services.sheets", "probe_path", 9, "a path"}, {"services.sheets", "report_age", 10, "expected"},
+		}},
 		{"missing sections", valid, "# empty", []fault{
 			{"", "deployment", 1, "is missing"}, {"places", "regions", 1, "is missing"}, {"places", "domains", 1, "is missing"},
 			{"", "services", 1, "is missing"}, {"", "rules", 1, "is missing"},
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -113,3 +113,26 @@
 		})
 	}
 }
+
+// TestFixedBounds guards against a limit that follows latency, or the ramp of a cold start, although the backend server
+// reports its own slots.
+func TestFixedBounds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name         string
+		slots, bound int
+		want         int
+	}{{"not reported yet", 0, 0, 1}, {"reported", 0, 14, 14}, {"configured", 10, 0, 10}, {"both", 10, 14, 10}} {
+		t.Run(c.name, func(t *testing.T) {
+			a := limit.NewAdaptive(now, limit.Bounds{})
+			a.Configure(limit.Bounds{Cold: 2, Slots: c.slots, WarmTime: time.Minute, Fixed: true})
+			a.Bound(now, c.bound)
+			a.Cool(now)
+			for i := range 50 {
+				a.Observe(now, core.Sample{Latency: time.Duration(1+i) * time.Second, InFlight: 1})
+			}
+			qt.Check(t, a.Limit(now), qt.Equals, c.want)
+			qt.Check(t, a.Warm(now), qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/peers/reading_test.go
@@ -0,0 +1,195 @@
+package peers
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenareel/schema"
+)
+
+const ownName = "sheets-1"
+
+// readingState returns a state that reads a platform whose list decides.
+func readingState(now time.Time) *State {
+	record := schema.Member_builder{
+		Instance: "node-1", Service: "sheets", Domain: "domain-1", Address: "127.0.0.1:1", Incarnation: 1,
+		State: schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE,
+	}.Build()
+	s := NewState(now, record, true, nil, nil, rand.New(rand.NewPCG(1, 1)))
+	s.reading.Watch, s.reading.Everyone, s.reading.List = 15*time.Second, true, 20*time.Second
+	s.reading.ListDecides, s.reading.Stale, s.reading.Grace, s.reading.Burst = true, time.Second, 2500*time.Millisecond, 2
+	s.tokens = 2
+	s.offer(now, 1, testDocument(1, 3), now)
+	return s
+}
+
+func listed(name, address string, state schema.InstanceState) *schema.Member {
+	return schema.Member_builder{Instance: name, Service: "sheets", Domain: "domain-1", Address: address, State: state}.Build()
+}
+
+// taken returns the effects of one type.
+func taken[E Effect](s *State) []E {
+	var found []E
+	for _, e := range s.Take() {
+		if e, ok := e.(E); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func checkState(t testing.TB, s *State, name string, state schema.InstanceState) {
+	t.Helper()
+	qt.Check(t, s.Snapshot().Instance(name).State().String(), qt.Equals, state.String())
+}
+
+const (
+	unknown = schema.InstanceState_INSTANCE_STATE_UNSPECIFIED
+	serving = schema.InstanceState_INSTANCE_STATE_SERVING
+	leaving = schema.InstanceState_INSTANCE_STATE_LEAVING
+	gone    = schema.InstanceState_INSTANCE_STATE_GONE
+	out     = schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
+)
+
+// TestIdentify guards against an instance that is announced before its backend server is known, and against the name of a
+// server that is gone.
+func TestIdentify(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := readingState(now)
+	checkState(t, s, "node-1", out)
+	s.Identify(now, ownName)
+	checkState(t, s, ownName, serving)
+	checkState(t, s, "node-1", gone)
+	s.Identify(now, "sheets-2")
+	checkState(t, s, "sheets-2", serving)
+	checkState(t, s, ownName, gone)
+	before := s.table.changes
+	s.Identify(now, "sheets-2")
+	qt.Check(t, s.table.changes, qt.Equals, before)
+	s.Announce(now, leaving)
+	s.Identify(now, "sheets-3")
+	checkState(t, s, "sheets-3", leaving)
+}
+
+// TestListDecides guards against an instance that goes on working although the platform's list does not name it any more,
+// and against one that stops since the platform could not be read.
+func TestListDecides(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := readingState(now)
+	s.Identify(now, ownName)
+	checkState(t, s, ownName, serving)
+	own := listed(ownName, "127.0.0.1:1", serving)
+	other := listed("sheets-9", "127.0.0.1:9", serving)
+	read := func(at time.Time, members ...*schema.Member) { s.MembersDone(at, ReadMembers{at: at}, members, nil) }
+
+	read(now, other)
+	checkState(t, s, ownName, leaving)
+	read(now, other, own)
+	checkState(t, s, ownName, serving)
+	read(now, other, listed(ownName, "127.0.0.1:1", leaving))
+	checkState(t, s, ownName, leaving)
+	read(now, other, own)
+	checkState(t, s, ownName, serving)
+
+	s.MembersDone(now, ReadMembers{at: now}, nil, errors.New("down"))
+	checkState(t, s, ownName, serving)
+	now = now.Add(time.Second)
+	read(now)
+	checkState(t, s, ownName, serving)
+	checkState(t, s, "sheets-9", serving)
+	now = now.Add(2 * time.Second)
+	read(now)
+	checkState(t, s, ownName, leaving)
+	checkState(t, s, "sheets-9", unknown)
+}
+
+// TestReusedAddress guards against work for the instance that ran at an address before: the list may go on naming it.
+func TestReusedAddress(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := readingState(now)
+	old := listed("sheets-8", "127.0.0.1:9", serving)
+	s.MembersDone(now, ReadMembers{at: now}, []*schema.Member{old}, nil)
+	checkState(t, s, "sheets-8", serving)
+	next := schema.Member_builder{
+		Instance: "sheets-9", Service: "sheets", Domain: "domain-1", Address: "127.0.0.1:9", Incarnation: 9, Version: 9, State: out,
+	}.Build()
+	s.mergeAll(now, []*schema.Member{next}, "sheets-9")
+	checkState(t, s, "sheets-8", serving)
+	s.mergeAll(now, []*schema.Member{withState(next, serving)}, "sheets-9")
+	next.SetVersion(10)
+	next.SetState(serving)
+	s.mergeAll(now, []*schema.Member{next}, "sheets-9")
+	checkState(t, s, "sheets-8", gone)
+	checkState(t, s, "sheets-9", serving)
+}
+
+// TestDeafWatch guards against a change that is missed while a watch is pending that hears nothing, and against reads by
+// each node although another one has just confirmed the document.
+func TestDeafWatch(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := readingState(now)
+	step := func(d time.Duration) []ReadDocument {
+		var reads []ReadDocument
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(TickInterval)
+			s.Tick(now)
+			reads = append(reads, taken[ReadDocument](s)...)
+		}
+		return reads
+	}
+	reads := step(time.Second)
+	qt.Assert(t, reads, qt.HasLen, 1)
+	qt.Check(t, reads[0].Wait, qt.Equals, 15*time.Second)
+	reads = step(time.Second)
+	qt.Assert(t, reads, qt.HasLen, 1)
+	qt.Check(t, reads[0].Wait, qt.Equals, time.Duration(0))
+	s.DocumentDone(now, reads[0], 2, testDocument(2, 3), nil)
+	qt.Check(t, s.Revision(), qt.Equals, uint64(2))
+
+	for range 20 {
+		s.Heard(now, "127.0.0.1:2", 2, s.manifest(), 100)
+		qt.Assert(t, step(200*time.Millisecond), qt.HasLen, 0)
+	}
+	qt.Check(t, len(step(2*time.Second)) > 0, qt.IsTrue)
+}
+
+// TestHeard guards against a revision that another node tells of and that is not fetched.
+func TestHeard(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := readingState(now)
+	s.Take()
+	s.Heard(now, "127.0.0.1:2", 7, 77, 5)
+	fetches := taken[FetchManifest](s)
+	qt.Assert(t, fetches, qt.HasLen, 1)
+	qt.Check(t, fetches[0].To, qt.Equals, "127.0.0.1:2")
+	revision, manifest, confirmed := s.Standing(now.Add(10 * time.Millisecond))
+	qt.Check(t, revision, qt.Equals, uint64(1))
+	qt.Check(t, manifest, qt.Equals, s.manifest())
+	qt.Check(t, confirmed, qt.Equals, uint32(11))
+}
+
+// TestWantList guards against a list that is read only after its usual time although a guard asks for it.
+func TestWantList(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := readingState(now)
+	step := func(d time.Duration) int {
+		reads := 0
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(TickInterval)
+			s.Tick(now)
+			for _, r := range taken[ReadMembers](s) {
+				reads++
+				s.MembersDone(now, r, nil, nil)
+			}
+		}
+		return reads
+	}
+	qt.Check(t, step(2*time.Second), qt.Equals, 1)
+	qt.Check(t, step(5*time.Second), qt.Equals, 0)
+	s.WantList(now)
+	qt.Check(t, step(time.Second), qt.Equals, 1)
+}
