--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
 	"verbenareel/config"
@@ -48,7 +49,7 @@
 	if err != nil {
 		return fmt.Errorf("settings %s: %w", c.String("settings"), err)
 	}
-	logger, err := newLogger(settings.GetLogLevel())
+	logger, level, err := newLogger(settings.GetLogLevel())
 	if err != nil {
 		return err
 	}
@@ -65,6 +66,12 @@
 	if err != nil {
 		return fmt.Errorf("start the node: %w", err)
 	}
+	file := &settingsFile{path: c.String("settings"), text: text, level: level, logger: logger, node: n}
+	following, stop := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer stop()
+	group.Go(func() { _ = file.follow(following) })
 	return n.Run(ctx)
 }
 
@@ -206,7 +213,7 @@
 		Usage: "run 14 nodes with stand-ins in this process, break things, and check the promises",
 		Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warn or error"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			logger, err := newLogger(c.String("log-level"))
+			logger, _, err := newLogger(c.String("log-level"))
 			if err != nil {
 				return err
 			}
--- a/cmd/verbenareel/main.go
+++ b/cmd/verbenareel/main.go
@@ -57,14 +57,15 @@
 // Unwrap returns the cause.
 func (e *usageError) Unwrap() error { return e.err }
 
-// newLogger returns a logger that writes JSON lines to standard output, of each message only the first few in a second.
-func newLogger(level string) (*zap.Logger, error) {
+// newLogger returns a logger that writes JSON lines to standard output, of each message only the first few in a second, and
+// its level.
+func newLogger(level string) (*zap.Logger, zap.AtomicLevel, error) {
 	if level == "" {
 		level = "info"
 	}
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, fmt.Errorf("log level: %w", err)
+		return nil, zap.AtomicLevel{}, fmt.Errorf("log level: %w", err)
 	}
 	config := zap.NewProductionConfig()
 	config.Level = zap.NewAtomicLevelAt(parsed)
@@ -72,7 +73,7 @@
 	config.OutputPaths = []string{"stdout"}
 	logger, err := config.Build()
 	if err != nil {
-		return nil, fmt.Errorf("build the logger: %w", err)
+		return nil, zap.AtomicLevel{}, fmt.Errorf("build the logger: %w", err)
 	}
-	return logger, nil
+	return logger, config.Level, nil
 }
--- a/cmd/verbenareel/trial.go
+++ b/cmd/verbenareel/trial.go
@@ -42,7 +42,7 @@
 			return &usageError{err: errors.New("unknown scenario " + name)}
 		}
 	}
-	logger, err := newLogger(c.String("log-level"))
+	logger, _, err := newLogger(c.String("log-level"))
 	if err != nil {
 		return err
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -179,6 +179,8 @@
 	// Parse returns the document of a text that Document gave, with its defaults, or its faults. It is a pure function of
 	// the text and the settings.
 	Parse(text []byte) (*schema.Document, error)
+	// Configure takes over changed settings; the service defaults count from the next document on.
+	Configure(settings *schema.Settings)
 	// Close closes the connections to the platform.
 	Close()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -58,7 +58,10 @@
 
 // Node is one process of the system, beside one backend server.
 type Node struct {
-	settings  *schema.Settings
+	settings *schema.Settings
+	// current are the settings of the last reload.
+	current   atomic.Pointer[schema.Settings]
+	client    *plat.Client
 	self      *schema.Member
 	clock     core.Clock
 	logger    *zap.Logger
@@ -114,6 +117,7 @@
 	for _, o := range opts {
 		o(n)
 	}
+	n.current.Store(settings)
 	n.logger = n.logger.With(zap.String("instance", settings.GetInstance()))
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.build()
@@ -242,7 +246,8 @@
 	if n.settings.GetPlatformUrl() == "" {
 		return nil
 	}
-	return plat.New(n.settings.GetPlatformUrl(), n.clock)
+	n.client = plat.New(n.settings.GetPlatformUrl(), n.clock)
+	return n.client
 }
 
 // HTTPAddress returns the address for callers.
@@ -306,7 +311,7 @@
 // shutdown announces that the instance leaves, finishes what runs and closes the listeners.
 func (n *Node) shutdown() error {
 	n.logger.Info("graceful shutdown started")
-	limit := n.settings.GetDrainTimeout().AsDuration()
+	limit := n.current.Load().GetDrainTimeout().AsDuration()
 	if limit <= 0 {
 		limit = defaultDrainTimeout
 	}
--- a/plat/reader.go
+++ b/plat/reader.go
@@ -53,9 +53,7 @@
 
 // Reader sends GET requests to one platform and keeps its connections. It is safe for concurrent use.
 type Reader struct {
-	base    string
-	host    string
-	err     error
+	target  atomic.Pointer[target]
 	clock   core.Clock
 	timeout time.Duration
 	calls   atomic.Uint64
@@ -66,6 +64,13 @@
 	idle  []*connection
 }
 
+// target is the platform that a Reader reads; with err, its URL is invalid.
+type target struct {
+	base string
+	host string
+	err  error
+}
+
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
@@ -75,20 +80,34 @@
 // NewReader returns a reader for the platform at a base URL such as http://127.0.0.1:7000. With an invalid URL, each read
 // returns an error.
 func NewReader(base string, clock core.Clock) *Reader {
-	r := &Reader{base: strings.TrimSuffix(base, "/"), clock: clock, timeout: defaultTimeout}
+	r := &Reader{clock: clock, timeout: defaultTimeout}
+	r.SetBase(base)
+	return r
+}
+
+// SetBase changes the base URL. Idle connections to the platform before are closed; reads that are pending go on.
+func (r *Reader) SetBase(base string) {
+	before := r.target.Swap(newTarget(base))
+	if before != nil && before.base != r.target.Load().base {
+		r.Close()
+	}
+}
+
+func newTarget(base string) *target {
+	t := &target{base: strings.TrimSuffix(base, "/")}
 	u, err := url.Parse(base)
 	switch {
 	case err != nil:
-		r.err = fmt.Errorf("parse URL: %w", err)
+		t.err = fmt.Errorf("parse URL: %w", err)
 	case u.Scheme != "http" || u.Host == "":
-		r.err = fmt.Errorf("URL %q is not of the form http://host:port", base)
+		t.err = fmt.Errorf("URL %q is not of the form http://host:port", base)
 	default:
-		r.host = u.Host
+		t.host = u.Host
 	}
-	if r.host != "" && u.Port() == "" {
-		r.host = net.JoinHostPort(u.Hostname(), "80")
+	if t.host != "" && u.Port() == "" {
+		t.host = net.JoinHostPort(u.Hostname(), "80")
 	}
-	return r
+	return t
 }
 
 // Calls returns the number of requests sent.
@@ -115,8 +134,8 @@
 // Get sends one GET request, whose response may take wait longer than usual. A kept connection that the platform has closed is replaced once, since a read may repeat. The
 // caller releases the response. Each error is a *Error.
 func (r *Reader) Get(ctx context.Context, path string, wait time.Duration) (*fasthttp.Response, error) {
-	if r.err != nil {
-		return nil, &Error{path: path, err: r.err}
+	if err := r.target.Load().err; err != nil {
+		return nil, &Error{path: path, err: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+r.timeout)
 	defer cancel()
@@ -145,7 +164,7 @@
 	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	conn, err := dialer.DialContext(ctx, "tcp", r.host)
+	conn, err := dialer.DialContext(ctx, "tcp", r.target.Load().host)
 	if err != nil {
 		return nil, err
 	}
@@ -200,7 +219,7 @@
 func (r *Reader) transfer(conn *connection, path string, response *fasthttp.Response) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	request.SetRequestURI(r.base + path)
+	request.SetRequestURI(r.target.Load().base + path)
 	if err := request.Write(conn.writer); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
