--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -22,7 +22,7 @@
 
 const (
 	// farEvery is how many reports go to the nodes of the own failure domain for one that goes to those of others.
-	farEvery = 2
+	farEvery = 4
 	// maxDatagram bounds a report, which has about 40 bytes.
 	maxDatagram = 512
 	// idlePeriod is the time between two looks at whether reports are to be sent.
