--- a/budget/ratio.go
+++ b/budget/ratio.go
@@ -60,6 +60,22 @@
 	return r.floor.spend()
 }
 
+// Available reports whether Take would remove a token that was earned by calls.
+func (r *Ratio) Available(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.advance(now)
+	return r.earned >= 1
+}
+
+// Owe removes one token even if there is none; those that are earned next pay for it.
+func (r *Ratio) Owe(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.advance(now)
+	r.earned--
+}
+
 func (r *Ratio) advance(now time.Time) {
 	elapsed := r.clock.advance(now)
 	r.floor.accrue(elapsed)
--- a/config/check.go
+++ b/config/check.go
@@ -250,6 +250,7 @@
 	c.number(section, "max_body", float64(s.GetMaxBody()), 0, maxBody)
 	c.rate(section, "probes_per_second", s.GetProbesPerSecond(), maxRate)
 	c.duration(section, "report_age", s.GetReportAge(), time.Millisecond, maxInterval)
+	c.number(section, "probe_burst", float64(s.GetProbeBurst()), 0, maxRate)
 	c.number(section, "cold_burst", s.GetColdBurst(), 0, maxRate)
 	c.number(section, "free_resends", float64(s.GetFreeResends()), 0, maxAttempts)
 	c.number(section, "cold_rate", s.GetColdRate(), 0, maxRate)
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -259,6 +259,8 @@
 	Incarnation uint64
 	// Pace is the time that work takes now relative to the usual time; 0 if it is not known.
 	Pace float64
+	// BasePace is the lowest pace of the last second: a pace that is far higher is a passing one.
+	BasePace float64
 	// StartRate is how many calls a second the backend server can begin, and StartsLeft how many of them are left; StartRate
 	// is 0 if the rate is not bounded.
 	StartRate  int
@@ -277,11 +279,18 @@
 		Revision:    load.GetRevision(),
 		Incarnation: load.GetIncarnation(),
 		Pace:        float64(load.GetPacePercent()) / 100,
+		BasePace:    float64(load.GetBasePercent()) / 100,
 		StartRate:   int(load.GetStartRate()),
 		StartsLeft:  int(load.GetStartsLeft()),
 	}
 }
 
+// slowFactor is how many times as high as its base a pace is in a slow phase.
+const slowFactor = 1.5
+
+// Slow reports whether the backend server works more slowly now than it did within the last second.
+func (r LoadReport) Slow() bool { return r.Pace >= slowFactor*max(r.BasePace, 1) }
+
 // Message returns the report as a message.
 func (r LoadReport) Message() *schema.Load {
 	return schema.Load_builder{
@@ -294,6 +303,7 @@
 		Revision:        r.Revision,
 		Incarnation:     r.Incarnation,
 		PacePercent:     uint32(math.Round(r.Pace * 100)),
+		BasePercent:     uint32(math.Round(r.BasePace * 100)),
 		StartRate:       uint32(r.StartRate),
 		StartsLeft:      uint32(r.StartsLeft),
 	}.Build()
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -173,7 +173,8 @@
 		State:       g.state(now),
 		Revision:    g.revision(),
 		Incarnation: g.own().GetIncarnation(),
-		Pace:        float64(g.pace.percent) / 100,
+		Pace:        float64(g.pace.percent) / usualPercent,
+		BasePace:    float64(g.pace.base()) / usualPercent,
 	}
 }
 
@@ -274,7 +275,7 @@
 		return
 	}
 	g.controller.SetCapacity(int(service.GetQueue()))
-	g.probes.configure(service.GetProbesPerSecond(), service.GetReportAge().AsDuration())
+	g.probes.configure(service.GetProbesPerSecond(), float64(service.GetProbeBurst()), service.GetReportAge().AsDuration())
 	g.coldRate = service.GetColdRate()
 	if g.coldRate > 0 {
 		g.coldRate += service.GetColdBurst()
--- a/guard/pace.go
+++ b/guard/pace.go
@@ -4,20 +4,27 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"verbenareel/admit"
+	"verbenareel/core"
 	"verbenareel/schema"
 )
 
 const (
-	// slowPace is the pace in hundredths from which a call is better held back than started: how long it takes is decided by
-	// the pace at its start.
-	slowPace = 150
 	// paceFresh is the age up to which a reported pace decides over a start.
 	paceFresh = 12 * time.Millisecond
 	// paceWait bounds the wait for a fresh report before a start.
 	paceWait = 30 * time.Millisecond
-	// slowLimit is how long starts are held back at a slow pace. A pace that lasts longer is not a passing one.
-	slowLimit = 400 * time.Millisecond
+	// abandonFactor is how many times as high as its base a pace is at which a call that has just started is better run
+	// elsewhere, and abandonWindow the time after its start within which a report tells the pace at its start.
+	abandonFactor = 2.5
+	abandonWindow = 25 * time.Millisecond
+	// probePause is the wait for another probe that runs, or for one that the budget allows.
+	probePause = 4 * time.Millisecond
+	// baseWindow is half the time over which the lowest pace counts as the base. A pace that lasts longer is not a passing
+	// one: a cold server is slow for seconds.
+	baseWindow = 500 * time.Millisecond
 )
 
 // pace is what the guard knows of the pace of its backend server.
@@ -25,8 +32,9 @@
 	// percent is the last reported pace in hundredths of the usual time; 0 if the server does not report it.
 	percent int
 	at      time.Time
-	// slowSince is the first of the slow reports in a row, or zero.
-	slowSince time.Time
+	// lowest and before are the lowest paces of the window that began at a time, and of the one before it.
+	lowest, before int
+	began          time.Time
 	// wanted tells that a start waits for a fresh report; asked is when it was first asked for.
 	wanted bool
 	asked  time.Time
@@ -36,17 +44,30 @@
 func (p *pace) take(now time.Time, percent int) {
 	p.percent, p.at = percent, now
 	p.wanted, p.asked = false, time.Time{}
-	switch {
-	case percent < slowPace:
-		p.slowSince = time.Time{}
-	case p.slowSince.IsZero():
-		p.slowSince = now
+	if now.Sub(p.began) >= baseWindow {
+		p.before = p.lowest
+		if now.Sub(p.began) >= 2*baseWindow {
+			p.before = 0
+		}
+		p.lowest, p.began = 0, now
+	}
+	if p.lowest == 0 || percent < p.lowest {
+		p.lowest = percent
 	}
 }
 
+// base returns the lowest pace of the last second, or 0 if none is known.
+func (p *pace) base() int {
+	if p.before == 0 {
+		return p.lowest
+	}
+	return min(p.lowest, p.before)
+}
+
 // slow reports whether the server is in a passing slow phase.
-func (p *pace) slow(now time.Time) bool {
-	return !p.slowSince.IsZero() && now.Sub(p.slowSince) < slowLimit
+func (p *pace) slow() bool {
+	load := core.LoadReport{Pace: float64(p.percent), BasePace: float64(p.base())}
+	return load.Slow()
 }
 
 // open is the gate of the controller: it holds starts back in a slow phase, and while a fresh report is asked for.
@@ -60,7 +81,7 @@
 		}
 		return now.Sub(p.asked) >= paceWait
 	}
-	return !p.slow(now)
+	return !p.slow()
 }
 
 // followPace asks for a fresh report if a start waits for one, and sends calls that may go elsewhere away from a slow
@@ -69,10 +90,10 @@
 	if g.pace.percent == 0 {
 		return
 	}
-	if g.pace.slow(now) && now.Sub(g.pace.at) <= paceFresh {
+	if g.pace.slow() && now.Sub(g.pace.at) <= paceFresh {
 		g.handle(now, g.controller.Evict(now, schema.Reason_REASON_SLOW, isEager))
 	}
-	if g.controller.Queued() == 0 || g.paceAsking || now.Sub(g.pace.at) <= paceFresh && !g.pace.slow(now) {
+	if g.controller.Queued() == 0 || g.paceAsking || now.Sub(g.pace.at) <= paceFresh && !g.pace.slow() {
 		return
 	}
 	g.paceAsking = true
@@ -92,10 +113,10 @@
 		now := g.clock.Now()
 		g.refresh(now)
 		g.handle(now, g.controller.Tick(now))
-		if g.pace.slow(now) {
+		if g.pace.slow() {
 			g.handle(now, g.controller.Evict(now, schema.Reason_REASON_SLOW, isEager))
 		}
-		again := g.controller.Queued() > 0 && (g.pace.slow(now) || now.Sub(g.pace.at) > paceFresh) && !g.draining
+		again := g.controller.Queued() > 0 && (g.pace.slow() || now.Sub(g.pace.at) > paceFresh) && !g.draining
 		g.paceAsking = again
 		g.mu.Unlock()
 		if !again {
@@ -105,6 +126,35 @@
 	}
 }
 
+// checkStart asks for the pace of the backend server at the start of a call, and breaks the call off if it was slow: the
+// call would take several times as long as elsewhere.
+func (g *Guard) checkStart(c *call) {
+	for !g.paceKnown(c) && g.clock.Now().Sub(c.admit.Started()) < abandonWindow {
+		if !g.probeNow() {
+			<-g.clock.After(probePause)
+		}
+	}
+	g.mu.Lock()
+	after := g.pace.at.Sub(c.admit.Started())
+	slow := after > 0 && after <= abandonWindow && float64(g.pace.percent) >= abandonFactor*float64(g.pace.base()) && !c.withdrawn
+	if slow {
+		c.abandoned, c.withdrawn = true, true
+		g.logger.Info("breaking off a call that started in a slow phase", zap.String("request", c.request.GetRequestId()),
+			zap.String("server", g.own().GetInstance()), zap.Int("pace_percent", g.pace.percent), zap.Duration("after", after))
+	}
+	g.mu.Unlock()
+	if slow {
+		c.cancel()
+	}
+}
+
+// paceKnown reports whether a pace was reported after the start of a call.
+func (g *Guard) paceKnown(c *call) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pace.at.After(c.admit.Started())
+}
+
 // probeNow probes the backend server if the budget allows it, and waits for the answer no longer than paceWait.
 func (g *Guard) probeNow() bool {
 	g.mu.Lock()
--- a/guard/pace_test.go
+++ b/guard/pace_test.go
@@ -126,8 +126,47 @@
 	t.Run("slow for long", func(t *testing.T) {
 		// A pace that stays is no passing phase: the calls start all the same.
 		runReporting(t, nil, func(b *bench, s *reporting) {
-			s.pace.Store(500)
+			s.pace.Store(200)
+			time.Sleep(1200 * time.Millisecond)
+			began := b.clock.Now()
 			b.checkAnswered(b.Execute(b.Context(), lookup()))
+			b.Check(b.clock.Now().Sub(began) < 50*time.Millisecond, qt.IsTrue)
+		})
+	})
+	t.Run("cold from the start", func(t *testing.T) {
+		// Work takes twice as long for seconds after a start. A guard that waits for the end of it loses these seconds.
+		runReporting(t, nil, func(b *bench, s *reporting) {
+			s.cold.Store(int64(3 * time.Second))
+			s.pace.Store(200)
+			s.rename("sheets-2")
+			time.Sleep(100 * time.Millisecond)
+			request := lookup()
+			request.SetInstance("sheets-2")
+			began := b.clock.Now()
+			b.checkAnswered(b.Execute(b.Context(), request))
+			b.Check(b.clock.Now().Sub(began) < 50*time.Millisecond, qt.IsTrue)
+		})
+	})
+	t.Run("started just before", func(t *testing.T) {
+		// The pace is asked for when the call starts: it was slow already, though the last report said otherwise.
+		runReporting(t, nil, func(b *bench, s *reporting) {
+			b.blocking()
+			request := lookup()
+			request.SetAbandonSlow(true)
+			s.pace.Store(100)
+			time.Sleep(70 * time.Millisecond)
+			b.backend.send = func(ctx context.Context, _ *core.Request, _ int) *core.Result {
+				s.pace.Store(500)
+				select {
+				case <-ctx.Done():
+				case <-time.After(time.Second):
+					return answered()
+				}
+				return &core.Result{Written: true, Reason: schema.Reason_REASON_CANCELLED}
+			}
+			began := b.clock.Now()
+			b.checkUnknown(b.Execute(b.Context(), request), schema.Reason_REASON_SLOW)
+			b.Check(b.clock.Now().Sub(began) < 50*time.Millisecond, qt.IsTrue)
 		})
 	})
 	t.Run("probe hangs", func(t *testing.T) {
--- a/guard/run.go
+++ b/guard/run.go
@@ -99,6 +99,9 @@
 	result := lostResult
 	defer func() { g.complete(c, result) }()
 	r := c.request
+	if r.GetAbandonSlow() && c.cancel != nil {
+		g.calls.Go(func() { g.checkStart(c) })
+	}
 	c.message = core.Request{
 		Method:   r.GetMethod(),
 		URI:      r.GetUri(),
@@ -156,6 +159,9 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	reply := outcome(result)
+	if c.abandoned && reply.GetStatus() == schema.Status_STATUS_UNKNOWN {
+		reply = core.Unknown(schema.Reason_REASON_SLOW)
+	}
 	g.observe(now, c, result, reply)
 	g.checkPause(now)
 	g.refresh(now)
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -44,21 +44,22 @@
 
 // probes is the probe budget.
 type probes struct {
-	rate float64
+	rate  float64
+	burst float64
 	// age is that of the last report at which a probe is due.
 	age     time.Duration
 	bucket  *budget.Bucket
 	running bool
 }
 
-// configure sets the rate. The bucket never holds more than one token, and a new one is empty.
-func (p *probes) configure(rate float64, age time.Duration) {
+// configure sets the rate. The bucket never holds more than burst tokens, at least one, and a new one is empty.
+func (p *probes) configure(rate, burst float64, age time.Duration) {
 	p.age = cmp.Or(age, defaultReportAge)
-	if p.bucket != nil && rate == p.rate {
+	if p.bucket != nil && rate == p.rate && burst == p.burst {
 		return
 	}
-	p.rate = rate
-	p.bucket = budget.New(rate, 1)
+	p.rate, p.burst = rate, burst
+	p.bucket = budget.New(rate, max(1, burst))
 }
 
 func (p *probes) take(now time.Time) bool {
--- a/picker/finish.go
+++ b/picker/finish.go
@@ -19,7 +19,7 @@
 	// spreadCost is what the calls in flight cost below the knee, at all slots in use. It spreads calls over instances that
 	// are alike, whose room shrinks before their next report.
 	spreadCost = 0.5
-	// coldCost is how many times as long work takes in cold start.
+	// coldCost is how many times as long work takes in cold start, at an instance whose pace is not known.
 	coldCost = 2
 	// trySome is one in how many calls goes to any instance at which it would start at once, so that new instances and those
 	// far away get some work and are known to answer.
@@ -81,7 +81,7 @@
 	e := gather(now, candidate)
 	age := now.Sub(received)
 	cost := pace(load, received, age) * f.crowding(e)
-	if load.State == schema.InstanceState_INSTANCE_STATE_COLD {
+	if load.State == schema.InstanceState_INSTANCE_STATE_COLD && load.Pace <= 0 {
 		cost *= coldCost
 	}
 	if !received.IsZero() && age > silentAfter {
@@ -100,7 +100,8 @@
 	if received.IsZero() || load.Pace <= 0 {
 		return usualPace
 	}
-	return usualPace + half(max(age, 0), float64(paceLife))*(load.Pace-usualPace)
+	usual := usualPace * max(load.BasePace, 1)
+	return usual + half(max(age, 0), float64(paceLife))*(load.Pace-usual)
 }
 
 // startWait returns the wait until an instance whose starts are bounded may begin another call, in service times.
--- a/picker/view.go
+++ b/picker/view.go
@@ -15,8 +15,6 @@
 	// round trips, so that a restarted process is found quickly; the last bounds connection attempts to dead addresses.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = time.Second
-	// slowPace is the pace from which an instance works slowly.
-	slowPace = 1.5
 	// stateLife is how long the state in a load report overrides a better state in the snapshot. It covers the time
 	// that the lists need to agree.
 	stateLife = time.Second
@@ -273,7 +271,7 @@
 	if r.load.StartRate > 0 && r.load.StartsLeft <= sent {
 		return false
 	}
-	return r.load.Pace < slowPace && r.load.InFlight+r.load.Queued+sent < r.load.Limit
+	return !r.load.Slow() && r.load.InFlight+r.load.Queued+sent < r.load.Limit
 }
 
 // Eligible reports whether the instance may receive new work: by the snapshot of the revision, and by its own last
--- a/router/call.go
+++ b/router/call.go
@@ -43,6 +43,8 @@
 	bounces  int
 	// eager tells that the next send is to be refused if the call cannot start at once.
 	eager bool
+	// abandon tells that the next send may be broken off if the instance was slow at its start.
+	abandon bool
 	// tried holds the instances that are not to get the call again, declined those that could not start it at once, and
 	// trail what came of each send.
 	tried    []*picker.View
@@ -140,7 +142,7 @@
 		if view == nil {
 			break
 		}
-		if attempt > 0 && !r.mayResend(c) {
+		if attempt > 0 && !r.mayResend(c, last) {
 			last = overBudget(last)
 			break
 		}
@@ -148,7 +150,9 @@
 			r.metrics.retried(c.service, last.GetReason())
 		}
 		begin := r.clock.Now()
-		c.eager = c.bounces < int(c.group.settings.GetFreeResends()) && r.hasBetter(begin, c, view)
+		better := r.hasBetter(begin, c, view)
+		c.eager = better && c.bounces < int(c.group.settings.GetFreeResends())
+		c.abandon = better && r.mayAbandon(begin, c)
 		if attempt == 0 && !c.once() {
 			last = r.hedged(ctx, c, view)
 		} else {
@@ -168,7 +172,11 @@
 
 // mayResend reports whether the call may be sent to another instance, by its rule and the retry budget. A call that no
 // backend server has met costs no budget at first.
-func (r *Router) mayResend(c *call) bool {
+func (r *Router) mayResend(c *call, last *schema.ExecuteReply) bool {
+	if isAbandoned(last) {
+		c.group.usage.abandoned(r.clock.Now())
+		return true
+	}
 	if limit := int(c.rule.GetMaxAttempts()); limit > 0 && c.arrivals >= limit {
 		return false
 	}
@@ -252,6 +260,19 @@
 	return false
 }
 
+// mayAbandon reports whether the next send may be broken off and sent elsewhere, by the rule and the retry budget.
+func (r *Router) mayAbandon(now time.Time, c *call) bool {
+	if !c.rule.GetRepeatable() || c.arrivals+1 >= max(1, int(c.rule.GetMaxAttempts())) {
+		return false
+	}
+	return c.group.usage.mayAbandon(now)
+}
+
+// isAbandoned reports whether a guard broke a call off since its backend server was slow when it started.
+func isAbandoned(reply *schema.ExecuteReply) bool {
+	return reply.GetStatus() == schema.Status_STATUS_UNKNOWN && reply.GetReason() == schema.Reason_REASON_SLOW
+}
+
 // reached reports whether a backend server may have met the request.
 func reached(reply *schema.ExecuteReply) bool {
 	return reply.GetStatus() != schema.Status_STATUS_NOT_RUN || reply.GetReason() == schema.Reason_REASON_SHED
--- a/router/send.go
+++ b/router/send.go
@@ -52,6 +52,7 @@
 		TargetUs:    c.targetLeft(now).Microseconds(),
 		Eager:       c.eager,
 		Rule:        c.rule.GetName(),
+		AbandonSlow: c.abandon,
 	}.Build()
 }
 
@@ -86,7 +87,7 @@
 	case schema.Status_STATUS_ANSWERED:
 		return reply.GetCode() >= 500
 	case schema.Status_STATUS_UNKNOWN:
-		return reply.GetReason() != schema.Reason_REASON_CANCELLED
+		return reply.GetReason() != schema.Reason_REASON_CANCELLED && !isAbandoned(reply)
 	}
 	return false
 }
--- a/router/usage.go
+++ b/router/usage.go
@@ -77,6 +77,20 @@
 	return u.retries.Take(now)
 }
 
+// mayAbandon reports whether the budget has a retry for a call that may be broken off.
+func (u *usage) mayAbandon(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.retries.Available(now)
+}
+
+// abandoned takes the retry of a call that was broken off.
+func (u *usage) abandoned(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.retries.Owe(now)
+}
+
 // hedge takes one hedge from the budget, unless the service is shedding load.
 func (u *usage) hedge(now time.Time) bool {
 	u.mu.Lock()
