--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -23,6 +23,8 @@
 const (
 	// farEvery is how many reports go to the nodes of the own failure domain for one that goes to those of others.
 	farEvery = 4
+	// maxTargets bounds the nodes that one report goes to; in a larger fleet they take turns.
+	maxTargets = 48
 	// maxDatagram bounds a report, which has about 40 bytes.
 	maxDatagram = 512
 	// idlePeriod is the time between two looks at whether reports are to be sent.
@@ -63,10 +65,13 @@
 	// made from.
 	snapshot  *core.Snapshot
 	near, far []netip.AddrPort
-	sent      prometheus.Counter
-	received  prometheus.Counter
-	failed    prometheus.Counter
-	stopped   atomic.Bool
+	// targets is the buffer of turn, and next the last of the targets that had their turn.
+	targets  []netip.AddrPort
+	next     int
+	sent     prometheus.Counter
+	received prometheus.Counter
+	failed   prometheus.Counter
+	stopped  atomic.Bool
 }
 
 // Option changes a Beacon.
@@ -152,15 +157,15 @@
 func (b *Beacon) send() {
 	b.resolve()
 	b.sequence++
+	load := b.source.Load()
+	revision, manifest, confirmed := b.standing.Standing()
 	far := b.far
-	if b.sequence%farEvery != 0 {
+	if b.sequence%farEvery != 0 && !b.fresh(confirmed) {
 		far = nil
 	}
 	if len(b.near)+len(far) == 0 {
 		return
 	}
-	load := b.source.Load()
-	revision, manifest, confirmed := b.standing.Standing()
 	load.Revision, load.Incarnation, load.Latency = revision, 0, 0
 	datagram, err := proto.Marshal(schema.LoadReport_builder{
 		Instance:    core.InstanceHash(b.source.Instance()),
@@ -173,8 +178,27 @@
 		b.failed.Inc()
 		return
 	}
-	b.sendTo(b.near, datagram)
-	b.sendTo(far, datagram)
+	b.sendTo(b.turn(append(append(b.targets[:0], b.near...), far...)), datagram)
+}
+
+// turn returns the targets of this report: all of them, or the next maxTargets if there are more.
+func (b *Beacon) turn(targets []netip.AddrPort) []netip.AddrPort {
+	b.targets = targets
+	if len(targets) <= maxTargets {
+		return targets
+	}
+	chosen := make([]netip.AddrPort, 0, maxTargets)
+	for range maxTargets {
+		b.next = (b.next + 1) % len(targets)
+		chosen = append(chosen, targets[b.next])
+	}
+	return chosen
+}
+
+// fresh reports whether the document was confirmed since the last report. All nodes are told at once, so that they do not
+// read it themselves.
+func (b *Beacon) fresh(confirmed uint32) bool {
+	return confirmed > 0 && time.Duration(confirmed)*time.Millisecond <= b.interval
 }
 
 func (b *Beacon) sendTo(targets []netip.AddrPort, datagram []byte) {
