--- a/config/check.go
+++ b/config/check.go
@@ -51,6 +51,7 @@
 	maxAttempts    = 100
 	maxWeight      = 1_000_000
 	maxInterval    = time.Minute
+	maxRemoteCost  = 100
 )
 
 // defaultDocument fills in the keys that the text leaves out; present tells whether the text has a key.
@@ -264,6 +265,21 @@
 	c.duration(section, "outcome_life", s.GetOutcomeLife(), s.GetTicketLife().AsDuration(), maxLife)
 }
 
+// checkDefaults checks the values that stand in for those of a service. A value that is left out is 0.
+func checkDefaults(c *checker, section string, s *schema.Service) {
+	c.number(section, "queue", float64(s.GetQueue()), 0, maxQueue)
+	c.number(section, "probes_per_second", s.GetProbesPerSecond(), 0, maxRate)
+	c.number(section, "probe_burst", float64(s.GetProbeBurst()), 0, maxRate)
+	c.number(section, "cold_burst", s.GetColdBurst(), 0, maxRate)
+	c.number(section, "retry_ratio", s.GetRetryRatio(), 0, 1)
+	c.number(section, "retry_floor", s.GetRetryFloor(), 0, maxRate)
+	c.number(section, "hedge_ratio", s.GetHedgeRatio(), 0, 1)
+	c.number(section, "free_resends", float64(s.GetFreeResends()), 0, maxAttempts)
+	if s.HasReportAge() {
+		c.duration(section, "report_age", s.GetReportAge(), time.Millisecond, maxInterval)
+	}
+}
+
 // rate checks a required rate, which may be 0.
 func (c *checker) rate(section, key string, value, high float64) {
 	if value == 0 && !c.present(section, key) {
@@ -389,6 +405,15 @@
 	if s.HasReportInterval() {
 		c.duration("", "report_interval", s.GetReportInterval(), 0, maxInterval)
 	}
+	c.number("", "remote_cost", s.GetRemoteCost(), 0, maxRemoteCost)
+	if s.HasServiceDefaults() {
+		checkDefaults(c, "service_defaults", s.GetServiceDefaults())
+	}
+	for _, name := range sortedNames(s.GetDomains()) {
+		if s.GetDomains()[name].GetRegion() == "" {
+			c.missing("domains."+name, "region", "expected the name of a region")
+		}
+	}
 	if s.HasListGrace() {
 		c.duration("", "list_grace", s.GetListGrace(), 0, maxInterval)
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -231,6 +231,34 @@
 		fault{"", "drain_timeout", 10, "expected 0s to 10m0s"})
 }
 
+// Guards against settings of an adapter that would give each service a nonsensical value.
+func TestDefaultsFaults(t *testing.T) {
+	c := qt.New(t)
+	_, err := ParseSettings([]byte(`instance = "sheets-1"
+service = "sheets"
+domain = "sapporo"
+http_address = "127.0.0.1:1"
+rpc_address = "127.0.0.1:2"
+status_address = "127.0.0.1:3"
+ready_address = "127.0.0.1:3"
+backend_address = "127.0.0.1:4"
+adapter = "shop"
+platform_url = "http://127.0.0.1:7000"
+report_interval = "1h"
+list_grace = "-1s"
+remote_cost = -1
+[service_defaults]
+retry_ratio = 2
+report_age = "0s"
+[domains.sapporo]
+`))
+	assertFaults(c, err,
+		fault{"", "ready_address", 7, "which status_address has too"}, fault{"", "adapter", 9, `expected "own" or "store"`},
+		fault{"", "report_interval", 11, "expected"}, fault{"", "list_grace", 12, "expected"}, fault{"", "remote_cost", 13, "0 to 100"},
+		fault{"service_defaults", "retry_ratio", 15, "0 to 1"}, fault{"service_defaults", "report_age", 16, "expected"},
+		fault{"domains.sapporo", "region", 17, "is missing"})
+}
+
 // Guards against a large invalid document that costs unbounded memory or time.
 func TestFaultsAreBounded(t *testing.T) {
 	c := qt.New(t)
--- a/guard/typical.go
+++ b/guard/typical.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// start notes the circumstances in which a call starts.
+// noteStart notes the pace at which a call starts.
 func (g *Guard) noteStart(e admit.Event) {
 	c := e.Call.Owner.(*call)
 	c.percent = g.pace.percent
--- a/io/session.go
+++ b/io/session.go
@@ -13,9 +13,6 @@
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
-
-	"verbenareel/core"
-	"verbenareel/schema"
 )
 
 const (
@@ -193,7 +190,7 @@
 
 // start hands a request to the handler.
 func (s *session) start(request *fasthttp.Request) error {
-	call, err := s.newCall(request)
+	call, err := newCall(s.front.wire, request)
 	if err != nil {
 		return s.refuse(err)
 	}
@@ -204,7 +201,7 @@
 	s.front.group.Go(func() {
 		defer close(a.done)
 		reply := s.front.handler.Handle(s.ctx, call)
-		a.response = s.front.newResponse(call, reply)
+		a.response = newResponse(s.front.wire, call, reply)
 		a.response.close = last
 	})
 	if last {
@@ -303,13 +300,3 @@
 		s.reader = nil
 	}
 }
-
-// newCall copies a request, since its buffers are used again.
-func (s *session) newCall(request *fasthttp.Request) (*core.Call, error) {
-	return newCall(s.front.wire, request)
-}
-
-// newResponse returns the response to a call.
-func (f *Front) newResponse(call *core.Call, reply *schema.ExecuteReply) *response {
-	return newResponse(f.wire, call, reply)
-}
--- a/node/node.go
+++ b/node/node.go
@@ -318,8 +318,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	n.leaving.Store(true)
-	n.exchange.Announce(schema.InstanceState_INSTANCE_STATE_LEAVING)
 	n.retire(ctx)
+	n.exchange.Announce(schema.InstanceState_INSTANCE_STATE_LEAVING)
 	if err := n.guard.Drain(ctx); err != nil {
 		return fmt.Errorf("drain the guard: %w", err)
 	}
@@ -333,8 +333,8 @@
 	return nil
 }
 
-// retire goes on serving for a time in which callers notice that the node is not ready. Without a readiness listener
-// nobody is told, and it returns at once.
+// retire goes on serving for a time in which callers notice that the node is not ready; the backend server, which may
+// outlive this process, goes on getting work meanwhile. Without a readiness listener nobody is told, and it returns at once.
 func (n *Node) retire(ctx context.Context) {
 	if n.ready == nil {
 		return
