--- a/router/call.go
+++ b/router/call.go
@@ -41,6 +41,8 @@
 	// arrivals counts the sends that may have reached a backend server, bounces those that a guard refused.
 	arrivals int
 	bounces  int
+	// paid tells that a guard broke the call off, and that the retry that it was charged has not reached a server yet.
+	paid bool
 	// eager tells that the next send is to be refused if the call cannot start at once.
 	eager bool
 	// abandon tells that the next send may be broken off if the instance was slow at its start.
@@ -171,10 +173,14 @@
 }
 
 // mayResend reports whether the call may be sent to another instance, by its rule and the retry budget. A call that no
-// backend server has met costs no budget at first.
+// backend server has met costs no budget at first, and one that was broken off costs one retry, however many decline it.
 func (r *Router) mayResend(c *call, last *schema.ExecuteReply) bool {
 	if isAbandoned(last) {
 		c.group.usage.abandoned(r.clock.Now())
+		c.paid = true
+		return true
+	}
+	if c.paid && !reached(last) {
 		return true
 	}
 	if limit := int(c.rule.GetMaxAttempts()); limit > 0 && c.arrivals >= limit {
@@ -208,6 +214,7 @@
 	}
 	if reached(reply) {
 		c.arrivals++
+		c.paid = false
 	} else {
 		c.bounces++
 	}
--- a/router/once_test.go
+++ b/router/once_test.go
@@ -147,3 +147,27 @@
 	qt.Check(t, reply.GetStatus(), qt.Equals, schema.Status_STATUS_ANSWERED)
 	qt.Check(t, sends, qt.DeepEquals, []bool{true, false, false})
 }
+
+// TestAbandoned guards against a call that is lost since a guard broke it off in a slow phase and others declined it: only
+// the first run costs retry budget, and the call goes on until an instance queues it. Found on a hunted day of kbf-mesh, at a
+// node that was stopping.
+func TestAbandoned(t *testing.T) {
+	var abandon []bool
+	r, _, _ := newConfiguredRouter(4, func(s *schema.Service) { s.SetFreeResends(2) }, func(_ context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
+		abandon = append(abandon, request.GetAbandonSlow())
+		switch len(abandon) {
+		case 1:
+			return core.Unknown(schema.Reason_REASON_SLOW)
+		case 2, 3:
+			return core.NotRun(schema.Reason_REASON_SLOW)
+		}
+		return answer(200)
+	})
+	for _, m := range members(4) {
+		r.Report(core.InstanceHash(m.GetInstance()), core.LoadReport{Limit: 18, Pace: 1})
+	}
+	reply := look(r)
+	qt.Check(t, reply.GetStatus(), qt.Equals, schema.Status_STATUS_ANSWERED)
+	qt.Check(t, len(abandon), qt.Equals, 4)
+	qt.Check(t, abandon[3], qt.IsFalse)
+}
