--- a/node/node.go
+++ b/node/node.go
@@ -318,6 +318,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	n.leaving.Store(true)
+	n.router.Retire()
 	n.retire(ctx)
 	n.exchange.Announce(schema.InstanceState_INSTANCE_STATE_LEAVING)
 	if err := n.guard.Drain(ctx); err != nil {
--- a/router/call.go
+++ b/router/call.go
@@ -269,7 +269,7 @@
 
 // mayAbandon reports whether the next send may be broken off and sent elsewhere, by the rule and the retry budget.
 func (r *Router) mayAbandon(now time.Time, c *call) bool {
-	if !c.rule.GetRepeatable() || c.arrivals+1 >= max(1, int(c.rule.GetMaxAttempts())) {
+	if r.retiring.Load() || !c.rule.GetRepeatable() || c.arrivals+1 >= max(1, int(c.rule.GetMaxAttempts())) {
 		return false
 	}
 	return c.group.usage.mayAbandon(now)
--- a/router/router.go
+++ b/router/router.go
@@ -37,6 +37,9 @@
 	metrics   *metrics
 	done      chan struct{}
 
+	// retiring tells that the node is about to stop: no run is broken off any more to be repeated elsewhere.
+	retiring atomic.Bool
+
 	spawning sync.Mutex
 	stopped  bool
 	tasks    conc.WaitGroup
@@ -112,6 +115,9 @@
 	}
 }
 
+// Retire makes the router see each call through at the instance that runs it, since the node is about to stop.
+func (r *Router) Retire() { r.retiring.Store(true) }
+
 // Done is closed when Run has returned.
 func (r *Router) Done() <-chan struct{} { return r.done }
 
