--- a/guard/pace_test.go
+++ b/guard/pace_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -207,10 +207,13 @@
 // one that gets far fewer.
 func TestColdRate(t *testing.T) {
 	runReporting(t, nil, func(b *bench, s *reporting) {
+		var mu sync.Mutex
 		var starts []time.Time
 		s.cold.Store(int64(time.Minute))
 		time.Sleep(100 * time.Millisecond)
 		b.backend.send = func(context.Context, *core.Request, int) *core.Result {
+			mu.Lock()
+			defer mu.Unlock()
 			starts = append(starts, b.clock.Now())
 			return answered()
 		}
@@ -218,7 +221,9 @@
 			b.start(b.Context(), lookup())
 			time.Sleep(10 * time.Millisecond)
 		}
-		synctest.Wait()
+		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		for i := coldRate + coldBurst; i < len(starts); i++ {
 			b.Assert(starts[i].Sub(starts[i-coldRate-coldBurst]) >= time.Second, qt.IsTrue)
 		}
