Ask for the list again while the health check of a server is not to be trusted

TestListAskedAgain failed before. Ruled out: the reports of other nodes; the guard is the one to know.

--- a/guard/pace.go
+++ b/guard/pace.go
@@ -35,15 +35,14 @@
 	// lowest and before are the lowest paces of the window that began at a time, and of the one before it.
 	lowest, before int
 	began          time.Time
-	// wanted tells that a start waits for a fresh report; asked is when it was first asked for.
-	wanted bool
-	asked  time.Time
+	// asked is when a start first waited for a fresh report, or zero.
+	asked time.Time
 }
 
 // take takes over a reported pace.
 func (p *pace) take(now time.Time, percent int) {
 	p.percent, p.at = percent, now
-	p.wanted, p.asked = false, time.Time{}
+	p.asked = time.Time{}
 	if now.Sub(p.began) >= baseWindow {
 		p.before = p.lowest
 		if now.Sub(p.began) >= 2*baseWindow {
@@ -77,7 +76,7 @@
 	}
 	if now.Sub(p.at) > paceFresh {
 		if p.asked.IsZero() {
-			p.wanted, p.asked = true, now
+			p.asked = now
 		}
 		return now.Sub(p.asked) >= paceWait
 	}
--- a/guard/pace_test.go
+++ b/guard/pace_test.go
@@ -281,3 +281,31 @@
 		})
 	}
 }
+
+// TestListAskedAgain guards against a server that leaves while its health check is false: it said that it was ill before, or
+// says that it is well and fails its calls, so that only the list tells. Found on a varied day of false health checks.
+func TestListAskedAgain(t *testing.T) {
+	for name, prepare := range map[string]func(b *bench, s *reporting){
+		"false alarm before": func(b *bench, s *reporting) {
+			s.draining.Store(true)
+			time.Sleep(100 * time.Millisecond)
+			b.snapshots.setReporting(b.clock.Now().Add(time.Minute), schema.InstanceState_INSTANCE_STATE_SERVING)
+		},
+		"well but failing": func(b *bench, _ *reporting) {
+			b.backend.send = func(context.Context, *core.Request, int) *core.Result { return &core.Result{Written: true, Code: 500} }
+			for range 20 {
+				b.Execute(b.Context(), lookup())
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int64
+			runReporting(t, []guard.Option{guard.WithListCheck(func() { asked.Add(1) })}, func(b *bench, s *reporting) {
+				prepare(b, s)
+				before := asked.Load()
+				time.Sleep(3 * time.Second)
+				b.Check(asked.Load() >= before+2, qt.IsTrue, qt.Commentf("asked %d times", asked.Load()-before))
+			})
+		})
+	}
+}
--- a/guard/run.go
+++ b/guard/run.go
@@ -22,6 +22,10 @@
 	drainingTime = 2 * time.Second
 	// listDelay is how long a change of a backend server may take until the platform's list shows it.
 	listDelay = 300 * time.Millisecond
+	// listPeriod is the time between two reads of the list while the health check is not to be trusted, and
+	// distrustedFailures the share of failed calls from which it is not.
+	listPeriod         = time.Second
+	distrustedFailures = 0.3
 	// resetWindow and resetCount define several resets together.
 	resetWindow = 100 * time.Millisecond
 	resetCount  = 2
@@ -345,12 +349,29 @@
 		g.logger.Info("backend server says that it is leaving or unhealthy", zap.String("instance", g.own().GetInstance()))
 	}
 	g.server.drainingUntil = now.Add(drainingTime)
-	if g.listCheck != nil && !g.applied.Listed().After(g.server.drainingSince.Add(listDelay)) && now.Sub(g.server.listAsked) >= listDelay {
-		g.server.listAsked = now
-		g.listCheck()
+	if !g.applied.Listed().After(g.server.drainingSince.Add(listDelay)) {
+		g.askList(now, listDelay)
 	}
 }
 
+// checkList asks for the platform's list as long as the health check of the backend server is not to be trusted: it says
+// that the server leaves though the list does not, or that it is well though its calls fail. A server that leaves then is
+// shown by the list alone.
+func (g *Guard) checkList(now time.Time) {
+	if !g.server.drainingSince.IsZero() || g.server.failures > distrustedFailures {
+		g.askList(now, listPeriod)
+	}
+}
+
+// askList asks for the platform's list unless it was asked for within the period.
+func (g *Guard) askList(now time.Time, period time.Duration) {
+	if g.listCheck == nil || now.Sub(g.server.listAsked) < period {
+		return
+	}
+	g.server.listAsked = now
+	g.listCheck()
+}
+
 // countReset counts a connection that the backend server reset. Several together mean that it restarted.
 func (g *Guard) countReset(now time.Time) {
 	if now.Sub(g.server.reset) > resetWindow {
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -103,6 +103,7 @@
 	g.ticked.Store(int64(now.Sub(g.epoch)))
 	g.refresh(now)
 	g.observeAges(now)
+	g.checkList(now)
 	g.handle(now, g.controller.Tick(now))
 	g.followPace(now)
 	switch {
