--- a/cmd/verbenareel/main.go
+++ b/cmd/verbenareel/main.go
@@ -9,8 +9,6 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 )
 
 func main() {
@@ -56,24 +54,3 @@
 
 // Unwrap returns the cause.
 func (e *usageError) Unwrap() error { return e.err }
-
-// newLogger returns a logger that writes JSON lines to standard output, of each message only the first few in a second, and
-// its level.
-func newLogger(level string) (*zap.Logger, zap.AtomicLevel, error) {
-	if level == "" {
-		level = "info"
-	}
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, zap.AtomicLevel{}, fmt.Errorf("log level: %w", err)
-	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(parsed)
-	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.OutputPaths = []string{"stdout"}
-	logger, err := config.Build()
-	if err != nil {
-		return nil, zap.AtomicLevel{}, fmt.Errorf("build the logger: %w", err)
-	}
-	return logger, config.Level, nil
-}
