Fewer calls to the store: one watch for each failure domain, checks in turn, and checks that confirm

Cause: each node watched the document, so that each change cost a new watch of each node; a document that was not confirmed for 0.7 s was read by all nodes within about 0.1 s, before they could hear of each other's read; and after all nodes had started anew, no check confirmed anything: a node dates the keys by its own read, its neighbours had read later, so each check returned a lower revision than the one in force and counted as stale.

Now one node of each failure domain watches, nodes check in the order of a hash that holds for 30 s, each later by half of the rest, and equal texts under different revisions are the same document with the later date (TestRedate, TestDocument, TestStateCutGroups with reads in turn). Reads in turn are only for platforms whose answers are never stale.

--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,8 @@
 	adapterList  = 20 * time.Second
 	// adapterStale is the age of the last confirmation of the document at which a node reads it beside its watch.
 	adapterStale = 700 * time.Millisecond
+	// adapterReaders is the number of nodes of a failure domain that watch an adapter's platform.
+	adapterReaders = 1
 	// adapterBurst lets a new process read the document and the list together.
 	adapterBurst = 2
 	// adapterSpread spreads the first reads of nodes that start together.
@@ -229,7 +231,7 @@
 	return peers.Reading{
 		Parse:       n.adapter.Parse,
 		Watch:       adapterWatch,
-		Everyone:    true,
+		Readers:     adapterReaders,
 		List:        adapterList,
 		ListDecides: true,
 		Stale:       adapterStale,
--- a/peers/log.go
+++ b/peers/log.go
@@ -12,7 +12,7 @@
 // logChanges logs what a new snapshot changes: the revision in force, the failure domains out of service, and the states
 // of instances.
 func (e *Exchange) logChanges(before, after *core.Snapshot) {
-	if before.Revision() != after.Revision() {
+	if before == nil || before.Document() != after.Document() {
 		e.logger.Info("configuration in force", zap.Uint64("revision", after.Revision()),
 			zap.Uint64("revision_before", before.Revision()), zap.String("deployment", after.Document().GetDeployment()),
 			zap.Strings("domains_out_of_service", outOfService(after)))
--- a/peers/pull.go
+++ b/peers/pull.go
@@ -21,6 +21,9 @@
 		return
 	case revision == s.rejected.revision && manifest == s.rejected.manifest:
 		return
+	case manifest == s.manifest():
+		s.redate(revision, confirmed)
+		return
 	}
 	if s.pull != nil && s.pull.revision == revision && s.pull.manifest == manifest {
 		s.pull.offeredBy(from)
@@ -33,6 +36,16 @@
 	s.fetch(from)
 }
 
+// redate gives the document in force a higher revision, at which the platform still held the same text.
+func (s *State) redate(revision uint64, confirmed time.Time) {
+	s.accepted.revision = revision
+	s.confirm(confirmed)
+	if s.pull != nil && s.pull.revision <= revision {
+		s.pull = nil
+		s.settle()
+	}
+}
+
 // disagree counts other bytes under the accepted revision; the first ones stay in force.
 func (s *State) disagree(manifest uint64) {
 	if s.conflict != manifest {
@@ -173,6 +186,9 @@
 		return
 	case revision == s.rejected.revision && candidate.manifest == s.rejected.manifest:
 		return
+	case candidate.manifest == s.manifest():
+		s.redate(revision, confirmed)
+		return
 	}
 	document, err := s.reading.Parse(text)
 	if err != nil {
--- a/peers/read.go
+++ b/peers/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -52,38 +53,44 @@
 
 // reader reports whether the node is one of those of its failure domain that watch the platform: the lowest by
 // rendezvous hash. The hash covers the revision and the epoch, so the cost of reading whole documents goes round.
-func (s *State) reader(now time.Time) bool {
+func (s *State) reader(now time.Time) bool { return s.currentRole(now).reader }
+
+// currentRole returns the role of the node among those that read the platform.
+func (s *State) currentRole(now time.Time) role {
 	r := role{
 		revision: s.Revision(), epoch: uint64(now.Unix()) / uint64(epoch/time.Second), changes: s.table.changes, known: true,
 	}
-	r.reader = s.role.reader
-	if r != s.role {
-		r.reader = s.rank(r) < readersPerDomain
+	if r.revision != s.role.revision || r.epoch != s.role.epoch || r.changes != s.role.changes || !s.role.known {
+		inDomain, inFleet := s.rank(r)
+		r.reader, r.place = inDomain < max(1, s.reading.Readers), inFleet
 		s.role = r
 	}
-	return r.reader
+	return s.role
 }
 
-// rank returns the number of nodes of the failure domain that come before this one.
-func (s *State) rank(r role) int {
-	own := rendezvous(s.self.GetInstance(), r)
-	before := 0
+// rank returns the number of nodes of the failure domain and of the fleet that come before this one. The order in the fleet
+// stays the same for an epoch, so that mostly the same node confirms the document for all.
+func (s *State) rank(r role) (inDomain, inFleet int) {
+	own := s.self.GetInstance()
 	for _, m := range s.table.order {
 		e := m.effective()
-		if e.GetDomain() != s.self.GetDomain() || e.GetState() >= schema.InstanceState_INSTANCE_STATE_LEAVING {
+		if e.GetState() >= schema.InstanceState_INSTANCE_STATE_LEAVING {
 			continue
 		}
-		if rendezvous(m.name, r) < own {
-			before++
+		if e.GetDomain() == s.self.GetDomain() && rendezvous(m.name, r.revision, r.epoch) < rendezvous(own, r.revision, r.epoch) {
+			inDomain++
+		}
+		if rendezvous(m.name, 0, r.epoch) < rendezvous(own, 0, r.epoch) {
+			inFleet++
 		}
 	}
-	return before
+	return inDomain, inFleet
 }
 
-func rendezvous(name string, r role) uint64 {
+func rendezvous(name string, revision, epoch uint64) uint64 {
 	var data [16 + maxText]byte
-	b := binary.LittleEndian.AppendUint64(data[:0], r.revision)
-	b = binary.LittleEndian.AppendUint64(b, r.epoch)
+	b := binary.LittleEndian.AppendUint64(data[:0], revision)
+	b = binary.LittleEndian.AppendUint64(b, epoch)
 	return xxhash.Sum64(append(b, name...))
 }
 
@@ -111,8 +118,9 @@
 	if !s.platform {
 		return
 	}
-	watch := s.accepted == nil || s.reading.Everyone || s.reader(now)
-	if !s.documentPending(now) && !now.Before(s.documentDue(now, watch)) && s.take(now) {
+	watch := s.accepted == nil || s.reader(now)
+	idle := s.reading.Stale == 0
+	if (watch || idle) && !s.documentPending(now) && !now.Before(s.documentDue(now, watch)) && s.take(now) {
 		wait := time.Duration(0)
 		if watch {
 			wait = s.reading.Watch
@@ -122,7 +130,7 @@
 	if s.unconfirmed(now) && s.take(now) {
 		s.checkDocument(now)
 	}
-	held := !watch && s.documentSoon(now)
+	held := !watch && idle && s.documentSoon(now)
 	if !held && !s.members.pending(now, readLimit) && !now.Before(s.membersDue()) && s.take(now) {
 		s.number++
 		s.members.number, s.members.began, s.members.jitter = s.number, now, s.random.Float64()
@@ -135,13 +143,15 @@
 	return s.document.pending(now, s.reading.Watch+readLimit)
 }
 
-// unconfirmed reports whether the document is to be read although a watch is pending.
+// unconfirmed reports whether the document is to be read whatever is watched. The nodes of the fleet take turns by their
+// place: the first one that reads tells the others, which then need not.
 func (s *State) unconfirmed(now time.Time) bool {
 	if s.reading.Stale == 0 || s.accepted == nil || s.check.pending(now, readLimit) {
 		return false
 	}
-	age := now.Sub(s.confirmed)
-	return age > scale(s.reading.Stale, 1+staleSpread*s.check.jitter) && !now.Before(s.check.backoff())
+	turn := 1 - math.Pow(turnShare, float64(s.currentRole(now).place))
+	wait := scale(s.reading.Stale, 1+staleSpread*turn+turnJitter*s.check.jitter)
+	return now.Sub(s.confirmed) > wait && !now.Before(s.check.backoff())
 }
 
 // checkDocument reads the document as it is now, beside a pending watch.
--- a/peers/reading_test.go
+++ b/peers/reading_test.go
@@ -16,7 +16,7 @@
 // storeReading returns how a node reads a platform whose list decides, and of which each node hears by itself.
 func storeReading() Reading {
 	reading := DefaultReading()
-	reading.Watch, reading.Everyone, reading.List = 15*time.Second, true, 20*time.Second
+	reading.Watch, reading.Readers, reading.List = 15*time.Second, 1, 20*time.Second
 	reading.ListDecides, reading.Stale, reading.Grace, reading.Burst = true, time.Second, 2500*time.Millisecond, 2
 	return reading
 }
@@ -193,6 +193,27 @@
 	qt.Check(t, len(step(2*time.Second)) > 0, qt.IsTrue)
 }
 
+// TestRedate guards against a document that is fetched and parsed again, or never confirmed, since other nodes or the
+// platform give the same text a higher revision.
+func TestRedate(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := readingState(now)
+	document := s.accepted.document
+	s.Take()
+	now = now.Add(100 * time.Millisecond)
+	s.Heard(now, "127.0.0.1:2", 7, s.manifest(), 5)
+	qt.Check(t, taken[FetchManifest](s), qt.HasLen, 0)
+	qt.Check(t, s.Revision(), qt.Equals, uint64(7))
+	qt.Check(t, s.confirmed, qt.Equals, now.Add(-5*time.Millisecond))
+	s.DocumentDone(now, ReadDocument{After: 7, at: now}, 9, testDocument(1, 3), nil)
+	qt.Check(t, s.Revision(), qt.Equals, uint64(9))
+	qt.Check(t, s.confirmed, qt.Equals, now)
+	qt.Check(t, s.accepted.document, qt.Equals, document)
+	qt.Check(t, s.counters.Accepted, qt.Equals, uint64(1))
+	s.DocumentDone(now, ReadDocument{After: 9, at: now}, 8, testDocument(2, 3), nil)
+	qt.Check(t, s.Revision(), qt.Equals, uint64(9))
+}
+
 // TestHeard guards against a revision that another node tells of and that is not fetched.
 func TestHeard(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
--- a/peers/state.go
+++ b/peers/state.go
@@ -24,8 +24,11 @@
 	// off from each node that reads the platform.
 	staleAfter  = 2 * time.Second
 	staleJitter = 300 * time.Millisecond
-	// staleSpread spreads the reads of nodes whose confirmation is of the same age: the first one tells the others.
+	// staleSpread is how far the reads of nodes whose confirmation is of the same age are apart at most, as a share of that
+	// age; each node in their order waits for half of the rest, so turnShare, and turnJitter is added at random.
 	staleSpread = 0.7
+	turnShare   = 0.5
+	turnJitter  = 0.1
 	// staleRead is the shortest time between two such reads; staleReadJitter is added at random.
 	staleRead       = 2 * time.Second
 	staleReadJitter = 600 * time.Millisecond
@@ -159,6 +162,8 @@
 type role struct {
 	revision, epoch, changes uint64
 	known, reader            bool
+	// place is the number of nodes of the fleet that come before this one.
+	place int
 }
 
 // Reading says how a node reads its platform.
@@ -167,15 +172,15 @@
 	Parse func(text []byte) (*schema.Document, error)
 	// Watch is the time for which a watch of the document may stay pending.
 	Watch time.Duration
-	// Everyone makes each node watch the document, not only a few of each failure domain.
-	Everyone bool
+	// Readers is the number of nodes of each failure domain that watch the document; 0 stands for readersPerDomain.
+	Readers int
 	// List is the shortest time between two reads of the list.
 	List time.Duration
 	// ListDecides makes the node's own instance count as leaving while the list does not name it. Other nodes learn of it
 	// by its announcements and load reports.
 	ListDecides bool
-	// Stale is the age of the last confirmation of the document at which a node reads it although a watch is pending; 0
-	// leaves it to the watch. A watch may hear nothing of a change.
+	// Stale is the age of the last confirmation of the document, by the platform or by another node, at which a node reads
+	// it whatever it watches: a watch may hear nothing of a change. 0 leaves it to watches and idle reads.
 	Stale time.Duration
 	// Burst is the number of platform calls that may follow each other at once; 0 stands for 1.
 	Burst float64
@@ -188,7 +193,7 @@
 
 // DefaultReading returns how a node reads a platform of this project's own protocol.
 func DefaultReading() Reading {
-	return Reading{Parse: config.ParseDocument, Watch: watchWait, List: minListRead, StartSpread: startJitter}
+	return Reading{Parse: config.ParseDocument, Readers: readersPerDomain, Watch: watchWait, List: minListRead, StartSpread: startJitter}
 }
 
 // NewState returns the state of a node that has just started. The platform argument tells whether the node can read the
--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -375,8 +375,8 @@
 // Guards against a revision that falls, an invalid document in force, a record that comes back to life, a platform that
 // gets more calls than its budget, and nodes that stay behind once all paths are back.
 func TestStateMachine(t *testing.T) {
-	t.Run("few watch", func(t *testing.T) { checkMachine(t, DefaultReading()) })
-	t.Run("all watch", func(t *testing.T) { checkMachine(t, storeReading()) })
+	t.Run("idle reads", func(t *testing.T) { checkMachine(t, DefaultReading()) })
+	t.Run("reads in turn", func(t *testing.T) { checkMachine(t, storeReading()) })
 }
 
 func checkMachine(t *testing.T, reading Reading) {
@@ -442,15 +442,23 @@
 // Guards against a change that does not reach, within 3 s, each group of nodes that has a path to the platform: groups
 // are cut off at any time before the change, most of their paths are stale or down, and one is not.
 func TestStateCutGroups(t *testing.T) {
+	t.Run("idle reads", func(t *testing.T) {
+		checkCutGroups(t, DefaultReading(), []path{pathFresh, pathStale, pathDown})
+	})
+	// Reads in turn are for a platform whose answers are never stale.
+	t.Run("reads in turn", func(t *testing.T) { checkCutGroups(t, storeReading(), []path{pathFresh, pathDown}) })
+}
+
+func checkCutGroups(t *testing.T, reading Reading, paths []path) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(6, 16).Draw(t, "nodes")
-		m := newModel(n, rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		m := newReadingModel(n, rapid.Uint64().Draw(t, "seed"), reading, t.Fatalf)
 		m.put(true)
 		m.run(settleTicks + rapid.IntRange(0, 50).Draw(t, "before"))
 		reached := make(map[int]bool)
 		for _, p := range m.processes {
 			p.group = rapid.IntRange(0, 2).Draw(t, "group")
-			p.path = path(rapid.IntRange(int(pathFresh), int(pathDown)).Draw(t, "path"))
+			p.path = rapid.SampledFrom(paths).Draw(t, "path")
 			p.stale = 1
 			reached[p.group] = reached[p.group] || p.path == pathFresh
 		}
