From a failed request to its cause: verbenareel trace, what routers knew of each instance, bounded lines, ages

- verbenareel trace ID FILES...: joins the lines of several nodes on one request and its calls, with what the nodes that it met believed around that time, and says in a few sentences how it ended and why.
- A hop of a call's line tells what the router knew of the instance when it chose it, with the pace and the age of the report; before, it was what the reply itself brought.
- Lines for late answers and one in 1,000 successes.
- Metrics: log lines left out and dropped, age of the document and of the list, calls broken off, pace, latency by outcome.
- status and explain: age of the document and the list, loss of the platform, pace, slow phase, cold starts left.
- The field that names the node is node: it stood beside a field instance of the same name in some lines.

--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -49,14 +49,14 @@
 	if err != nil {
 		return fmt.Errorf("settings %s: %w", c.String("settings"), err)
 	}
-	logger, level, err := newLogger(settings.GetLogLevel())
+	logger, err := newLogger(settings.GetLogLevel(), os.Stdout)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
-	options := []node.Option{node.WithLogger(logger)}
+	options := []node.Option{node.WithLogger(logger.Logger)}
 	if settings.GetAdapter() == config.AdapterStore {
-		adapter, err := platform.New(settings, clockwork.NewRealClock(), logger)
+		adapter, err := platform.New(settings, clockwork.NewRealClock(), logger.Logger)
 		if err != nil {
 			return fmt.Errorf("adapter of the platform: %w", err)
 		}
@@ -66,7 +66,8 @@
 	if err != nil {
 		return fmt.Errorf("start the node: %w", err)
 	}
-	file := &settingsFile{path: c.String("settings"), text: text, level: level, logger: logger, node: n}
+	logger.register(n.Registry())
+	file := &settingsFile{path: c.String("settings"), text: text, level: logger.level, logger: logger.Logger, node: n}
 	following, stop := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
@@ -173,6 +174,10 @@
 func writeStatus(w stdio.Writer, r node.Report) error {
 	_, _ = fmt.Fprintf(w, "instance %s  service %s  failure domain %s\nrevision %d  state %s  in flight %d  queued %d  limit %d\n",
 		r.Instance, r.Service, r.Domain, r.Revision, r.State, r.InFlight, r.Queued, r.Limit)
+	_, _ = fmt.Fprintf(w, "document confirmed %s, list read %s\n", ageText(r.ConfirmedAge), ageText(r.ListAge))
+	if r.Lost != "" {
+		_, _ = fmt.Fprintf(w, "platform cannot be read: %s\n", r.Lost)
+	}
 	if r.Rejected != "" {
 		_, _ = fmt.Fprintf(w, "rejected document: %s\n", r.Rejected)
 	}
@@ -187,6 +192,14 @@
 	return nil
 }
 
+// ageText returns an age in seconds for people; a negative one stands for never.
+func ageText(seconds float64) string {
+	if seconds < 0 {
+		return "never"
+	}
+	return time.Duration(seconds*float64(time.Second)).Round(time.Millisecond).String() + " ago"
+}
+
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
@@ -213,11 +226,11 @@
 		Usage: "run 14 nodes with stand-ins in this process, break things, and check the promises",
 		Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warn or error"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			logger, _, err := newLogger(c.String("log-level"))
+			logger, err := newLogger(c.String("log-level"), os.Stdout)
 			if err != nil {
 				return err
 			}
-			return trial.Demo(ctx, c.Root().Writer, logger)
+			return trial.Demo(ctx, c.Root().Writer, logger.Logger)
 		},
 	}
 }
--- a/cmd/verbenareel/main.go
+++ b/cmd/verbenareel/main.go
@@ -32,6 +32,7 @@
 			checkCommand(),
 			statusCommand(),
 			explainCommand(),
+			traceCommand(),
 			demoCommand(),
 			loadCommand(),
 			modelCommand(),
--- a/cmd/verbenareel/trial.go
+++ b/cmd/verbenareel/trial.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 
@@ -42,7 +43,7 @@
 			return &usageError{err: errors.New("unknown scenario " + name)}
 		}
 	}
-	logger, _, err := newLogger(c.String("log-level"))
+	logger, err := newLogger(c.String("log-level"), os.Stdout)
 	if err != nil {
 		return err
 	}
@@ -52,7 +53,7 @@
 			continue
 		}
 		_, _ = fmt.Fprintf(c.Root().ErrWriter, "%s: %s\n", s.Name(), s.About())
-		measured, err := s.Run(ctx, logger)
+		measured, err := s.Run(ctx, logger.Logger)
 		rows = append(rows, measured...)
 		if err != nil {
 			return err
--- a/guard/metrics.go
+++ b/guard/metrics.go
@@ -14,6 +14,7 @@
 	probes prometheus.Counter
 	pauses prometheus.Counter
 	crash  prometheus.Counter
+	broken prometheus.Counter
 	answer prometheus.Counter
 }
 
@@ -26,10 +27,12 @@
 		probes: counter("verbenareel_guard_probes_total", "Probes of the backend server."),
 		pauses: counter("verbenareel_guard_pauses_total", "Pauses of the process that were detected."),
 		crash:  counter("verbenareel_guard_crashes_total", "Crashes of the backend server that were detected."),
+		broken: counter("verbenareel_guard_broken_off_total", "Calls that were broken off since they started in a slow phase."),
 	}
 	m.answer = m.calls.WithLabelValues(core.StatusName(schema.Status_STATUS_ANSWERED), core.ReasonName(schema.Reason_REASON_NONE))
 	g.registry.MustRegister(
-		m.calls, m.probes, m.pauses, m.crash,
+		m.calls, m.probes, m.pauses, m.crash, m.broken,
+		gauge("verbenareel_guard_pace_percent", "Last reported pace of the backend server; 0 if it is not known.", g.pacePercent),
 		gauge("verbenareel_guard_in_flight", "Calls that occupy the backend server.", func() int { return g.Load().InFlight }),
 		gauge("verbenareel_guard_queued", "Calls that wait for admission.", func() int { return g.Load().Queued }),
 		gauge("verbenareel_guard_limit", "Concurrency limit.", func() int { return g.Load().Limit }),
--- a/guard/pace.go
+++ b/guard/pace.go
@@ -138,6 +138,7 @@
 	slow := after > 0 && after <= abandonWindow && float64(g.pace.percent) >= abandonFactor*float64(g.pace.base()) && !c.withdrawn
 	if slow {
 		c.abandoned, c.withdrawn = true, true
+		g.metrics.broken.Inc()
 		g.logger.Info("breaking off a call that started in a slow phase", zap.String("request", c.request.GetRequestId()),
 			zap.String("server", g.own().GetInstance()), zap.Int("pace_percent", g.pace.percent), zap.Duration("after", after))
 	}
@@ -147,6 +148,12 @@
 	}
 }
 
+func (g *Guard) pacePercent() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pace.percent
+}
+
 // paceKnown reports whether a pace was reported after the start of a call.
 func (g *Guard) paceKnown(c *call) bool {
 	g.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -120,7 +120,7 @@
 		o(n)
 	}
 	n.current.Store(settings)
-	n.logger = n.logger.With(zap.String("instance", settings.GetInstance()))
+	n.logger = n.logger.With(zap.String("node", settings.GetInstance()))
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.build()
 	if err := n.listen(); err != nil {
--- a/node/status.go
+++ b/node/status.go
@@ -82,11 +82,16 @@
 
 // Report is a node's view, as the status page gives it.
 type Report struct {
-	Instance  string           `json:"instance"`
-	Service   string           `json:"service"`
-	Domain    string           `json:"domain"`
-	Revision  uint64           `json:"revision"`
-	Rejected  string           `json:"rejected,omitempty"`
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	Domain   string `json:"domain"`
+	Revision uint64 `json:"revision"`
+	Rejected string `json:"rejected,omitempty"`
+	// ConfirmedAge and ListAge tell in seconds how old the node's knowledge of the platform is; negative if there is none.
+	ConfirmedAge float64 `json:"confirmed_age"`
+	ListAge      float64 `json:"list_age"`
+	// Lost is the error of the last read of the platform, if it failed.
+	Lost      string           `json:"lost,omitempty"`
 	State     string           `json:"state"`
 	InFlight  int              `json:"in_flight"`
 	Queued    int              `json:"queued"`
@@ -124,6 +129,10 @@
 	if exchange.Faults != nil {
 		r.Rejected = fmt.Sprintf("revision %d: %v", exchange.Rejected, exchange.Faults)
 	}
+	r.ConfirmedAge, r.ListAge = n.age(exchange.Confirmed), n.age(exchange.Listed)
+	if exchange.Lost != nil {
+		r.Lost = exchange.Lost.Error()
+	}
 	for _, v := range n.router.Views() {
 		r.Instances = append(r.Instances, InstanceReport{
 			Instance: v.Instance,
@@ -137,3 +146,11 @@
 	}
 	return r
 }
+
+// age returns the seconds since a time, or -1 for the zero time.
+func (n *Node) age(at time.Time) float64 {
+	if at.IsZero() {
+		return -1
+	}
+	return n.clock.Now().Sub(at).Seconds()
+}
--- a/peers/status.go
+++ b/peers/status.go
@@ -23,6 +23,9 @@
 	// Contact is the last exchange with any peer; Confirmed the last time at which the platform is known to have held
 	// no higher revision.
 	Contact, Confirmed time.Time
+	// Listed is the time as of which the platform's list is known, Lost the error of the last read of the platform, or nil.
+	Listed time.Time
+	Lost   error
 	// Reader tells whether the node watches the platform on behalf of its failure domain.
 	Reader   bool
 	Fresh    bool
@@ -36,6 +39,7 @@
 		Rejected: s.rejected.revision, RejectedAt: s.rejected.at, Faults: s.rejected.faults,
 		Members: s.table.effective(), Contacts: make(map[string]time.Time, len(s.table.order)),
 		Contact: s.contact, Confirmed: s.confirmed, Reader: s.platform && s.reader(now), Fresh: s.Fresh(now),
+		Listed: s.listed, Lost: s.lost,
 		Counters: s.counters,
 	}
 	for _, m := range s.table.order {
@@ -64,6 +68,7 @@
 	events   *prometheus.Desc
 	revision *prometheus.Desc
 	members  *prometheus.Desc
+	age      *prometheus.Desc
 }
 
 func newCollector(e *Exchange) *collector {
@@ -73,6 +78,8 @@
 			"Events of the exchange between nodes.", []string{"event"}, nil),
 		revision: prometheus.NewDesc("verbenareel_peers_revision", "Accepted revision of the document.", nil, nil),
 		members:  prometheus.NewDesc("verbenareel_peers_members", "Known members.", nil, nil),
+		age: prometheus.NewDesc("verbenareel_peers_age_seconds",
+			"Age of what the node knows of the platform: the document's last confirmation, the list.", []string{"what"}, nil),
 	}
 }
 
@@ -81,6 +88,7 @@
 	out <- c.events
 	out <- c.revision
 	out <- c.members
+	out <- c.age
 }
 
 // Collect implements prometheus.Collector.
@@ -91,4 +99,10 @@
 	}
 	out <- prometheus.MustNewConstMetric(c.revision, prometheus.GaugeValue, float64(status.Revision))
 	out <- prometheus.MustNewConstMetric(c.members, prometheus.GaugeValue, float64(len(status.Members)))
+	now := c.exchange.clock.Now()
+	for what, at := range map[string]time.Time{"document": status.Confirmed, "list": status.Listed} {
+		if !at.IsZero() {
+			out <- prometheus.MustNewConstMetric(c.age, prometheus.GaugeValue, now.Sub(at).Seconds(), what)
+		}
+	}
 }
--- a/router/log.go
+++ b/router/log.go
@@ -12,45 +12,72 @@
 	"verbenareel/schema"
 )
 
-// hop is what came of one send of a call.
+// sampleEvery is one in how many calls that were answered well is logged.
+const sampleEvery = 1000
+
+// hop is one send of a call: what the router knew of the instance when it chose it, and what came of it.
 type hop struct {
-	instance string
-	status   schema.Status
-	reason   schema.Reason
-	code     uint32
-	load     core.LoadReport
+	view *picker.View
+	load core.LoadReport
+	// age is that of the load report, negative if there was none.
+	age    time.Duration
+	status schema.Status
+	reason schema.Reason
+	code   uint32
+	ended  bool
 }
 
-func newHop(view *picker.View, reply *schema.ExecuteReply) hop {
-	load, _ := view.Load()
-	return hop{
-		instance: view.Instance().Name(),
-		status:   reply.GetStatus(),
-		reason:   reply.GetReason(),
-		code:     reply.GetCode(),
-		load:     load,
+func newHop(now time.Time, view *picker.View) hop {
+	load, received := view.Load()
+	h := hop{view: view, load: load, age: -1}
+	if !received.IsZero() {
+		h.age = now.Sub(received)
 	}
+	return h
+}
+
+// end takes the reply to the send.
+func (h *hop) end(reply *schema.ExecuteReply) {
+	h.status, h.reason, h.code, h.ended = reply.GetStatus(), reply.GetReason(), reply.GetCode(), true
 }
 
-// String returns a hop as it stands in a log line, such as "sheets-1:not-run/busy(18+4/18)".
-func (h hop) String() string {
+// String returns a hop as it stands in a log line, such as "sheets-1:not-run/busy(18+4/18 pace 1.2 age 12ms)".
+func (h *hop) String() string {
 	outcome := core.StatusName(h.status) + "/" + core.ReasonName(h.reason)
-	if h.status == schema.Status_STATUS_ANSWERED {
+	switch {
+	case !h.ended:
+		outcome = "no-reply"
+	case h.status == schema.Status_STATUS_ANSWERED:
 		outcome = fmt.Sprint(h.code)
 	}
-	return fmt.Sprintf("%s:%s(%d+%d/%d)", h.instance, outcome, h.load.InFlight, h.load.Queued, h.load.Limit)
+	known := "nothing known"
+	if h.age >= 0 {
+		known = fmt.Sprintf("%d+%d/%d pace %.1f age %v", h.load.InFlight, h.load.Queued, h.load.Limit, h.load.Pace, h.age.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s:%s(%s)", h.view.Instance().Name(), outcome, known)
 }
 
-// logCall logs a call that was not answered well at the first instance.
+// ended notes the reply to the last send of the call to the instance.
+func (c *call) ended(view *picker.View, reply *schema.ExecuteReply) {
+	for i := len(c.trail) - 1; i >= 0; i-- {
+		if c.trail[i].view == view && !c.trail[i].ended {
+			c.trail[i].end(reply)
+			return
+		}
+	}
+}
+
+// logCall logs a call that was not answered in time by the first instance, and of the others one in sampleEvery.
 func (r *Router) logCall(c *call, reply *schema.ExecuteReply, took time.Duration) {
-	if succeeded(reply) && len(c.trail) <= 1 {
+	late := c.rule.HasTargetLatency() && took > c.rule.GetTargetLatency().AsDuration()
+	if succeeded(reply) && len(c.trail) <= 1 && !late && r.sampled.Add(1)%sampleEvery != 0 {
 		return
 	}
 	hops := make([]string, 0, len(c.trail))
-	for _, h := range c.trail {
-		hops = append(hops, h.String())
+	for i := range c.trail {
+		hops = append(hops, c.trail[i].String())
 	}
-	r.logger.Info(callMessage(reply),
+	r.logger.Info(callMessage(reply, len(c.trail), late),
 		zap.String("request", c.input.ID),
 		zap.String("path", c.input.Path),
 		zap.String("service", c.service),
@@ -58,14 +85,19 @@
 		zap.String("reason", core.ReasonName(reply.GetReason())),
 		zap.Uint32("code", reply.GetCode()),
 		zap.Duration("took", took),
+		zap.Duration("target", c.rule.GetTargetLatency().AsDuration()),
 		zap.String("hops", strings.Join(hops, " ")),
 		zap.Uint64("revision", r.revision()))
 }
 
-func callMessage(reply *schema.ExecuteReply) string {
+func callMessage(reply *schema.ExecuteReply, sends int, late bool) string {
 	switch {
-	case succeeded(reply):
+	case succeeded(reply) && late:
+		return "call answered late"
+	case succeeded(reply) && sends > 1:
 		return "call answered after another attempt"
+	case succeeded(reply):
+		return "call answered"
 	case reply.GetStatus() == schema.Status_STATUS_ANSWERED:
 		return "call answered with an error of the backend server"
 	case reply.GetStatus() == schema.Status_STATUS_NOT_RUN:
--- a/router/metric.go
+++ b/router/metric.go
@@ -29,7 +29,7 @@
 			Name:    "verbenareel_router_latency_seconds",
 			Help:    "Time from the acceptance of a call to its outcome.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
-		}, []string{"service"}),
+		}, []string{"service", "outcome"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenareel_router_retries_total",
 			Help: "Retries by service and reason of the attempt before.",
@@ -60,7 +60,7 @@
 func (m *metrics) finished(service string, reply *schema.ExecuteReply, took time.Duration) {
 	m.calls.WithLabelValues(service, core.StatusName(reply.GetStatus()), core.ReasonName(reply.GetReason())).Inc()
 	if took > 0 {
-		m.latency.WithLabelValues(service).Observe(took.Seconds())
+		m.latency.WithLabelValues(service, core.StatusName(reply.GetStatus())).Observe(took.Seconds())
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -37,6 +37,8 @@
 	metrics   *metrics
 	done      chan struct{}
 
+	// sampled counts the calls that were answered well, for their share in the log.
+	sampled atomic.Uint64
 	// retiring tells that the node is about to stop: no run is broken off any more to be repeated elsewhere.
 	retiring atomic.Bool
 
--- a/router/send.go
+++ b/router/send.go
@@ -27,6 +27,7 @@
 // request returns the message for one send of the call, with a fresh attempt number, or nil if too little time is left.
 func (c *call) request(now time.Time, view *picker.View, caller string) *schema.ExecuteRequest {
 	remaining := c.deadline.Sub(now) - view.Delay()
+	c.trail = append(c.trail, newHop(now, view))
 	if remaining <= 0 {
 		return nil
 	}
--- a/router/status.go
+++ b/router/status.go
@@ -118,6 +118,25 @@
 	return g.compare(now, v)
 }
 
+// reported says what the last load report of an instance tells beside its room.
+func reported(now time.Time, v *picker.View) string {
+	load, received := v.Load()
+	if received.IsZero() {
+		return "; no load report yet"
+	}
+	text := fmt.Sprintf("; report %v old", now.Sub(received).Round(time.Millisecond))
+	if load.Pace > 0 {
+		text += fmt.Sprintf(", pace %.1f (lowest of the last second %.1f)", load.Pace, load.BasePace)
+	}
+	if load.Slow() {
+		text += ", in a slow phase"
+	}
+	if load.StartRate > 0 {
+		text += fmt.Sprintf(", cold: %d of %d calls a second left", load.StartsLeft, load.StartRate)
+	}
+	return text
+}
+
 // compare says how the forecast of one instance ranks among those of its service.
 func (g *group) compare(now time.Time, v *picker.View) string {
 	estimate := picker.Estimate(now, v)
@@ -127,6 +146,6 @@
 			better++
 		}
 	}
-	return fmt.Sprintf("gets work: expected latency %v, room for %.0f calls, %d of %d instances look better",
-		estimate.Latency, estimate.Room, better, len(g.views)-1)
+	return fmt.Sprintf("gets work: expected latency %v, room for %.0f calls, %d of %d instances look better%s",
+		estimate.Latency, estimate.Room, better, len(g.views)-1, reported(now, v))
 }
