--- a/io/option.go
+++ b/io/option.go
@@ -86,11 +86,6 @@
 	return func(o *options) { o.connections = count }
 }
 
-// WithDialTimeout bounds the time to open a connection; the default is 250 ms.
-func WithDialTimeout(timeout time.Duration) Option {
-	return func(o *options) { o.dialTimeout = timeout }
-}
-
 // WithWriteTimeout bounds the time of one write to a node (default 2 s) or caller (default 10 s) that does not read.
 func WithWriteTimeout(timeout time.Duration) Option {
 	return func(o *options) { o.writeTimeout = timeout }
@@ -101,11 +96,6 @@
 	return func(o *options) { o.readTimeout = timeout }
 }
 
-// WithIdleTime sets the life of an idle connection: 30 s for a Transport, 10 s for a Backend, 60 s for a Front.
-func WithIdleTime(life time.Duration) Option {
-	return func(o *options) { o.idleTime = life }
-}
-
 // WithSlotLimit bounds the time that a Backend waits for the response to one request; the default is 30 s.
 func WithSlotLimit(limit time.Duration) Option {
 	return func(o *options) { o.slotLimit = limit }
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -349,63 +349,6 @@
 	return *e.last.Load()
 }
 
-// Sync implements core.Peer.
-func (e *Exchange) Sync(request *schema.SyncRequest) *schema.SyncReply {
-	reply := &schema.SyncReply{}
-	e.ask(func(now time.Time) { reply = e.state.HandleSync(now, request) })
-	return reply
-}
-
-// Buckets implements core.Peer.
-func (e *Exchange) Buckets(request *schema.BucketsRequest) *schema.BucketsReply {
-	reply := &schema.BucketsReply{}
-	e.ask(func(now time.Time) { reply = e.state.HandleBuckets(now, request) })
-	return reply
-}
-
-// Manifest implements core.Peer.
-func (e *Exchange) Manifest(request *schema.ManifestRequest) *schema.ManifestReply {
-	reply := &schema.ManifestReply{}
-	e.ask(func(now time.Time) { reply = e.state.HandleManifest(now, request) })
-	return reply
-}
-
-// Sections implements core.Peer.
-func (e *Exchange) Sections(request *schema.SectionsRequest) *schema.SectionsReply {
-	reply := &schema.SectionsReply{}
-	e.ask(func(now time.Time) { reply = e.state.HandleSections(now, request) })
-	return reply
-}
-
-// Suspects implements core.Peer. It does not pass through the loop: the sender holds its callers until the answer.
-func (e *Exchange) Suspects(request *schema.SuspectsRequest) *schema.SuspectsReply {
-	if e.suspects != nil {
-		e.suspects.Merge(e.clock.Now(), request.GetSuspects())
-	}
-	return &schema.SuspectsReply{}
-}
-
-// PushSuspects sends suspects to all instances of a service. It returns when each acknowledged or failed, or ctx ends.
-func (e *Exchange) PushSuspects(ctx context.Context, service string, suspects []*schema.Suspect) {
-	snapshot := e.Snapshot()
-	if snapshot == nil {
-		return
-	}
-	request := schema.SuspectsRequest_builder{Suspects: suspects}.Build()
-	var group conc.WaitGroup
-	for _, i := range snapshot.Instances(service) {
-		if i.Address() == e.self.GetAddress() || i.State() == schema.InstanceState_INSTANCE_STATE_GONE {
-			continue
-		}
-		group.Go(func() {
-			if _, err := e.transport.Suspects(ctx, i.Address(), request); err != nil {
-				e.logger.Debug("push of suspects failed", zap.String("instance", i.Name()), zap.Error(err))
-			}
-		})
-	}
-	group.Wait()
-}
-
 // perform starts an effect. Announcements outlive ctx by their timeout, so that the last one arrives.
 func (e *Exchange) perform(ctx context.Context, effect Effect) {
 	switch m := effect.(type) {
--- a/peers/lapse_test.go
+++ b/peers/lapse_test.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		if since := latest(e.missing, m.changed); e.asked.Before(since) {
-			if !m.listDemand.After(since) && !(m.noticed && m.changed.Equal(since)) {
+			if !m.listDemand.After(since) && (!m.noticed || !m.changed.Equal(since)) {
 				continue
 			}
 			e.asked = m.now
--- a/picker/expect.go
+++ b/picker/expect.go
@@ -9,29 +9,25 @@
 
 // Constants of Expected; BenchmarkChoosers of package simul compares them.
 const (
-	// samples is how many random candidates are compared. With 2, a straggler is met more often; with 5, routers whose
-	// reports lag crowd the same instance.
+	// samples is how many random candidates are compared.
 	samples = 3
 	// trialShare is one in how many calls goes to a random instance without an unanswered call of this router, so that
 	// an instance that looked bad is measured again.
 	trialShare = 100
 	// reportLife is the age at which latency and failures of a report count half and the neutral values count half.
 	reportLife = time.Second
-	// occupancyLife is the age, in service times, at which the calls in flight of a report count half: about as long as
-	// these calls last. With a longer life, routers whose reports lag crowd the same instance.
+	// occupancyLife is the age, in service times, at which the calls in flight of a report count half.
 	occupancyLife = 0.5
-	// waitWeight weighs the expected wait for a slot. Above 1, since a call above the limit may also be refused.
-	// Preferring instances with room whatever their latency was worse: the only one with room is often the straggler.
+	// waitWeight weighs the expected wait for a slot. It is above 1, since a call above the limit may also be refused.
 	waitWeight = 2
 	// ownWeight weighs the calls of this router in flight, compared with their mean over the instances, by the square of
-	// the utilization of the service. They are the only part of the view that is never stale, so a router spreads its own
-	// calls evenly when slots are scarce; when they are not, it prefers the nearest instances.
+	// the utilization of the service: they are the only part of the view that is never stale.
 	ownWeight = 3
 	// failurePenalty is what a failed call costs, in usual service times. It is well above 1 so that an instance that
 	// fails at once does not look fast.
 	failurePenalty = 20
 	// stragglerFactor is how many expected latencies the oldest unanswered call may wait before its wait counts as the
-	// expected latency. At 3, instances with 18 calls of varying length look slow too often.
+	// expected latency.
 	stragglerFactor = 6
 	// fallbackLatency is the service time assumed before any report of the service arrived.
 	fallbackLatency = 10 * time.Millisecond
--- a/ticket/store.go
+++ b/ticket/store.go
@@ -98,9 +98,6 @@
 // WithAnswerBytes sets the bound on retained answers in bytes.
 func WithAnswerBytes(size int) Option { return func(s *Store) { s.answerLimit = size } }
 
-// WithTicketLife sets the time in which a ticket must be used.
-func WithTicketLife(life time.Duration) Option { return func(s *Store) { s.ticketLife = life } }
-
 // WithOutcomeLife sets the time for which an outcome is kept.
 func WithOutcomeLife(life time.Duration) Option { return func(s *Store) { s.outcomeLife = life } }
 
