verbenareel soak: nodes, servers and the platform as processes under random faults

Faults come by signals, by loopback proxies (reset, silent, mute, one way, delayed), by the platform (down, frozen, muted) and as changes; they come in series and overlap. Checked: at most once, true refusals, answers that belong to their call, changes in force within 4 s, a failure domain without work after 3 s, recovery within 15 s, graceful stops.

--- a/cmd/verbenareel/main.go
+++ b/cmd/verbenareel/main.go
@@ -37,6 +37,7 @@
 			loadCommand(),
 			modelCommand(),
 			trialCommand(),
+			soakCommand(),
 			fakeCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/fakes/forwarder.go
+++ b/fakes/forwarder.go
@@ -18,7 +18,7 @@
 )
 
 // Forwarder passes TCP connections on to a target and can break them on command: cut them, let them go silent without
-// closing them, resume them and add delay. A half-close is passed on.
+// closing them, in one direction or both, resume them and add delay. A half-close is passed on.
 type Forwarder struct {
 	target   string
 	listener *net.TCPListener
@@ -30,6 +30,7 @@
 	pairs    map[*pair]struct{}
 	accepted int
 	muted    bool
+	deaf     bool
 	delay    time.Duration
 }
 
@@ -38,6 +39,8 @@
 	client *net.TCPConn
 	server *net.TCPConn
 	silent bool
+	// deaf tells that nothing is forwarded from the server to the client.
+	deaf   bool
 	closed bool
 }
 
@@ -98,8 +101,24 @@
 // Mute stops forwarding on the open connections and on new ones, which are still accepted.
 func (f *Forwarder) Mute() { f.setSilent(true, true) }
 
-// Resume ends Silence and Mute; what was held back is delivered.
-func (f *Forwarder) Resume() { f.setSilent(false, false) }
+// Deafen stops forwarding from the target to the clients, on the open connections and on new ones. What clients send arrives.
+func (f *Forwarder) Deafen() { f.setDeaf(true) }
+
+// Resume ends Silence, Mute and Deafen; what was held back is delivered.
+func (f *Forwarder) Resume() {
+	f.setSilent(false, false)
+	f.setDeaf(false)
+}
+
+func (f *Forwarder) setDeaf(deaf bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.deaf = deaf
+	for p := range f.pairs {
+		p.deaf = deaf
+	}
+	f.changed.Broadcast()
+}
 
 func (f *Forwarder) setSilent(open, later bool) {
 	f.mutex.Lock()
@@ -142,7 +161,7 @@
 	p := &pair{client: client, server: conn.(*net.TCPConn)}
 	f.mutex.Lock()
 	f.accepted++
-	p.silent = f.muted
+	p.silent, p.deaf = f.muted, f.deaf
 	f.pairs[p] = struct{}{}
 	if ctx.Err() != nil {
 		p.abort()
@@ -194,21 +213,21 @@
 func (f *Forwarder) write(p *pair, to *net.TCPConn, chunks <-chan chunk) {
 	for c := range chunks {
 		time.Sleep(time.Until(c.due))
-		f.await(p)
+		f.await(p, to)
 		if _, err := to.Write(c.data); err != nil {
 			_ = p.client.Close()
 			_ = p.server.Close()
 		}
 	}
-	f.await(p)
+	f.await(p, to)
 	_ = to.CloseWrite()
 }
 
-// await waits while the pair is silent.
-func (f *Forwarder) await(p *pair) {
+// await waits while the pair is silent, or deaf in the direction to a side.
+func (f *Forwarder) await(p *pair, to *net.TCPConn) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for p.silent && !p.closed {
+	for (p.silent || p.deaf && to == p.client) && !p.closed {
 		f.changed.Wait()
 	}
 }
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -126,6 +126,13 @@
 	return p.revision
 }
 
+// Revision returns the revision of the last document.
+func (p *Platform) Revision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revision
+}
+
 // List sets the list of instances.
 func (p *Platform) List(entries []Entry) {
 	p.mu.Lock()
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenareel/fakes"
+	"verbenareel/load"
+)
+
+// TestSoak makes one short run with a fixed seed.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "verbenareel")
+	out, err := exec.Command("go", "build", "-o", binary, "verbenareel/cmd/verbenareel").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	var report bytes.Buffer
+	broken, err := Run(context.Background(), Options{Binary: binary, Seed: 1, Length: 4 * time.Second, Instances: 6}, &report)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, broken, qt.HasLen, 0, qt.Commentf("%s", report.String()))
+}
+
+// TestCheckCalls guards against a check that passes over a broken promise, or that reports a kept one.
+func TestCheckCalls(t *testing.T) {
+	call := func(id, class, outcome, reason string) load.Call {
+		return load.Call{ID: id, Class: class, Outcome: outcome, Reason: reason}
+	}
+	kept := []load.Call{
+		call("1", "order", load.OutcomeAnswered, ""), call("2", "order", load.OutcomeNotRun, "busy"),
+		call("3", "order", load.OutcomeUnknown, "node-lost"), call("4", "lookup", load.OutcomeAnswered, ""),
+		call("5", "deposit", load.OutcomeAnswered, "502"),
+	}
+	ledger := map[string]int{"1": 1, "3": 1, "4": 3}
+	qt.Check(t, checkCalls(kept, ledger), qt.HasLen, 0)
+	for _, test := range []struct {
+		call load.Call
+		runs int
+	}{
+		{call("6", "order", load.OutcomeUnknown, ""), 2},
+		{call("6", "deposit", load.OutcomeNotRun, "busy"), 1},
+		{call("6", "order", load.OutcomeAnswered, ""), 0},
+		{call("6", "lookup", load.OutcomeWrongAnswer, ""), 1},
+	} {
+		ledger["6"] = test.runs
+		qt.Check(t, checkCalls(append(kept, test.call), ledger), qt.HasLen, 1, qt.Commentf("%+v", test))
+	}
+	qt.Check(t, checkCalm(kept), qt.HasLen, 3)
+}
+
+// TestDraw guards against a seed that does not give the same faults again, and against kinds that are never drawn.
+func TestDraw(t *testing.T) {
+	instances := []*instance{{entry: fakes.Entry{Instance: "sheets-1"}}, {entry: fakes.Entry{Instance: "sheets-2"}}}
+	faults := func(seed uint64) []fault { return draw(rand.New(rand.NewPCG(seed, 1)), instances, 10*time.Second) }
+	qt.Check(t, len(faults(7)), qt.Equals, len(faults(7)))
+	for i, f := range faults(7) {
+		qt.Check(t, f.String(), qt.Equals, faults(7)[i].String())
+	}
+	drawn := make(map[string]bool)
+	for seed := range uint64(40) {
+		for _, f := range faults(seed) {
+			drawn[f.kind] = true
+		}
+	}
+	qt.Check(t, len(drawn), qt.Equals, len(kinds))
+}
