Cold servers are not filled at first; reports go to nodes that follow an instance

A new guard now supposes the slowdown for 4 s.

Reports to other failure domains went to 48 nodes in turn, so that at 91 nodes each was heard half as often and cost as much.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -23,6 +25,10 @@
 const (
 	// farEvery is how many reports go to the nodes of the own failure domain for one that goes to those of others.
 	farEvery = 4
+	// follow is how many instances of a service in other failure domains a node hears of as often; of the others it hears in
+	// one of restEvery reports.
+	follow    = 6
+	restEvery = 20
 	// maxTargets bounds the nodes that one report goes to; in a larger fleet they take turns.
 	maxTargets = 48
 	// maxDatagram bounds a report, which has about 40 bytes.
@@ -62,9 +68,9 @@
 	done      chan struct{}
 	sequence  uint64
 	// near and far are the addresses of the other nodes in the own failure domain and in others, by the snapshot they were
-	// made from.
-	snapshot  *core.Snapshot
-	near, far []netip.AddrPort
+	// made from; followers are those of far that hear of this instance as often.
+	snapshot             *core.Snapshot
+	near, far, followers []netip.AddrPort
 	// targets is the buffer of turn, and next the last of the targets that had their turn.
 	targets  []netip.AddrPort
 	next     int
@@ -159,10 +165,7 @@
 	b.sequence++
 	load := b.source.Load()
 	revision, manifest, confirmed := b.standing.Standing()
-	far := b.far
-	if b.sequence%farEvery != 0 && !b.fresh(confirmed) {
-		far = nil
-	}
+	far := b.remote(confirmed)
 	if len(b.near)+len(far) == 0 {
 		return
 	}
@@ -181,6 +184,17 @@
 	b.sendTo(b.turn(append(append(b.targets[:0], b.near...), far...)), datagram)
 }
 
+// remote returns the nodes in other failure domains that get this report.
+func (b *Beacon) remote(confirmed uint32) []netip.AddrPort {
+	switch {
+	case b.sequence%restEvery == 0 || b.fresh(confirmed):
+		return b.far
+	case b.sequence%farEvery == 0:
+		return b.followers
+	}
+	return nil
+}
+
 // turn returns the targets of this report: all of them, or the next maxTargets if there are more.
 func (b *Beacon) turn(targets []netip.AddrPort) []netip.AddrPort {
 	b.targets = targets
@@ -218,7 +232,8 @@
 		return
 	}
 	b.snapshot = snapshot
-	b.near, b.far = b.near[:0], b.far[:0]
+	b.near, b.far, b.followers = b.near[:0], b.far[:0], b.followers[:0]
+	peers := b.peers(snapshot)
 	seen := map[string]bool{b.self.GetAddress(): true}
 	for name := range snapshot.Document().GetServices() {
 		for _, i := range snapshot.Instances(name) {
@@ -229,13 +244,49 @@
 			seen[i.Address()] = true
 			if i.Domain() == b.self.GetDomain() {
 				b.near = append(b.near, address)
-			} else {
-				b.far = append(b.far, address)
+				continue
+			}
+			b.far = append(b.far, address)
+			if b.followed(i, peers) {
+				b.followers = append(b.followers, address)
 			}
 		}
 	}
 }
 
+// peers returns the other instances of the service of this node.
+func (b *Beacon) peers(snapshot *core.Snapshot) []*core.Instance {
+	own := snapshot.Instance(b.source.Instance())
+	if own == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(snapshot.Instances(own.Service())), func(i *core.Instance) bool {
+		return i.Address() == b.self.GetAddress() || i.State() >= schema.InstanceState_INSTANCE_STATE_LEAVING
+	})
+}
+
+// followed reports whether a node of another failure domain hears of this instance as often as of few: its order of the
+// instances that are far from it is a hash of both addresses, so that each node follows others.
+func (b *Beacon) followed(by *core.Instance, peers []*core.Instance) bool {
+	own := pairHash(by.Address(), b.self.GetAddress())
+	before := 0
+	for _, peer := range peers {
+		if peer.Domain() != by.Domain() && pairHash(by.Address(), peer.Address()) < own {
+			before++
+		}
+	}
+	return before < follow
+}
+
+func pairHash(by, of string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(by)
+	_, _ = d.WriteString("|")
+	_, _ = d.WriteString(of)
+	return d.Sum64()
+}
+
 // receive takes reports until the connection is closed.
 func (b *Beacon) receive() {
 	var buffer [maxDatagram]byte
--- a/guard/knee.go
+++ b/guard/knee.go
@@ -16,14 +16,17 @@
 	kneeWeight = 0.05
 	// kneeLife is how long a finding holds. After it calls above the knee are measured again.
 	kneeLife = 20 * time.Second
+	// kneeDoubt is the time for which a new guard supposes a slowdown. It often starts together with a cold server, whose calls
+	// would miss their targets above the knee.
+	kneeDoubt = 4 * time.Second
 )
 
 // knee finds out whether the backend server slows down when nearly all its slots are in use. It compares the times of
 // calls that began below and above kneeShare, each in relation to the usual time of calls of the same rule.
 type knee struct {
 	low, high average
-	// found is when the slowdown was last found.
-	found time.Time
+	// began is when the first limit was asked for, found when the slowdown was last found.
+	began, found time.Time
 }
 
 // average is a moving average of logarithms, so that it is one of factors.
@@ -54,13 +57,18 @@
 	}
 }
 
-// limit returns the number of calls that are better not exceeded.
+// limit returns the number of calls that are better not exceeded, or 0 if the server reports no slots.
 func (k *knee) limit(now time.Time, slots int) int {
-	if k.found.IsZero() {
+	if slots <= 0 {
 		return slots
 	}
-	if now.Sub(k.found) > kneeLife {
-		*k = knee{low: k.low}
+	if k.began.IsZero() {
+		k.began = now
+	}
+	if !k.found.IsZero() && now.Sub(k.found) > kneeLife {
+		*k = knee{low: k.low, began: k.began}
+	}
+	if k.found.IsZero() && now.Sub(k.began) >= kneeDoubt {
 		return slots
 	}
 	return max(1, int(kneeShare*float64(slots)))
