--- a/guard/knee.go
+++ b/guard/knee.go
@@ -16,17 +16,14 @@
 	kneeWeight = 0.05
 	// kneeLife is how long a finding holds. After it calls above the knee are measured again.
 	kneeLife = 20 * time.Second
-	// kneeDoubt is the time for which a new guard supposes a slowdown. It often starts together with a cold server, whose calls
-	// would miss their targets above the knee.
-	kneeDoubt = 4 * time.Second
 )
 
 // knee finds out whether the backend server slows down when nearly all its slots are in use. It compares the times of
 // calls that began below and above kneeShare, each in relation to the usual time of calls of the same rule.
 type knee struct {
 	low, high average
-	// began is when the first limit was asked for, found when the slowdown was last found.
-	began, found time.Time
+	// found is when the slowdown was last found.
+	found time.Time
 }
 
 // average is a moving average of logarithms, so that it is one of factors.
@@ -52,24 +49,22 @@
 		return
 	}
 	k.high.add(factor)
-	if k.low.count >= kneeSamples && k.high.count >= kneeSamples && k.high.mean-k.low.mean > math.Log(kneeRatio) {
+	if k.measured() && k.high.mean-k.low.mean > math.Log(kneeRatio) {
 		k.found = now
 	}
 }
 
-// limit returns the number of calls that are better not exceeded, or 0 if the server reports no slots.
-func (k *knee) limit(now time.Time, slots int) int {
-	if slots <= 0 {
-		return slots
-	}
-	if k.began.IsZero() {
-		k.began = now
-	}
+// limit returns the number of calls that are better not exceeded, or 0 if the server reports no slots. A cold server is
+// supposed to slow down until it is known: its calls take long enough without.
+func (k *knee) limit(now time.Time, slots int, cold bool) int {
 	if !k.found.IsZero() && now.Sub(k.found) > kneeLife {
-		*k = knee{low: k.low, began: k.began}
+		*k = knee{low: k.low}
 	}
-	if k.found.IsZero() && now.Sub(k.began) >= kneeDoubt {
+	if slots <= 0 || k.found.IsZero() && (!cold || k.measured()) {
 		return slots
 	}
 	return max(1, int(kneeShare*float64(slots)))
 }
+
+// measured reports whether calls on both sides were compared.
+func (k *knee) measured() bool { return k.low.count >= kneeSamples && k.high.count >= kneeSamples }
--- a/guard/run.go
+++ b/guard/run.go
@@ -291,7 +291,7 @@
 // restart it only if it has ended.
 func (g *Guard) report(now time.Time, report *core.ServerReport) {
 	g.slots = report.Limit
-	g.limiter.Bound(now, g.knee.limit(now, report.Limit))
+	g.limiter.Bound(now, g.knee.limit(now, report.Limit, report.Cold))
 	if report.Pace > 0 {
 		g.pace.take(now, report.Pace)
 	}
