--- a/soak/fault.go
+++ b/soak/fault.go
@@ -97,14 +97,15 @@
 	return nil
 }
 
-// termNode stops the node gracefully. It has to exit with success in time, unless another fault held it up or killed it.
+// termNode asks the node to stop. ensureNode waits for its end.
 func (r *run) termNode(i *instance) error {
 	node, _ := i.processes()
 	node.signal(syscall.SIGTERM)
 	return nil
 }
 
-// ensureNode starts the node again if it has stopped, and waits for one that is stopping.
+// ensureNode starts a node again that has stopped. One that still runs drainTimeout and a second later has to answer: it was
+// started again by another fault.
 func (r *run) ensureNode(i *instance) error {
 	node, _ := i.processes()
 	node.signal(syscall.SIGCONT)
