--- a/peers/state.go
+++ b/peers/state.go
@@ -172,7 +172,7 @@
 	Parse func(text []byte) (*schema.Document, error)
 	// Watch is the time for which a watch of the document may stay pending.
 	Watch time.Duration
-	// Readers is the number of nodes of each failure domain that watch the document; 0 stands for readersPerDomain.
+	// Readers is the number of nodes of each failure domain that watch the document, at least 1.
 	Readers int
 	// List is the shortest time between two reads of the list.
 	List time.Duration
--- a/router/call.go
+++ b/router/call.go
@@ -205,7 +205,7 @@
 
 // note keeps the reply of an attempt that may have run. A whole response is worth more than none.
 func (c *call) note(view *picker.View, reply *schema.ExecuteReply) {
-	c.ended(view, reply)
+	c.noteReply(view, reply)
 	c.tried = slices.DeleteFunc(c.tried, func(v *picker.View) bool { return v == view })
 	if c.eager && isDeclined(reply) {
 		c.declined = append(c.declined, view)
--- a/router/log.go
+++ b/router/log.go
@@ -57,8 +57,8 @@
 	return fmt.Sprintf("%s:%s(%s)", h.view.Instance().Name(), outcome, known)
 }
 
-// ended notes the reply to the last send of the call to the instance.
-func (c *call) ended(view *picker.View, reply *schema.ExecuteReply) {
+// noteReply notes the reply to the last send of the call to the instance.
+func (c *call) noteReply(view *picker.View, reply *schema.ExecuteReply) {
 	for i := len(c.trail) - 1; i >= 0; i-- {
 		if c.trail[i].view == view && !c.trail[i].ended {
 			c.trail[i].end(reply)
