Load reports are received at the rpc address, not at the advertised one; soak: a node is started once

A soak run could not start: a node listened for datagrams at the port at which a proxy forwards calls to it, and the port was taken (TestListen failed first). Another run left a node behind: two faults that ended together both started it. Each process that the soak starts is now kept and ended, and a start names the process that it replaces.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -91,10 +91,10 @@
 	return func(b *Beacon) { registerer.MustRegister(b.sent, b.received, b.failed) }
 }
 
-// New listens for datagrams on the address of self. Reports go to the addresses of the other nodes in the snapshot: to those
+// New listens for datagrams on an address, as IP:port, which others may know as that of self. Reports go to the addresses of the other nodes in the snapshot: to those
 // of the same failure domain every interval, to others less often.
-func New(self *schema.Member, interval time.Duration, snapshots core.Snapshots, source Source, sink Sink, standing Standing, clock core.Clock, opts ...Option) (*Beacon, error) {
-	local, err := net.ResolveUDPAddr("udp", self.GetAddress())
+func New(self *schema.Member, listen string, interval time.Duration, snapshots core.Snapshots, source Source, sink Sink, standing Standing, clock core.Clock, opts ...Option) (*Beacon, error) {
+	local, err := net.ResolveUDPAddr("udp", listen)
 	if err != nil {
 		return nil, fmt.Errorf("address for load reports: %w", err)
 	}
--- a/beacon/beacon_test.go
+++ b/beacon/beacon_test.go
@@ -72,7 +72,7 @@
 func newBeacon(t testing.TB, self *schema.Member, all []*schema.Member) *receiver {
 	document := schema.Document_builder{Services: map[string]*schema.Service{"sheets": {}}}.Build()
 	r := &receiver{reports: make(map[uint64]core.LoadReport)}
-	b, err := beacon.New(self, 5*time.Millisecond, snapshots{core.NewSnapshot(1, document, all)}, source{self.GetInstance()}, r, r,
+	b, err := beacon.New(self, self.GetAddress(), 5*time.Millisecond, snapshots{core.NewSnapshot(1, document, all)}, source{self.GetInstance()}, r, r,
 		clockwork.NewRealClock())
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -144,3 +144,20 @@
 	_, ok := r.load("sheets-3")
 	qt.Check(t, ok, qt.IsFalse)
 }
+
+// TestListen guards against a node that cannot start since the port at which others reach it, which another machine may forward,
+// is taken on its own. Found by a soak run whose nodes were behind proxies.
+func TestListen(t *testing.T) {
+	taken, err := net.ListenPacket("udp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = taken.Close() }()
+	self := member(t, "sheets-1", "a")
+	self.SetAddress(taken.LocalAddr().String())
+	listen := member(t, "sheets-2", "a").GetAddress()
+	b, err := beacon.New(self, listen, time.Second, snapshots{}, source{}, &receiver{}, &receiver{}, clockwork.NewRealClock())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, b.Addr(), qt.Equals, listen)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	qt.Check(t, b.Run(ended), qt.IsNil)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -197,7 +197,7 @@
 			return fmt.Errorf("open the readiness listener: %w", err)
 		}
 	}
-	n.beacon, err = beacon.New(n.self, n.settings.GetReportInterval().AsDuration(), n.exchange, n.guard, n.router,
+	n.beacon, err = beacon.New(n.self, n.server.Addr(), n.settings.GetReportInterval().AsDuration(), n.exchange, n.guard, n.router,
 		n.exchange, n.clock, beacon.WithLogger(n.logger), beacon.WithRegisterer(n.registry))
 	if err != nil {
 		return fmt.Errorf("open the listener for load reports: %w", err)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -121,10 +121,7 @@
 			return fmt.Errorf("node %s neither serves nor exits %v after SIGTERM", i.entry.Instance, drainTimeout+time.Second)
 		}
 	}
-	if next, _ := i.processes(); next != node {
-		return nil
-	}
-	return r.fleet.startNode(i)
+	return r.fleet.startNode(i, node)
 }
 
 // answers reports whether the node answers on its status address.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -52,6 +53,9 @@
 	if err := p.command.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", arguments[0], err)
 	}
+	f.mu.Lock()
+	f.started = append(f.started, p)
+	f.mu.Unlock()
 	lines := bufio.NewScanner(stdout)
 	first := make(chan struct{})
 	f.group.Go(func() {
@@ -104,6 +108,7 @@
 	instances []*instance
 
 	mu      sync.Mutex
+	started []*process
 	lines   *bufio.Writer
 	lineLog *os.File
 }
@@ -147,7 +152,7 @@
 	}
 	f.list()
 	for _, i := range f.instances {
-		if err := errors.Join(f.startServer(i), f.startNode(i)); err != nil {
+		if err := errors.Join(f.startServer(i), f.startNode(i, nil)); err != nil {
 			return err
 		}
 	}
@@ -211,12 +216,19 @@
 	return err
 }
 
-func (f *fleet) startNode(i *instance) error {
-	p, err := f.start("node", "--settings", i.settings)
+// startNode starts a node in place of an earlier one, unless another fault has done so.
+func (f *fleet) startNode(i *instance, instead *process) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.node != instead {
+		return nil
+	}
+	p, err := f.start("node", "--settings", i.settings)
+	if err != nil {
+		return err
+	}
 	i.node = p
-	return err
+	return nil
 }
 
 // processes returns the node and the server of the instance.
@@ -235,13 +247,11 @@
 
 // close ends all processes that the run started. The log stays if the run failed.
 func (f *fleet) close() {
-	for _, i := range f.instances {
-		node, server := i.processes()
-		for _, p := range []*process{node, server} {
-			if p != nil {
-				p.stop()
-			}
-		}
+	f.mu.Lock()
+	started := slices.Clone(f.started)
+	f.mu.Unlock()
+	for _, p := range started {
+		p.stop()
 	}
 	f.cancel()
 	f.group.Wait()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -156,7 +156,7 @@
 		node.signal(syscall.SIGCONT)
 		select {
 		case <-node.exited:
-			failures = append(failures, r.fleet.startNode(i))
+			failures = append(failures, r.fleet.startNode(i, node))
 		default:
 		}
 	}
