--- a/model/pattern.go
+++ b/model/pattern.go
@@ -138,7 +138,8 @@
 		{At: 5 * time.Second, Service: "stock", Share: 1, Pace: 3},
 		{At: 11 * time.Second, Service: "stock", Share: 1, Pace: 1},
 	}
-	cold := base("cold-return", "all servers lose power at 5 s and come back cold 1.3 s later")
+	cold := base("cold-return", "twice the usual load; all servers lose power at 5 s and come back cold 1.3 s later")
+	cold.Factor = func(time.Duration) float64 { return 2 }
 	for _, service := range cold.Services {
 		cold.Changes = append(cold.Changes,
 			Change{At: 5 * time.Second, Service: service.Name, Share: 1, Down: true},
