guard, io: nothing is sent after a pause that fell between start and first byte

The check before a send looked only at the gap since the last tick. A tick that ran first after the pause reset the gap, and a call that had been started before the pause went out. The check after a pause succeeds with a new connection when the probe budget is empty or the report is missing. That does not show a restart, and the limit was still that of before the pause. It now starts at the cold limit unless the server has reported since. Ruled out: the ramp of the limiter (it starts later than that of the server), the fake server (its counters are taken under one lock).

TestConnectionBound waited 20 ms of wall time for a changed bound. The test now waits for the stated 4 s of P9 and then checks, 20 ms later, that the bound is met exactly and not passed.

--- a/core/core.go
+++ b/core/core.go
@@ -122,6 +122,9 @@
 	ID       string
 	// AtMostOnce reports that the call must not be sent a second time.
 	AtMostOnce bool
+	// BeforeSend is called right before the first byte is written. The request is not sent if it returns a reason, which
+	// is then the reason of the result. It may be nil.
+	BeforeSend func() schema.Reason
 	// OnSent is called after the first bytes have been written to the connection. It may be nil.
 	OnSent func()
 }
--- a/guard/call.go
+++ b/guard/call.go
@@ -26,6 +26,8 @@
 	// limiter as a latency sample.
 	index   int
 	sampled bool
+	// pauseCount is the number of pauses of the process before the call was started.
+	pauseCount int64
 	// abandoned is true if the call was cancelled because the backend server was in a slow phase when it started.
 	abandoned bool
 	// startPace is the pace of the backend server in hundredths at the start of the call.
--- a/guard/run.go
+++ b/guard/run.go
@@ -73,6 +73,7 @@
 		}
 		g.recordStartPace(e)
 		c.index = len(g.running)
+		c.pauseCount = g.pause.count.Load()
 		g.running = append(g.running, c)
 		g.goroutines.Go(func() { g.send(c) })
 	}
@@ -118,6 +119,7 @@
 		Caller:     r.GetCaller(),
 		ID:         r.GetRequestId(),
 		AtMostOnce: r.GetOnce(),
+		BeforeSend: func() schema.Reason { return g.checkPauseBeforeSend(c) },
 		OnSent:     func() { g.recordSend(c) },
 	}
 	if sent := g.backend.Send(c.ctx, &c.message); sent != nil {
@@ -133,9 +135,6 @@
 	if !now.Before(c.admit.Deadline) {
 		return schema.Reason_REASON_DEADLINE
 	}
-	if g.gap(now) > maxGap {
-		return schema.Reason_REASON_PAUSED
-	}
 	if c.ctx.Err() != nil {
 		return schema.Reason_REASON_CANCELLED
 	}
@@ -146,7 +145,19 @@
 	if crashes > 0 && !c.admit.Alone {
 		return schema.Reason_REASON_SUSPECT
 	}
-	return ineligible(g.member(), g.snapshots.Snapshot())
+	if reason := ineligible(g.member(), g.snapshots.Snapshot()); reason != schema.Reason_REASON_NONE {
+		return reason
+	}
+	return g.checkPauseBeforeSend(c)
+}
+
+// checkPauseBeforeSend returns REASON_PAUSED if the process was paused since a call was started. It comes after all other
+// checks, and again when a connection is open: until the first byte, a pause may fall between any two steps.
+func (g *Guard) checkPauseBeforeSend(c *call) schema.Reason {
+	if g.pausedSinceStart(g.clock.Now(), c) {
+		return schema.Reason_REASON_PAUSED
+	}
+	return schema.Reason_REASON_NONE
 }
 
 // releaseUnsent ends a call of which no byte was sent.
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -34,7 +35,7 @@
 // pause holds the state of pause detection.
 type pause struct {
 	// count is the number of pauses so far.
-	count int
+	count atomic.Int64
 	// pending is true until the checks after a pause have succeeded, and failed is true if the last attempt failed.
 	pending  bool
 	failed   bool
@@ -145,6 +146,11 @@
 	return now.Sub(g.epoch) - time.Duration(g.lastTick.Load())
 }
 
+// pausedSinceStart reports whether the process was paused after a call was started.
+func (g *Guard) pausedSinceStart(now time.Time, c *call) bool {
+	return g.gap(now) > maxGap || g.pause.count.Load() != c.pauseCount
+}
+
 // checkPause suspends all starts if the process was paused.
 func (g *Guard) checkPause(now time.Time) {
 	gap := g.gap(now)
@@ -153,7 +159,7 @@
 	}
 	g.logger.Warn("process was paused", zap.Duration("gap", gap))
 	g.metrics.pauses.Inc()
-	g.pause.count++
+	g.pause.count.Add(1)
 	g.pause.pending = true
 	g.pause.lastTick = g.lastTick.Load()
 	g.controller.Pause()
@@ -165,22 +171,27 @@
 		return
 	}
 	g.pause.checking = true
-	count := g.pause.count
+	count := g.pause.count.Load()
 	probe := g.probes.take(now)
 	g.probes.running = g.probes.running || probe
-	checks.Go(func() { g.resume(ctx, count, probe) })
+	checks.Go(func() { g.resume(ctx, now, count, probe) })
 }
 
-// resume ends a pause once the checks succeed, unless the process was paused again in the meantime.
-func (g *Guard) resume(ctx context.Context, count int, probe bool) {
+// resume ends a pause once the checks succeed, unless the process was paused again in the meantime. The backend server may
+// have restarted during the pause, and a new connection does not show that, so the limit starts at the cold limit again
+// unless the server has reported since the check began at the time asked.
+func (g *Guard) resume(ctx context.Context, asked time.Time, count int64, probe bool) {
 	err := g.recheckAll(ctx, probe)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.pause.checking = false
 	g.checkPause(now)
-	if err == nil && count == g.pause.count {
+	if err == nil && count == g.pause.count.Load() {
 		g.pause.pending = false
+		if g.server.reportReceived.Before(asked) {
+			g.limiter.ResetToCold(now)
+		}
 	}
 	if err != nil {
 		g.logger.Warn("recheck after a pause failed", zap.Error(err))
--- a/io/backend.go
+++ b/io/backend.go
@@ -51,10 +51,7 @@
 	lengthChunked = -1
 )
 
-var (
-	errDeadline     = errors.New("deadline passed before the first byte was written")
-	errNoLoadReport = errors.New("response has no valid load report")
-)
+var errNoLoadReport = errors.New("response has no valid load report")
 
 // Backend sends calls to the backend server of a guard. It manages its own connection pool.
 type Backend struct {
@@ -334,6 +331,7 @@
 		return
 	}
 	c.lastUsed = b.clock.Now()
+	c.request = nil
 	b.pushIdle(c)
 }
 
--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -20,14 +20,14 @@
 // backendConn is a connection to the backend server. It counts the bytes read and written for the current request.
 type backendConn struct {
 	*net.TCPConn
-	backend      *Backend
-	raw          syscall.RawConn
-	reader       *bufio.Reader
-	writer       *bufio.Writer
-	lastUsed     time.Time
-	reusable     bool
-	deadline     time.Time
-	onSent       func()
+	backend  *Backend
+	raw      syscall.RawConn
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	lastUsed time.Time
+	reusable bool
+	// request is the current request.
+	request      *core.Request
 	stallTimer   *time.Timer
 	bytesWritten int
 	bytesRead    int
@@ -53,20 +53,43 @@
 	return n, err
 }
 
-// Write implements io.Writer. It counts the bytes written, and checks the deadline right before the first byte.
+// Write implements io.Writer. It counts the bytes written, and checks right before the first byte that the request may
+// still be sent.
 func (c *backendConn) Write(p []byte) (int, error) {
-	if c.bytesWritten == 0 && !c.deadline.IsZero() && !c.backend.clock.Now().Before(c.deadline) {
-		return 0, errDeadline
+	if c.bytesWritten == 0 {
+		if err := c.checkFirstByte(); err != nil {
+			return 0, err
+		}
 	}
 	n, err := c.TCPConn.Write(p)
 	first := c.bytesWritten == 0 && n > 0
 	c.bytesWritten += n
-	if first && c.onSent != nil {
-		c.onSent()
+	if first && c.request.OnSent != nil {
+		c.request.OnSent()
 	}
 	return n, err
 }
 
+// checkFirstByte returns an error of type *unsentError if the request must not be sent any more.
+func (c *backendConn) checkFirstByte() error {
+	if d := c.request.Deadline; !d.IsZero() && !c.backend.clock.Now().Before(d) {
+		return &unsentError{schema.Reason_REASON_DEADLINE}
+	}
+	if c.request.BeforeSend == nil {
+		return nil
+	}
+	if reason := c.request.BeforeSend(); reason != schema.Reason_REASON_NONE {
+		return &unsentError{reason}
+	}
+	return nil
+}
+
+// unsentError is the error of a request that was withheld before its first byte. The connection can be used again.
+type unsentError struct{ reason schema.Reason }
+
+// Error implements error.
+func (e *unsentError) Error() string { return "request was not sent: " + core.ReasonName(e.reason) }
+
 // isOpen reports whether an idle connection can be reused: the server has neither closed it nor sent unsolicited data.
 func (c *backendConn) isOpen() bool {
 	if c.raw == nil || c.reader.Buffered() > 0 {
@@ -86,7 +109,7 @@
 // cancellation to the server and unblocks a blocked write. It then continues to read: for cancelGrace if the server is
 // expected to drop the request, otherwise until the time limit of the request.
 func (c *backendConn) roundTrip(ctx context.Context, request *core.Request) *core.Result {
-	c.reusable, c.bytesWritten, c.bytesRead, c.deadline, c.onSent = false, 0, 0, request.Deadline, request.OnSent
+	c.reusable, c.bytesWritten, c.bytesRead, c.request = false, 0, 0, request
 	timeout, stallTimeout := c.backend.timeouts(request.Deadline)
 	_ = c.SetDeadline(time.Now().Add(timeout))
 	if !c.lastUsed.IsZero() {
@@ -213,9 +236,10 @@
 // sendFailure returns the result of a request that could not be written.
 func (c *backendConn) sendFailure(ctx context.Context, err error, cancelled bool) *core.Result {
 	result := &core.Result{Written: c.bytesWritten > 0, Reason: schema.Reason_REASON_CONNECTION_LOST}
+	var unsent *unsentError
 	switch {
-	case errors.Is(err, errDeadline):
-		result.Reason = schema.Reason_REASON_DEADLINE
+	case errors.As(err, &unsent):
+		result.Reason = unsent.reason
 		c.reusable = !cancelled
 	case cancelled && !result.Written:
 		result.Reason = contextReason(ctx)
--- a/io/backend_test.go
+++ b/io/backend_test.go
@@ -220,6 +220,27 @@
 	qt.Check(t, runs.Load(), qt.Equals, int64(2))
 }
 
+// maxConfigDelay is the time within which a change of the configuration must be in force (docs/design.md, P9).
+const maxConfigDelay = 4 * time.Second
+
+// TestBeforeSend guards against a request that is written although the reason not to send it appeared while its connection
+// was opened. The connection stays usable.
+func TestBeforeSend(t *testing.T) {
+	address, runs := newHTTPServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		_, _ = stdio.WriteString(conn, okResponse)
+		return true
+	})
+	backend := newBackend(t, address)
+	request := newPostRequest()
+	request.BeforeSend = func() schema.Reason { return schema.Reason_REASON_PAUSED }
+	result := backend.Send(t.Context(), request)
+	qt.Check(t, result.Written, qt.IsFalse)
+	qt.Check(t, result.Reason, qt.Equals, schema.Reason_REASON_PAUSED)
+	qt.Check(t, runs.Load(), qt.Equals, int64(0))
+	qt.Check(t, backend.Send(t.Context(), newPostRequest()).Code, qt.Equals, http.StatusOK)
+	qt.Check(t, runs.Load(), qt.Equals, int64(1))
+}
+
 // TestConnectionBound checks that the connection limit is respected, that all waiting requests are served in the end, and
 // that a changed limit takes effect.
 func TestConnectionBound(t *testing.T) {
@@ -240,7 +261,11 @@
 	result := backend.Send(ctx, newPostRequest())
 	qt.Check(t, result.Written, qt.IsFalse)
 	qt.Check(t, runs.Load(), qt.Equals, int64(2))
+	changed := time.Now()
 	backend.Configure(4, 1024, "")
+	for runs.Load() < 4 && time.Since(changed) < maxConfigDelay {
+		time.Sleep(time.Millisecond)
+	}
 	time.Sleep(20 * time.Millisecond)
 	qt.Check(t, runs.Load(), qt.Equals, int64(4))
 	close(release)
