beacon: reports go to the subscribers of an instance, in its own failure domain too

Ranking the subscribers anew at each change of a member cost 47,000 hashes twenty times a second while the fleet started. Ruled out: fewer targets in rotation (trial in the direction: 12 of 48): every view is then 200 ms old, and a server's pace changes within 150 ms. Targets are worked out at most once a second. Tests: TestSubscribers covers both kinds; TestReportRate bounds the number by the subscriptions, whatever the fleet. TestTargetRotation checks the same rotation on the new cursor.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -23,15 +23,21 @@
 )
 
 const (
-	// One report in remoteReportEvery also goes to nodes in other failure domains.
+	// Of each service, a node subscribes to the reports of localSubscriptions instances in its own failure domain and of
+	// remoteSubscriptions instances in other ones. A fresh view of some instances is worth more than an old view of all.
+	localSubscriptions  = 6
+	remoteSubscriptions = 6
+	// Subscribers in other failure domains get one report in remoteReportEvery.
 	remoteReportEvery = 4
-	// Of each service, a node gets these reports only from subscriptionsPerNode instances in other failure domains. The
-	// remaining ones send it one report in allRemoteEvery.
-	subscriptionsPerNode = 6
-	allRemoteEvery       = 20
-	// maxTargets limits the nodes that one report is sent to; in a larger fleet, successive reports go to different
-	// nodes.
+	// One report in allNodesEvery also goes to nodes that do not subscribe, and so does the first one after a confirmation
+	// of the document. maxOthers limits these nodes for each report; successive reports go to different ones.
+	allNodesEvery = 20
+	maxOthers     = 12
+	// maxTargets limits the subscribers that one report is sent to; successive reports go to different ones.
 	maxTargets = 48
+	// targetsInterval is the shortest time between two updates of the targets. Members change many times a second while a
+	// fleet starts, and ranking them takes time in proportion to the nodes times the instances of a service.
+	targetsInterval = time.Second
 	// maxDatagramSize limits a received report in bytes. Reports have about 40 bytes.
 	maxDatagramSize = 512
 	// idleInterval is how often Run wakes up while sending is disabled.
@@ -68,17 +74,18 @@
 	logger    *zap.Logger
 	done      chan struct{}
 	sequence  uint64
-	// sameDomain and otherDomains are the addresses of the other nodes in this node's failure domain and in other ones,
-	// as of snapshot. subscribers are the nodes of otherDomains that subscribe to this instance.
-	snapshot                              *core.Snapshot
-	sameDomain, otherDomains, subscribers []netip.AddrPort
-	// targets is a buffer reused by send. lastTarget is the index of the last target chosen by rotateTargets.
-	targets    []netip.AddrPort
-	lastTarget int
-	sent       prometheus.Counter
-	received   prometheus.Counter
-	failed     prometheus.Counter
-	stopped    atomic.Bool
+	// local and remote are the addresses of the nodes in this node's failure domain and in other ones that subscribe to
+	// this instance, as of snapshot; others are those of all other nodes.
+	snapshot              *core.Snapshot
+	updatedAt             time.Time
+	local, remote, others []netip.AddrPort
+	// targets is a buffer reused by send.
+	targets                     []netip.AddrPort
+	subscriberCursor, allCursor cursor
+	sent                        prometheus.Counter
+	received                    prometheus.Counter
+	failed                      prometheus.Counter
+	stopped                     atomic.Bool
 }
 
 // Option configures a Beacon.
@@ -167,8 +174,8 @@
 	b.sequence++
 	load := b.source.Load()
 	revision, manifest, confirmed := b.gossip.Digest()
-	remote := b.remoteTargets(confirmed)
-	if len(b.sameDomain)+len(remote) == 0 {
+	b.targets = b.chooseTargets(b.targets[:0], confirmed)
+	if len(b.targets) == 0 {
 		return
 	}
 	load.Revision, load.Incarnation, load.Latency = revision, 0, 0
@@ -183,32 +190,33 @@
 		b.failed.Inc()
 		return
 	}
-	b.sendTo(b.rotateTargets(append(append(b.targets[:0], b.sameDomain...), remote...)), datagram)
+	b.sendTo(b.targets, datagram)
 }
 
-// remoteTargets returns the nodes in other failure domains that get the current report.
-func (b *Beacon) remoteTargets(confirmed uint32) []netip.AddrPort {
-	switch {
-	case b.sequence%allRemoteEvery == 0 || b.newlyConfirmed(confirmed):
-		return b.otherDomains
-	case b.sequence%remoteReportEvery == 0:
-		return b.subscribers
+// chooseTargets appends the nodes that get the current report to targets.
+func (b *Beacon) chooseTargets(targets []netip.AddrPort, confirmed uint32) []netip.AddrPort {
+	due := [][]netip.AddrPort{b.local}
+	if b.sequence%remoteReportEvery == 0 || b.newlyConfirmed(confirmed) {
+		due = append(due, b.remote)
 	}
-	return nil
+	targets = b.subscriberCursor.appendNext(targets, maxTargets, due...)
+	if b.sequence%allNodesEvery == 0 || b.newlyConfirmed(confirmed) {
+		targets = b.allCursor.appendNext(targets, maxOthers, b.others)
+	}
+	return targets
 }
 
-// rotateTargets returns the targets of the current report: all of them, or the next maxTargets if there are more.
-func (b *Beacon) rotateTargets(targets []netip.AddrPort) []netip.AddrPort {
-	b.targets = targets
-	if len(targets) <= maxTargets {
-		return targets
-	}
-	chosen := make([]netip.AddrPort, 0, maxTargets)
-	for range maxTargets {
-		b.lastTarget = (b.lastTarget + 1) % len(targets)
-		chosen = append(chosen, targets[b.lastTarget])
+// cursor selects different addresses each time.
+type cursor int
+
+// appendNext appends the next addresses of the lists, which count as one list, to targets: at most limit of them.
+func (c *cursor) appendNext(targets []netip.AddrPort, limit int, lists ...[]netip.AddrPort) []netip.AddrPort {
+	all := slices.Concat(lists...)
+	for range min(limit, len(all)) {
+		*c = (*c + 1) % cursor(len(all))
+		targets = append(targets, all[*c])
 	}
-	return chosen
+	return targets
 }
 
 // newlyConfirmed reports whether the document was confirmed since the last report. All nodes are told immediately, so
@@ -227,14 +235,14 @@
 	}
 }
 
-// updateTargets updates the addresses of the other nodes if the snapshot changed.
+// updateTargets updates the addresses of the other nodes if the snapshot changed, at most once per targetsInterval.
 func (b *Beacon) updateTargets() {
-	snapshot := b.snapshots.Snapshot()
-	if snapshot == nil || snapshot == b.snapshot {
+	snapshot, now := b.snapshots.Snapshot(), b.clock.Now()
+	if snapshot == nil || snapshot == b.snapshot || now.Sub(b.updatedAt) < targetsInterval {
 		return
 	}
-	b.snapshot = snapshot
-	b.sameDomain, b.otherDomains, b.subscribers = b.sameDomain[:0], b.otherDomains[:0], b.subscribers[:0]
+	b.snapshot, b.updatedAt = snapshot, now
+	b.local, b.remote, b.others = b.local[:0], b.remote[:0], b.others[:0]
 	servicePeers := b.servicePeers(snapshot)
 	seen := map[string]bool{b.self.GetAddress(): true}
 	for name := range snapshot.Document().GetServices() {
@@ -244,13 +252,13 @@
 				continue
 			}
 			seen[i.Address()] = true
-			if i.Domain() == b.self.GetDomain() {
-				b.sameDomain = append(b.sameDomain, address)
-				continue
-			}
-			b.otherDomains = append(b.otherDomains, address)
-			if b.isSubscriber(i, servicePeers) {
-				b.subscribers = append(b.subscribers, address)
+			switch {
+			case !b.isSubscriber(i, servicePeers):
+				b.others = append(b.others, address)
+			case i.Domain() == b.self.GetDomain():
+				b.local = append(b.local, address)
+			default:
+				b.remote = append(b.remote, address)
 			}
 		}
 	}
@@ -267,18 +275,29 @@
 	})
 }
 
-// isSubscriber reports whether a node in another failure domain is to get one in remoteReportEvery reports of this
-// instance. The node ranks the instances of other failure domains by a hash of its own and their addresses, so that
-// different nodes subscribe to different instances.
+// isSubscriber reports whether a node subscribes to the reports of this instance. The node ranks the instances of a service
+// in its own failure domain, and those in other ones, by a hash of its own and their addresses, so that different nodes
+// subscribe to different instances.
 func (b *Beacon) isSubscriber(subscriber *core.Instance, peers []*core.Instance) bool {
 	ownHash := pairHash(subscriber.Address(), b.self.GetAddress())
-	rank := 0
+	local := subscriber.Domain() == b.self.GetDomain()
+	limit := remoteSubscriptions
+	if local {
+		limit = localSubscriptions
+	}
 	for _, peer := range peers {
-		if peer.Domain() != subscriber.Domain() && pairHash(subscriber.Address(), peer.Address()) < ownHash {
-			rank++
+		if peer.Address() == subscriber.Address() {
+			continue
+		}
+		isLocal := peer.Domain() == subscriber.Domain()
+		if isLocal == local && pairHash(subscriber.Address(), peer.Address()) < ownHash {
+			limit--
+		}
+		if limit == 0 {
+			return false
 		}
 	}
-	return rank < subscriptionsPerNode
+	return true
 }
 
 func pairHash(subscriber, publisher string) uint64 {
--- a/beacon/rotation_test.go
+++ b/beacon/rotation_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"verbenareel/core"
 	"verbenareel/schema"
@@ -18,11 +20,11 @@
 	for i := range 3*maxTargets - 5 {
 		all = append(all, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7600))
 	}
-	b := &Beacon{}
-	qt.Check(t, b.rotateTargets(all[:maxTargets]), qt.HasLen, maxTargets)
+	var c cursor
+	qt.Check(t, c.appendNext(nil, maxTargets, all[:maxTargets]), qt.HasLen, maxTargets)
 	seen := make(map[netip.AddrPort]bool)
 	for range 3 {
-		chosen := b.rotateTargets(all)
+		chosen := c.appendNext(nil, maxTargets, all[:maxTargets], all[maxTargets:])
 		qt.Check(t, chosen, qt.HasLen, maxTargets)
 		for _, to := range chosen {
 			seen[to] = true
@@ -31,7 +33,8 @@
 	qt.Check(t, len(seen), qt.Equals, len(all))
 }
 
-// TestSubscribers guards against nodes that subscribe to too many or too few instances of other failure domains.
+// TestSubscribers guards against nodes that subscribe to too many or too few instances of their own or of other failure
+// domains.
 func TestSubscribers(t *testing.T) {
 	const nodes, domains = 60, 4
 	var records []*schema.Member
@@ -43,20 +46,48 @@
 	}
 	document := schema.Document_builder{Services: map[string]*schema.Service{"sheets": {}}}.Build()
 	snapshot := core.NewSnapshot(1, document, records)
-	subscriptions, total := make(map[string]int), 0
+	local, remote := make(map[netip.AddrPort]int), make(map[netip.AddrPort]int)
 	for _, r := range records {
-		b := &Beacon{self: r, snapshots: fixedSnapshot{snapshot}, source: namedSource{r.GetInstance()}}
+		b := &Beacon{self: r, snapshots: fixedSnapshot{snapshot}, source: namedSource{r.GetInstance()}, clock: clockwork.NewFakeClock()}
 		b.updateTargets()
-		qt.Check(t, len(b.sameDomain), qt.Equals, nodes/domains-1)
-		qt.Check(t, len(b.otherDomains), qt.Equals, nodes-nodes/domains)
-		total += len(b.subscribers)
-		for _, to := range b.subscribers {
-			subscriptions[to.String()]++
+		qt.Check(t, len(b.local)+len(b.remote)+len(b.others), qt.Equals, nodes-1)
+		for _, to := range b.local {
+			local[to]++
+		}
+		for _, to := range b.remote {
+			remote[to]++
+		}
+	}
+	qt.Check(t, len(local), qt.Equals, nodes)
+	qt.Check(t, len(remote), qt.Equals, nodes)
+	for address := range local {
+		qt.Check(t, local[address], qt.Equals, localSubscriptions, qt.Commentf("%v", address))
+		qt.Check(t, remote[address], qt.Equals, remoteSubscriptions, qt.Commentf("%v", address))
+	}
+}
+
+// TestReportRate guards against a number of reports that grows with the fleet, and against nodes that never hear of an
+// instance that they do not subscribe to.
+func TestReportRate(t *testing.T) {
+	const nodes = 600
+	var others []netip.AddrPort
+	for i := range nodes {
+		others = append(others, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7600))
+	}
+	b := &Beacon{interval: 50 * time.Millisecond, local: others[:localSubscriptions], remote: others[20 : 20+remoteSubscriptions], others: others[40:]}
+	sent, seen := 0, make(map[netip.AddrPort]bool)
+	for b.sequence = range uint64(allNodesEvery * nodes / maxOthers) {
+		targets := b.chooseTargets(nil, 0)
+		sent += len(targets)
+		for _, to := range targets {
+			seen[to] = true
 		}
 	}
-	qt.Check(t, total, qt.Equals, nodes*subscriptionsPerNode)
-	for address, count := range subscriptions {
-		qt.Check(t, count, qt.Equals, subscriptionsPerNode, qt.Commentf(address))
+	perReport := float64(sent) / float64(b.sequence+1)
+	const most = localSubscriptions + float64(remoteSubscriptions)/remoteReportEvery + float64(maxOthers)/allNodesEvery
+	qt.Check(t, perReport <= most+0.01, qt.IsTrue, qt.Commentf("%v", perReport))
+	for _, to := range b.others {
+		qt.Check(t, seen[to], qt.IsTrue)
 	}
 }
 
