io, guard, picker: large bodies are transferred in chunks before their call

All of it was the link of the media nodes (11 Mbit/s): bodies of 60 to 360 KB shared the connection of the calls. Lookups and pings waited behind them; a connection whose link still carried a body counted as silent after 750 ms, and its upload, which may not repeat, was lost. Routers went on sending to the nearest media server, which looked idle. Ruled out: the servers (same pace and slots as order-svc, whose lookups hardly ever timed out), the servers' queue that resets when full, the wait in the guard (0 queued). Change: a body above 16 KB goes ahead of its call in chunks of 8 KB on a connection of its own, two of them unconfirmed, so the link's queue stays short and each confirmation shows that the connection lives. A transfer that fails is not run, so also an unsafe call may go elsewhere. The guard refuses before the transfer what it would refuse now, and does not bounce the call after it. Load reports carry the time until the bodies on their way have arrived, which the chooser adds to its cost.

--- a/core/core.go
+++ b/core/core.go
@@ -71,6 +71,12 @@
 	Supersede(ctx context.Context, request *schema.SupersedeRequest) *schema.SupersedeReply
 }
 
+// BodyGate is implemented by an Executor that may refuse a call before its body is transferred.
+type BodyGate interface {
+	// RefuseBody returns the reason for which the instance would refuse a call now, or REASON_NONE.
+	RefuseBody(instance string, eager bool) schema.Reason
+}
+
 // Transport sends requests to the executors of other instances. All errors are of type *TransportError.
 type Transport interface {
 	Execute(ctx context.Context, to *Instance, request *schema.ExecuteRequest) (*schema.ExecuteReply, error)
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -267,6 +267,9 @@
 	// StartsLeft is the number of calls that can still be started now.
 	StartRate  int
 	StartsLeft int
+	// ReceiveWait is the time until the large bodies that are on their way to the node have arrived. A further one waits
+	// behind them on the link of the node.
+	ReceiveWait time.Duration
 }
 
 // NewLoadReport converts a message to a LoadReport. A nil message yields the zero value.
@@ -284,6 +287,7 @@
 		BasePace:    float64(load.GetBasePercent()) / 100,
 		StartRate:   int(load.GetStartRate()),
 		StartsLeft:  int(load.GetStartsLeft()),
+		ReceiveWait: time.Duration(load.GetReceiveWaitUs()) * time.Microsecond,
 	}
 }
 
@@ -308,5 +312,6 @@
 		BasePercent:     uint32(math.Round(r.BasePace * 100)),
 		StartRate:       uint32(r.StartRate),
 		StartsLeft:      uint32(r.StartsLeft),
+		ReceiveWaitUs:   uint32(r.ReceiveWait / time.Microsecond),
 	}.Build()
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -26,6 +26,7 @@
 	self             atomic.Pointer[schema.Member]
 	onInstanceChange func(instance string)
 	refreshList      func()
+	receiveWait      func() time.Duration
 	snapshots        core.Snapshots
 	backend          core.Backend
 	clock            core.Clock
@@ -117,6 +118,12 @@
 // decides.
 func WithListRefresh(check func()) Option { return func(g *Guard) { g.refreshList = check } }
 
+// WithReceiveWait sets the function that returns the time until the bodies on their way to the node have arrived, for load
+// reports.
+func WithReceiveWait(wait func() time.Duration) Option {
+	return func(g *Guard) { g.receiveWait = wait }
+}
+
 // WithLimiter replaces the adaptive limiter.
 func WithLimiter(limiter core.Limiter) Option { return func(g *Guard) { g.limiter = limiter } }
 
@@ -125,6 +132,7 @@
 	g := &Guard{
 		snapshots:        snapshots,
 		onInstanceChange: func(string) {},
+		receiveWait:      func() time.Duration { return 0 },
 		backend:          backend,
 		clock:            clock,
 		store:            store,
@@ -178,6 +186,7 @@
 	return core.LoadReport{
 		StartRate:   rate,
 		StartsLeft:  left,
+		ReceiveWait: g.receiveWait(),
 		InFlight:    g.controller.InFlight(),
 		Queued:      g.controller.Queued(),
 		Limit:       limit,
--- a/guard/pace_test.go
+++ b/guard/pace_test.go
@@ -208,6 +208,28 @@
 	})
 }
 
+// TestRefuseBody guards against large bodies that are transferred although their calls would be refused.
+func TestRefuseBody(t *testing.T) {
+	runReporting(t, nil, func(b *harness, _ *reportingServer) {
+		b.Check(b.RefuseBody("sheets-1", true), qt.Equals, schema.Reason_REASON_NONE)
+		b.Check(b.RefuseBody("sheets-2", false), qt.Equals, schema.Reason_REASON_WRONG_INSTANCE)
+		release := b.blockCalls()
+		var running []<-chan *schema.ExecuteReply
+		for range slots {
+			running = append(running, b.start(b.Context(), lookup()))
+			time.Sleep(20 * time.Millisecond)
+		}
+		b.Check(b.RefuseBody("sheets-1", true), qt.Equals, schema.Reason_REASON_BUSY)
+		b.Check(b.RefuseBody("sheets-1", false), qt.Equals, schema.Reason_REASON_NONE)
+		release()
+		for _, reply := range running {
+			b.checkAnswered(<-reply)
+		}
+		b.snapshots.set(2, true)
+		b.Check(b.RefuseBody("sheets-1", false), qt.Equals, schema.Reason_REASON_OUT_OF_SERVICE)
+	})
+}
+
 // TestColdRate guards against a cold backend server that gets more calls per second than it can start, and against
 // one that gets far fewer.
 func TestColdRate(t *testing.T) {
--- a/io/methods.go
+++ b/io/methods.go
@@ -27,10 +27,33 @@
 type GuardMethods struct {
 	ctx      context.Context
 	executor core.Executor
+	bodies   *bodyStore
 }
 
-// Execute runs a call. Its context is cancelled when the connection is closed.
+// Body stores a part of the body of a later call, unless the call would be refused.
+func (m *GuardMethods) Body(chunk *schema.BodyChunk, reply *Reply) error {
+	if gate, ok := m.executor.(core.BodyGate); ok && chunk.GetOffset() == 0 {
+		if reason := gate.RefuseBody(chunk.GetInstance(), chunk.GetEager()); reason != schema.Reason_REASON_NONE {
+			reply.message = schema.BodyChunkReply_builder{Refusal: reason}.Build()
+			return nil
+		}
+	}
+	reply.message = schema.BodyChunkReply_builder{Stored: m.bodies.add(chunk)}.Build()
+	return nil
+}
+
+// Execute runs a call. Its context is cancelled when the connection is closed. A call whose body was transferred to another
+// process, or expired, does not run.
 func (m *GuardMethods) Execute(request *schema.ExecuteRequest, reply *Reply) error {
+	if transfer := request.GetBodyTransfer(); transfer != 0 {
+		body, ok := m.bodies.take(transfer)
+		if !ok {
+			reply.message = core.NotRun(schema.Reason_REASON_NODE_LOST)
+			return nil
+		}
+		request.SetBody(body)
+		request.SetEager(false)
+	}
 	reply.message = m.executor.Execute(m.ctx, request)
 	return nil
 }
--- a/io/server.go
+++ b/io/server.go
@@ -56,6 +56,7 @@
 	errorCounter errorCounter
 	executor     core.Executor
 	peer         core.Peer
+	bodies       *bodyStore
 	listener     net.Listener
 	group        conc.WaitGroup
 	stopped      context.Context
@@ -82,6 +83,7 @@
 		errorCounter: newErrorCounter(o.registerer, "server"),
 		executor:     executor,
 		peer:         peer,
+		bodies:       newBodyStore(o.clock, classBodies.maxMessageSize(o.maxBody)),
 		listener:     listener,
 		stopped:      stopped,
 		stop:         stop,
@@ -90,6 +92,9 @@
 	}, nil
 }
 
+// ReceiveWait returns the time until the bodies that are being transferred to the server have arrived.
+func (s *Server) ReceiveWait() time.Duration { return s.bodies.wait() }
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -215,6 +220,7 @@
 		case <-s.stopped.Done():
 			return
 		case now := <-s.clock.After(idleSweepInterval):
+			s.bodies.sweep()
 			for _, c := range s.connections() {
 				if c.calls.Load() == 0 && now.Sub(time.Unix(0, c.lastRead.Load())) > s.idleTimeout {
 					s.errorCounter.inc(kindIdle)
@@ -276,7 +282,7 @@
 func (c *serverConn) serve() {
 	methods := rpc.NewServer()
 	_ = methods.RegisterName(nodeService, &NodeMethods{})
-	_ = methods.RegisterName(guardService, &GuardMethods{ctx: c.ctx, executor: c.server.executor})
+	_ = methods.RegisterName(guardService, &GuardMethods{ctx: c.ctx, executor: c.server.executor, bodies: c.server.bodies})
 	if c.server.peer != nil {
 		_ = methods.RegisterName(peerService, &PeerMethods{peer: c.server.peer})
 	}
--- a/io/transport.go
+++ b/io/transport.go
@@ -34,13 +34,14 @@
 	errConnectionIdle   = errors.New("connection closed after the idle timeout")
 )
 
-// trafficClass is the kind of traffic on a connection. Calls and gossip use separate connections, because gossip messages
-// can be large.
+// trafficClass is the kind of traffic on a connection. Calls, gossip and large bodies use separate connections, because
+// gossip messages and bodies delay the messages behind them.
 type trafficClass int
 
 const (
 	classCalls trafficClass = iota
 	classPeers
+	classBodies
 )
 
 // maxMessageSize returns the maximum size of a message in bytes.
@@ -103,8 +104,14 @@
 // Done returns a channel that is closed when Close has finished.
 func (t *Transport) Done() <-chan struct{} { return t.done }
 
-// Execute implements core.Transport.
+// Execute implements core.Transport. It replaces a large body of the request by the ID of its transfer.
 func (t *Transport) Execute(ctx context.Context, to *core.Instance, request *schema.ExecuteRequest) (*schema.ExecuteReply, error) {
+	if len(request.GetBody()) > maxInlineBody {
+		refusal, err := t.sendBody(ctx, to.Address(), request)
+		if refusal != schema.Reason_REASON_NONE || err != nil {
+			return core.NotRun(refusal), err
+		}
+	}
 	return call(ctx, t, classCalls, to.Address(), "Guard.Execute", request, new(schema.ExecuteReply))
 }
 
@@ -160,30 +167,60 @@
 }
 
 func (t *Transport) roundTrip(ctx context.Context, class trafficClass, address, method string, request, reply proto.Message) error {
+	sent, err := t.start(ctx, class, address, method, request, reply)
+	if err != nil {
+		return err
+	}
+	return sent.wait(ctx)
+}
+
+// outgoingCall is a request that was sent on a connection. Exactly one of wait and abandon must be called.
+type outgoingCall struct {
+	transport  *Transport
+	address    string
+	request    *pendingCall
+	endpoint   *endpoint
+	connection *connection
+	pending    *rpc.Call
+}
+
+// start sends a request without waiting for the reply. The requests that one goroutine sends to an address arrive in order
+// as long as they use one connection.
+func (t *Transport) start(ctx context.Context, class trafficClass, address, method string, request, reply proto.Message) (*outgoingCall, error) {
 	x := &pendingCall{reply: reply}
 	if err := x.encode(request, class.maxMessageSize(t.maxBody)); err != nil {
 		t.errorCounter.inc("oversize")
-		return core.NewTransportError(address, schema.Reason_REASON_TOO_LARGE, false, err)
+		return nil, core.NewTransportError(address, schema.Reason_REASON_TOO_LARGE, false, err)
 	}
 	e, c, err := t.acquire(ctx, endpointKey{address, class})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	abandoned := false
-	defer func() { e.release(c, t.clock, abandoned) }()
 	pending := c.client.Go(method, x, x, make(chan *rpc.Call, 1))
 	c.codec.writer.flush()
+	return &outgoingCall{transport: t, address: address, request: x, endpoint: e, connection: c, pending: pending}, nil
+}
+
+// wait waits for the reply or until ctx is done.
+func (o *outgoingCall) wait(ctx context.Context) error {
 	select {
-	case <-pending.Done:
-		return t.callError(c, &x.frame, address, pending.Error)
+	case <-o.pending.Done:
+		o.endpoint.release(o.connection, o.transport.clock, false)
+		return o.transport.callError(o.connection, &o.request.frame, o.address, o.pending.Error)
 	case <-ctx.Done():
-		x.abandoned.Store(true)
-		sent := !c.codec.writer.withdraw(&x.frame)
-		abandoned = sent
-		return core.NewTransportError(address, contextReason(ctx), sent, ctx.Err())
+		sent := o.abandon()
+		return core.NewTransportError(o.address, contextReason(ctx), sent, ctx.Err())
 	}
 }
 
+// abandon stops waiting for the reply, and reports whether the request may have been sent.
+func (o *outgoingCall) abandon() bool {
+	o.request.abandoned.Store(true)
+	sent := !o.connection.codec.writer.withdraw(&o.request.frame)
+	o.endpoint.release(o.connection, o.transport.clock, sent)
+	return sent
+}
+
 // callError converts the result of a completed call to a *core.TransportError, or nil if it succeeded.
 func (t *Transport) callError(c *connection, f *frame, address string, err error) error {
 	if err == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -165,6 +165,7 @@
 	store := ticket.New(n.settings.GetInstance(), n.self.GetIncarnation(), n.clock.Now())
 	n.guard = guard.New(n.self, n.exchange, n.backend, store, n.clock, guard.WithLogger(n.logger),
 		guard.WithRegisterer(n.registry), guard.WithSuspects(suspects), guard.WithRecheck(n.waitUntilFresh), guard.WithInstanceChange(n.exchange.SetInstanceName), guard.WithListRefresh(n.listRefresher()),
+		guard.WithReceiveWait(n.receiveWait),
 		guard.WithSuspectPush(func(ctx context.Context, _ []uint64) {
 			records := suspects.Records(n.clock.Now(), maxPushedSuspects)
 			n.exchange.PushSuspects(ctx, n.settings.GetService(), records)
@@ -209,6 +210,14 @@
 	return nil
 }
 
+// receiveWait returns the time until the bodies that are being transferred to this node have arrived.
+func (n *Node) receiveWait() time.Duration {
+	if n.server == nil {
+		return 0
+	}
+	return n.server.ReceiveWait()
+}
+
 // listRefresher returns the function with which the guard requests a read of the platform's instance list, or nil if the
 // list does not determine which instances exist.
 func (n *Node) listRefresher() func() {
--- a/picker/finish.go
+++ b/picker/finish.go
@@ -90,6 +90,9 @@
 		cost *= staleReportCost
 	}
 	cost += startWait(candidate, load, e.baselineLatency)
+	if e.baselineLatency > 0 {
+		cost += float64(load.ReceiveWait) / e.baselineLatency
+	}
 	cost *= 1 + failurePenalty*e.failures
 	if candidate.Instance().Domain() != f.domain {
 		cost += f.remoteCost
--- a/picker/finish_test.go
+++ b/picker/finish_test.go
@@ -74,6 +74,19 @@
 	qt.Check(t, share(f, start, candidates, 1) > 0.9, qt.IsTrue)
 }
 
+// TestFinishFullLink guards against uploads that all go to the nearest instance although its link is full of bodies: a load
+// with few slots in use and many bytes on their way.
+func TestFinishFullLink(t *testing.T) {
+	candidates, views := reportingViews(2)
+	f := NewEarliestFinish("near", 0.5, source(1))
+	for _, v := range views {
+		v.SetBaseline(&Baseline{Latency: 100 * time.Millisecond})
+	}
+	views[0].SetReport(start, core.LoadReport{Limit: 18, Pace: 1, Latency: 100 * time.Millisecond, ReceiveWait: 200 * time.Millisecond})
+	views[1].SetReport(start, core.LoadReport{Limit: 18, Pace: 1, Latency: 100 * time.Millisecond})
+	qt.Check(t, share(f, start, candidates, 1) > 0.9, qt.IsTrue)
+}
+
 // TestFinishExplores guards against starving an instance because another one is always slightly better.
 func TestFinishExplores(t *testing.T) {
 	candidates, _ := reportingViews(2)
--- a/router/status.go
+++ b/router/status.go
@@ -135,6 +135,9 @@
 	if load.StartRate > 0 {
 		text += fmt.Sprintf(", cold start: %d of %d starts per second left", load.StartsLeft, load.StartRate)
 	}
+	if load.ReceiveWait > 0 {
+		text += fmt.Sprintf(", %v until the bodies on their way have arrived", load.ReceiveWait)
+	}
 	return text
 }
 
