peers, platform: a node reads the entry of its own server, and lists that may be old

Ruled out: a stale list alone. It may name a server as ready that has left, or miss one that has just come, and the list decides whether a server may work. A stale list says nothing of the node's own server.

--- a/node/node.go
+++ b/node/node.go
@@ -48,8 +48,8 @@
 	adapterStaleAge = 700 * time.Millisecond
 	// adapterReaders is the number of nodes per failure domain that watch an adapter's platform.
 	adapterReaders = 1
-	// adapterBurst allows a new process to read the document and the list at the same time.
-	adapterBurst = 2
+	// adapterBurst allows a new process to read the document, the list and the entry of its own instance at the same time.
+	adapterBurst = 3
 	// adapterStartSpread spreads the first reads of nodes that start at the same time.
 	adapterStartSpread = 50 * time.Millisecond
 	// deregistrationDelay is how long a node continues to serve after it reports that it is not ready, so that callers
@@ -248,6 +248,7 @@
 		ReadersPerDomain:   adapterReaders,
 		MinListInterval:    adapterListInterval,
 		ListAuthoritative:  true,
+		ReadOwnEntry:       true,
 		MaxConfirmationAge: adapterStaleAge,
 		StartSpread:        adapterStartSpread,
 		Burst:              adapterBurst,
--- a/peers/effect.go
+++ b/peers/effect.go
@@ -57,9 +57,17 @@
 	readID uint64
 }
 
+// ReadOwnEntry is completed by State.OwnEntryDone.
+type ReadOwnEntry struct {
+	Instance string
+	sentAt   time.Time
+	readID   uint64
+}
+
 func (SendSync) effect()      {}
 func (SendBuckets) effect()   {}
 func (FetchManifest) effect() {}
 func (FetchSections) effect() {}
 func (ReadDocument) effect()  {}
 func (ReadMembers) effect()   {}
+func (ReadOwnEntry) effect()  {}
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -382,9 +382,26 @@
 			list, err := e.platform.Members(ctx)
 			e.deliver(func(now time.Time) { e.state.MembersDone(now, m, list, err) })
 		})
+	case ReadOwnEntry:
+		e.group.Go(func() {
+			entry, err := e.readEntry(ctx, m.Instance)
+			e.deliver(func(now time.Time) { e.state.OwnEntryDone(now, m, entry, err) })
+		})
+	}
+}
+
+// readEntry reads the entry of an instance in the platform's list; nil means that the list does not name it.
+func (e *Exchange) readEntry(ctx context.Context, instance string) (*schema.Member, error) {
+	reader, ok := e.platform.(core.EntryReader)
+	if !ok {
+		return nil, errNoEntryReader
 	}
+	return reader.Member(ctx, instance)
 }
 
+// errNoEntryReader reports a ReadPolicy that does not fit the platform.
+var errNoEntryReader = errors.New("platform cannot read single entries")
+
 // roundTrip sends a message and passes its reply to done on the control loop.
 func roundTrip[M any, R any](
 	ctx context.Context, e *Exchange, timeout time.Duration, message M,
--- a/peers/members.go
+++ b/peers/members.go
@@ -251,35 +251,54 @@
 
 // applyList applies the platform's list. With keepMissing, instances that the list no longer names keep their entries.
 func (t *memberTable) applyList(members []*schema.Member, now time.Time, self string, keepMissing bool) {
+	var own *schema.Member
+	others := make([]*schema.Member, 0, len(members))
+	for _, r := range members {
+		if r.GetInstance() == self {
+			own = r
+			continue
+		}
+		others = append(others, r)
+	}
+	t.applyOthers(others, now, self, keepMissing)
+	if own != nil || !keepMissing {
+		t.applyOwn(self, own, now)
+	}
+}
+
+// applyOthers applies the entries of all instances but the node's own one.
+func (t *memberTable) applyOthers(members []*schema.Member, now time.Time, self string, keepMissing bool) {
 	entries := make(map[string]*schema.Member, len(members))
 	for _, r := range members {
 		entries[r.GetInstance()] = r
 	}
 	for _, m := range append([]*member{}, t.sorted...) {
-		if entries[m.name] != nil || keepMissing {
-			continue
-		}
-		if m.record == nil {
+		switch {
+		case entries[m.name] != nil || keepMissing || m.name == self:
+		case m.record == nil:
 			t.remove(m)
-			continue
+		default:
+			t.update(m, func() { m.listEntry, m.missingFromList = nil, false })
 		}
-		t.update(m, func() {
-			m.listEntry = nil
-			m.missingFromList = t.authoritative && m.name == self
-		})
 	}
 	for _, r := range members {
 		if t.byName[r.GetInstance()] == nil && len(t.byName) >= maxMembers {
 			continue
 		}
 		m := t.getOrAdd(r.GetInstance(), now)
-		t.update(m, func() {
-			m.listEntry = r
-			m.missingFromList = false
-		})
+		t.update(m, func() { m.listEntry, m.missingFromList = r, false })
 	}
 }
 
+// applyOwn applies the entry of the node's own instance; nil means that the list does not name it.
+func (t *memberTable) applyOwn(self string, entry *schema.Member, now time.Time) {
+	m := t.getOrAdd(self, now)
+	t.update(m, func() {
+		m.listEntry = entry
+		m.missingFromList = entry == nil && t.authoritative
+	})
+}
+
 // recordContact records a direct exchange with a member.
 func (t *memberTable) recordContact(m *member, now time.Time) {
 	if m != nil {
--- /dev/null
+++ b/peers/ownentry_test.go
@@ -0,0 +1,109 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenareel/schema"
+)
+
+// ownEntryState returns the state of a node that reads the entry of its own instance by itself, and whose list may be old.
+func ownEntryState(now time.Time) *State {
+	s := readingState(now)
+	s.reading.ReadOwnEntry = true
+	return s
+}
+
+// TestOwnEntryDecides guards against a server that is used again after it left, since a list that is seconds old still names
+// it as serving, and against one that is given up because such a list does not name it yet.
+func TestOwnEntryDecides(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := ownEntryState(now)
+	s.SetInstanceName(now, ownName)
+	own := listed(ownName, "127.0.0.1:1", serving)
+	list := func(members ...*schema.Member) { s.MembersDone(now, ReadMembers{sentAt: now}, members, nil) }
+	entry := func(m *schema.Member) { s.OwnEntryDone(now, ReadOwnEntry{Instance: ownName, sentAt: now}, m, nil) }
+
+	list(listed("sheets-9", "127.0.0.1:9", serving))
+	checkState(t, s, ownName, serving)
+	checkState(t, s, "sheets-9", serving)
+	qt.Check(t, s.Snapshot().ListTime().IsZero(), qt.IsTrue)
+	entry(listed(ownName, "127.0.0.1:1", leaving))
+	checkState(t, s, ownName, leaving)
+	list(own)
+	checkState(t, s, ownName, leaving)
+	entry(own)
+	checkState(t, s, ownName, serving)
+	qt.Check(t, s.Snapshot().ListTime(), qt.Equals, now)
+	s.OwnEntryDone(now, ReadOwnEntry{Instance: "sheets-0", sentAt: now}, nil, nil)
+	checkState(t, s, ownName, serving)
+
+	s.OwnEntryDone(now, ReadOwnEntry{Instance: ownName, sentAt: now}, nil, errDown)
+	now = now.Add(time.Second)
+	entry(nil)
+	checkState(t, s, ownName, serving)
+	now = now.Add(3 * time.Second)
+	entry(nil)
+	checkState(t, s, ownName, leaving)
+}
+
+// stepReads runs the state for a duration and returns the number of reads of the list and of the own entry. Lists name the
+// given instances.
+func stepReads(s *State, now *time.Time, d time.Duration, list ...*schema.Member) (lists, entries int) {
+	for end := now.Add(d); now.Before(end); {
+		*now = now.Add(TickInterval)
+		s.Tick(*now)
+		for _, e := range s.TakeEffects() {
+			switch e := e.(type) {
+			case ReadMembers:
+				lists++
+				s.MembersDone(*now, e, append([]*schema.Member{}, list...), nil)
+			case ReadOwnEntry:
+				entries++
+				s.OwnEntryDone(*now, e, listed(e.Instance, "127.0.0.1:1", serving), nil)
+			}
+		}
+	}
+	return lists, entries
+}
+
+// listedOthers returns a list that names as many other instances as a node needs to find all.
+func listedOthers() []*schema.Member {
+	return []*schema.Member{
+		listed("sheets-7", "127.0.0.1:7", serving), listed("sheets-8", "127.0.0.1:8", serving), listed("sheets-9", "127.0.0.1:9", serving),
+	}
+}
+
+// TestDiscovery guards against a node that knows no others for a long time because the first list that it read was older
+// than the fleet, and against lists that are read again and again.
+func TestDiscovery(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := ownEntryState(now)
+	lists, entries := stepReads(s, &now, 2500*time.Millisecond)
+	qt.Check(t, lists >= 2 && lists <= 3, qt.IsTrue, qt.Commentf("%d reads", lists))
+	qt.Check(t, entries, qt.Equals, 0, qt.Commentf("the instance is not known yet"))
+	s.SetInstanceName(now, ownName)
+	lists, entries = stepReads(s, &now, 8*time.Second, listedOthers()...)
+	qt.Check(t, lists, qt.Equals, 1)
+	qt.Check(t, entries, qt.Equals, 1)
+
+	now = now.Add(-10 * time.Second)
+	s = ownEntryState(now)
+	lists, _ = stepReads(s, &now, 12*time.Second)
+	qt.Check(t, lists, qt.Equals, maxDiscoveryReads)
+}
+
+// TestOwnEntryRequested guards against reads of the whole list, in a large fleet many pages, where a guard only asks whether
+// its own server is leaving.
+func TestOwnEntryRequested(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := ownEntryState(now)
+	s.SetInstanceName(now, ownName)
+	stepReads(s, &now, 2*time.Second, listedOthers()...)
+	s.RequestListRead(now)
+	lists, entries := stepReads(s, &now, time.Second, listedOthers()...)
+	qt.Check(t, lists, qt.Equals, 0)
+	qt.Check(t, entries, qt.Equals, 1)
+}
--- a/peers/read.go
+++ b/peers/read.go
@@ -132,15 +132,24 @@
 	if s.confirmReadDue(now) && s.takeToken(now) {
 		s.startConfirmRead(now)
 	}
+	if s.ownEntryDue(now) && s.takeToken(now) {
+		s.beginRead(now, &s.ownRead)
+		s.emit(ReadOwnEntry{Instance: s.self.GetInstance(), sentAt: now, readID: s.lastID})
+	}
 	held := !watch && idleReads && s.documentDueSoon(now)
 	if !held && !s.membersRead.pending(now, readTimeout) && !now.Before(s.membersDue()) && s.takeToken(now) {
-		s.lastID++
-		s.membersRead.pendingID, s.membersRead.startedAt, s.membersRead.jitter = s.lastID, now, s.random.Float64()
-		s.counters.PlatformCalls++
+		s.beginRead(now, &s.membersRead)
 		s.emit(ReadMembers{sentAt: now, readID: s.lastID})
 	}
 }
 
+// beginRead records the start of a read with a new ID, which is s.lastID.
+func (s *State) beginRead(now time.Time, r *readSchedule) {
+	s.lastID++
+	r.pendingID, r.startedAt, r.jitter = s.lastID, now, s.random.Float64()
+	s.counters.PlatformCalls++
+}
+
 func (s *State) documentPending(now time.Time) bool {
 	return s.documentRead.pending(now, s.reading.WatchTimeout+readTimeout)
 }
@@ -166,9 +175,7 @@
 }
 
 func (s *State) startRead(now time.Time, r *readSchedule, wait time.Duration, recheckID uint64) {
-	s.lastID++
-	r.pendingID, r.startedAt, r.jitter = s.lastID, now, s.random.Float64()
-	s.counters.PlatformCalls++
+	s.beginRead(now, r)
 	after := max(s.Revision(), s.rejected.revision)
 	s.emit(ReadDocument{After: after, Wait: wait, sentAt: now, readID: s.lastID, recheckID: recheckID, pauseCount: s.pauseCount})
 }
@@ -199,24 +206,48 @@
 
 // membersDue returns the time of the next read of the list.
 func (s *State) membersDue() time.Time {
-	if s.membersRead.startedAt.IsZero() {
-		return s.startedAt.Add(scale(s.reading.StartSpread, s.membersRead.jitter))
+	r := &s.membersRead
+	switch {
+	case r.startedAt.IsZero():
+		return s.startedAt.Add(scale(s.reading.StartSpread, r.jitter))
+	case !s.reading.ReadOwnEntry:
+		return s.entryDue(r)
+	case s.discoveryReads > 0 && s.discoveryReads < maxDiscoveryReads:
+		return latest(r.startedAt.Add(discoveryInterval), r.backoff())
+	}
+	return latest(r.startedAt.Add(scale(s.listInterval(), 0.8+0.4*r.jitter)), r.backoff())
+}
+
+// ownEntryDue reports whether to read the node's own entry. Its instance is first known from the backend server, with which
+// a read is requested.
+func (s *State) ownEntryDue(now time.Time) bool {
+	if !s.reading.ReadOwnEntry || s.listRequestedAt.IsZero() || s.ownRead.pending(now, readTimeout) {
+		return false
 	}
-	if s.listRequestedAt.After(s.membersRead.startedAt) {
-		return s.membersRead.backoff()
+	return !now.Before(s.entryDue(&s.ownRead))
+}
+
+// entryDue returns the time of the next read of the list, or part of it, that shows the state of the node's own instance.
+func (s *State) entryDue(r *readSchedule) time.Time {
+	if s.listRequestedAt.After(r.startedAt) {
+		return r.backoff()
 	}
 	if s.platformErr != nil && s.reading.OutageGrace > 0 {
 		// Other nodes may confirm the document, so only a read of the list shows that the platform is reachable again.
-		return latest(s.membersRead.startedAt.Add(maxBackoff), s.membersRead.backoff())
+		return latest(r.startedAt.Add(maxBackoff), r.backoff())
 	}
-	interval := time.Duration(len(s.table.sorted)) * listBytesPerInstance * time.Second / listBytesPerSecond
-	interval = min(max(interval, s.reading.MinListInterval), maxListInterval)
-	due := s.membersRead.startedAt.Add(scale(interval, 0.8+0.4*s.membersRead.jitter))
-	if graceEnd := s.outageEnd.Add(s.reading.OutageGrace); s.reading.OutageGrace > 0 && graceEnd.After(s.membersRead.startedAt) && graceEnd.Before(due) {
+	due := r.startedAt.Add(scale(s.listInterval(), 0.8+0.4*r.jitter))
+	if graceEnd := s.outageEnd.Add(s.reading.OutageGrace); s.reading.OutageGrace > 0 && graceEnd.After(r.startedAt) && graceEnd.Before(due) {
 		// Entries that are missing after the grace period are gone: they did not merely expire during the outage.
 		due = graceEnd
 	}
-	return latest(due, s.membersRead.backoff())
+	return latest(due, r.backoff())
+}
+
+// listInterval returns the usual time between two reads of the list.
+func (s *State) listInterval() time.Duration {
+	interval := time.Duration(len(s.table.sorted)) * listBytesPerInstance * time.Second / listBytesPerSecond
+	return min(max(interval, s.reading.MinListInterval), maxListInterval)
 }
 
 func latest(a, b time.Time) time.Time {
@@ -264,6 +295,12 @@
 	}
 	own := s.self.GetInstance()
 	isOwn := func(r *schema.Member) bool { return r.GetInstance() == own }
+	if s.reading.ReadOwnEntry {
+		others := slices.DeleteFunc(list, isOwn)
+		s.countDiscovery(len(others))
+		s.table.applyOthers(others, now, own, s.inGrace(now))
+		return
+	}
 	if !s.inGrace(now) || slices.ContainsFunc(list, isOwn) {
 		// During the grace period the node's own entry may be missing only because it expired, so such a list says
 		// nothing about the node's own instance.
@@ -273,6 +310,27 @@
 	s.table.applyList(list, now, own, s.inGrace(now))
 }
 
+// countDiscovery records how many other instances a list named. A few suffice: their nodes know the rest.
+func (s *State) countDiscovery(others int) {
+	s.discoveryReads++
+	if others >= initialPeers {
+		s.discoveryReads = maxDiscoveryReads
+	}
+}
+
+// OwnEntryDone processes the result of a ReadOwnEntry. A nil entry means that the list does not name the instance.
+func (s *State) OwnEntryDone(now time.Time, sent ReadOwnEntry, entry *schema.Member, err error) {
+	s.detectPause(now)
+	s.ownRead.finish(now, sent.readID, err)
+	s.recordReadResult(now, err)
+	if err != nil || sent.Instance != s.self.GetInstance() || entry == nil && s.inGrace(now) {
+		return
+	}
+	s.listedAt = sent.sentAt
+	s.table.authoritative = s.reading.ListAuthoritative
+	s.table.applyOwn(sent.Instance, entry, now)
+}
+
 // recordReadResult records whether a read reached the platform.
 func (s *State) recordReadResult(now time.Time, err error) {
 	switch {
--- a/peers/state.go
+++ b/peers/state.go
@@ -53,6 +53,10 @@
 	// After a failed read, the delay doubles from firstBackoff to maxBackoff, plus or minus a quarter.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 2 * time.Second
+	// A list that may be old is read again after discoveryInterval, at most maxDiscoveryReads times, until it names
+	// initialPeers others: at the start of a fleet it may be older than the first entries.
+	discoveryInterval = time.Second
+	maxDiscoveryReads = 5
 	// startSpread spreads the first reads of processes that start together.
 	startSpread = 300 * time.Millisecond
 	// platformCallRate limits the platform calls per second. The token bucket holds one call, so a node makes at most
@@ -139,6 +143,10 @@
 
 	reading                   ReadPolicy
 	documentRead, membersRead readSchedule
+	// ownRead is the read of the entry of the node's own instance.
+	ownRead readSchedule
+	// discoveryReads counts the reads of lists until one named enough other instances.
+	discoveryReads int
 	// confirmRead is the read of the document in addition to a pending watch.
 	confirmRead readSchedule
 	// listedAt is the time as of which the platform's list is known to include or omit the node's own instance.
@@ -185,6 +193,9 @@
 	// ListAuthoritative treats the node's own instance as leaving while the list does not name it. Other nodes learn of this
 	// through the instance's announcements and load reports.
 	ListAuthoritative bool
+	// ReadOwnEntry reads the entry of the node's own instance by itself. The list may then be seconds old: it serves to find
+	// other nodes, and says nothing about the node's own instance.
+	ReadOwnEntry bool
 	// MaxConfirmationAge is the age of the last confirmation of the document, by the platform or by another node, above which a node
 	// reads the document even if a watch is pending: a watch may fail to deliver a change. 0 disables these reads and
 	// relies on watches and idle reads.
@@ -212,7 +223,7 @@
 	}
 	version := max(self.GetVersion(), uint64(now.UnixMilli()))
 	state := max(self.GetState(), schema.InstanceState_INSTANCE_STATE_SERVING)
-	s.documentRead.jitter, s.membersRead.jitter = random.Float64(), random.Float64()
+	s.documentRead.jitter, s.membersRead.jitter, s.ownRead.jitter = random.Float64(), random.Float64(), random.Float64()
 	s.setSelf(now, schema.Member_builder{
 		Instance: self.GetInstance(), Service: self.GetService(), Domain: self.GetDomain(), Address: self.GetAddress(),
 		Incarnation: self.GetIncarnation(), Version: version, State: state,
@@ -312,7 +323,7 @@
 	s.RequestListRead(now)
 }
 
-// RequestListRead requests a read of the platform's list as of now.
+// RequestListRead requests a read of the platform's list as of now, or of the node's own entry in it.
 func (s *State) RequestListRead(now time.Time) { s.listRequestedAt = now }
 
 func (s *State) reannounceSelf(now time.Time, version uint64, state schema.InstanceState) {
