--- a/guard/call.go
+++ b/guard/call.go
@@ -182,6 +182,7 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.unsettled++
+	g.lastOffer = now
 	g.checkPause(now)
 	g.refresh(now)
 	if g.cancelled.remove(c.request.GetAttempt()) {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -64,9 +64,11 @@
 	// applied is the snapshot whose settings are in force.
 	applied    *core.Snapshot
 	ineligible schema.Reason
-	// draining is true once Drain was called; idle is closed once the last call has ended after that.
+	// draining is true once Drain was called; drained is closed once the last call has ended after that.
 	draining bool
-	idle     chan struct{}
+	drained  chan struct{}
+	// lastOffer is when the last call was offered.
+	lastOffer time.Time
 	// attempts holds the queued and running calls by their attempt number.
 	attempts     map[uint64]*call
 	cancelled    cancelledAttempts
@@ -151,6 +153,7 @@
 	g.controller = admit.New(g.limiter, 0)
 	g.controller.SetGate(g.pace.allowsStart)
 	g.holdAfterRestart()
+	g.lastOffer = g.epoch
 	g.ineligible = ineligible(self, nil)
 	g.metrics = newMetrics(g)
 	g.mu.Lock()
@@ -234,9 +237,9 @@
 // Drain refuses new and queued calls as NotRun(leaving) and waits for running calls to finish. It returns an error if
 // ctx ends first.
 func (g *Guard) Drain(ctx context.Context) error {
-	idle := g.beginDrain()
+	drained := g.beginDrain()
 	select {
-	case <-idle:
+	case <-drained:
 		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("drain ended with %d calls in flight: %w", g.Load().InFlight, ctx.Err())
@@ -248,12 +251,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
-	if g.idle == nil {
-		g.idle = make(chan struct{})
+	if g.drained == nil {
+		g.drained = make(chan struct{})
 	}
 	g.refresh(g.clock.Now())
 	g.checkIdle()
-	return g.idle
+	return g.drained
 }
 
 // checkIdle signals Drain once no call is running and every call has its outcome.
@@ -262,9 +265,9 @@
 		return
 	}
 	select {
-	case <-g.idle:
+	case <-g.drained:
 	default:
-		close(g.idle)
+		close(g.drained)
 	}
 }
 
--- a/guard/pace_test.go
+++ b/guard/pace_test.go
@@ -50,7 +50,9 @@
 	cold     atomic.Int64
 	draining atomic.Bool
 	hangs    atomic.Bool
-	name     atomic.Pointer[string]
+	// asked counts the probes.
+	asked atomic.Int64
+	name  atomic.Pointer[string]
 }
 
 func newReportingServer() *reportingServer {
@@ -81,6 +83,7 @@
 		<-ctx.Done()
 		return nil, errors.New("no answer")
 	}
+	p.server.asked.Add(1)
 	time.Sleep(time.Millisecond)
 	return p.server.report(), nil
 }
@@ -208,6 +211,23 @@
 	})
 }
 
+// TestIdleProbes guards against a server without calls that is probed as often as one with calls, and against a first call
+// after such a time that starts by an old pace.
+func TestIdleProbes(t *testing.T) {
+	runReporting(t, nil, func(b *harness, s *reportingServer) {
+		time.Sleep(5 * time.Second)
+		before := s.asked.Load()
+		time.Sleep(5 * time.Second)
+		probes := s.asked.Load() - before
+		b.Check(probes >= 8 && probes <= 12, qt.IsTrue, qt.Commentf("%d probes", probes))
+		s.pace.Store(500)
+		b.checkNotRun(b.Execute(b.Context(), eager()), schema.Reason_REASON_SLOW)
+		before = s.asked.Load()
+		time.Sleep(500 * time.Millisecond)
+		b.Check(s.asked.Load()-before >= 5, qt.IsTrue, qt.Commentf("%d probes", s.asked.Load()-before))
+	})
+}
+
 // TestRefuseBody guards against large bodies that are transferred although their calls would be refused.
 func TestRefuseBody(t *testing.T) {
 	runReporting(t, nil, func(b *harness, _ *reportingServer) {
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -24,6 +24,10 @@
 	// defaultReportAge is the age of the last report from which a probe is sent, if the document does not set
 	// report_age.
 	defaultReportAge = time.Second
+	// A warm server without calls in the last idleAfter is probed only every idleReportAge: the next call probes it
+	// before it starts.
+	idleAfter     = time.Second
+	idleReportAge = 500 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay between attempts to connect to a server that is down.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
@@ -114,12 +118,26 @@
 		g.startRecheck(ctx, now, checks)
 	case g.server.connectDue || g.server.down:
 		g.startConnect(ctx, now, checks)
-	case now.Sub(g.server.reportReceived) >= g.probes.age && g.probes.take(now):
+	case now.Sub(g.server.reportReceived) >= g.dueReportAge(now) && g.probes.take(now):
 		g.probes.running = true
 		checks.Go(func() { _ = g.probe(ctx) })
 	}
 }
 
+// dueReportAge returns the age of the last report from which a probe is due.
+func (g *Guard) dueReportAge(now time.Time) time.Duration {
+	if g.idle(now) {
+		return max(g.probes.age, idleReportAge)
+	}
+	return g.probes.age
+}
+
+// idle reports whether the backend server has had no calls for some time and is certainly warm and not leaving.
+func (g *Guard) idle(now time.Time) bool {
+	return now.Sub(g.lastOffer) >= idleAfter && g.controller.InFlight()+g.controller.Queued() == 0 &&
+		g.pace.percent > 0 && g.server.coldState.confirmed && g.server.drainingSince.IsZero()
+}
+
 // observeAges reports running calls that already take much longer than the average to the limiter. Calls that started
 // before the latest answered call are excluded: if the server answered a later call, the server is not slow; the call
 // itself is, or its connection is silent. Such calls may hang for the whole time limit of a slot, and if they lowered
--- a/peers/log.go
+++ b/peers/log.go
@@ -17,15 +17,14 @@
 			zap.Uint64("revision_before", before.Revision()), zap.String("deployment", after.Document().GetDeployment()),
 			zap.Strings("domains_out_of_service", domainsOutOfService(after)))
 	}
+	var changed []string
 	for _, name := range after.Names() {
-		i := after.Instance(name)
 		old := before.Instance(name)
-		if old == nil || old.State() != i.State() {
-			e.logger.Info("instance", zap.String("name", name), zap.String("service", i.Service()),
-				zap.String("domain", i.Domain()), zap.String("address", i.Address()), zap.String("state", core.StateName(i.State())),
-				zap.String("state_before", core.StateName(old.State())), zap.Time("list_as_of", after.ListTime()))
+		if old == nil || old.State() != after.Instance(name).State() {
+			changed = append(changed, name)
 		}
 	}
+	e.logInstances(before, after, changed)
 	for _, name := range before.Names() {
 		if after.Instance(name) == nil {
 			e.logger.Info("instance is no longer known", zap.String("name", name), zap.Time("list_as_of", after.ListTime()))
@@ -33,6 +32,28 @@
 	}
 }
 
+// maxInstanceLines is the number of instances that get a line of their own when they change at the same time.
+const maxInstanceLines = 16
+
+// logInstances logs the new states of instances: one line for each, or one for all if there are many, as at the start of a
+// fleet.
+func (e *Exchange) logInstances(before, after *core.Snapshot, names []string) {
+	if len(names) > maxInstanceLines {
+		changes := make([]string, 0, len(names))
+		for _, name := range names {
+			changes = append(changes, name+" "+core.StateName(after.Instance(name).State()))
+		}
+		e.logger.Info("instances", zap.Strings("states", changes), zap.Time("list_as_of", after.ListTime()))
+		return
+	}
+	for _, name := range names {
+		i := after.Instance(name)
+		e.logger.Info("instance", zap.String("name", name), zap.String("service", i.Service()),
+			zap.String("domain", i.Domain()), zap.String("address", i.Address()), zap.String("state", core.StateName(i.State())),
+			zap.String("state_before", core.StateName(before.Instance(name).State())), zap.Time("list_as_of", after.ListTime()))
+	}
+}
+
 // logPlatform logs when the platform becomes unreachable and when it can be read again.
 func (e *Exchange) logPlatform() {
 	lost := e.state.platformErr != nil
