--- a/peers/state.go
+++ b/peers/state.go
@@ -68,6 +68,10 @@
 	readersPerDomain = 2
 	// fanout is the number of peers that a new revision or record is announced to.
 	fanout = 4
+	// In a fleet of more than twice partnerCount nodes, a node exchanges messages with partnerCount others, and only one
+	// choice in randomPeerEvery is among all. A random graph with this degree is connected and a few hops wide.
+	partnerCount    = 8
+	randomPeerEvery = 8
 	// recentPeerWindow is how long a peer that answered is preferred.
 	recentPeerWindow = time.Minute
 	// A node that was cut off finds the rest of its group by trying more peers. It contacts up to maxExtraPeers more,
@@ -168,6 +172,7 @@
 	recheckPending, recheckAnswers int
 
 	role     readerRole
+	partners partners
 	counters Counters
 	effects  []Effect
 }
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -1,12 +1,73 @@
 package peers
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenareel/schema"
 )
 
-// choosePeers returns the addresses of up to n distinct random peers. At least every other one is a peer that answered
+// partners holds the nodes that a node of a large fleet mostly exchanges messages with, as of a number of changes of the
+// member table. Random peers alone would make every node hold a connection to every other one.
+type partners struct {
+	changes   uint64
+	addresses map[string]bool
+}
+
+// partnerAddresses returns the addresses of the partnerCount members with the lowest pair hashes. They differ from node to
+// node, so that news spreads through the whole fleet.
+func (s *State) partnerAddresses() map[string]bool {
+	if s.partners.addresses != nil && s.partners.changes == s.table.changes {
+		return s.partners.addresses
+	}
+	own := xxhash.Sum64String(s.self.GetAddress())
+	var ranked []rankedAddress
+	for _, m := range s.table.sorted {
+		if m.name != s.self.GetInstance() && m.state() != schema.InstanceState_INSTANCE_STATE_GONE {
+			ranked = append(ranked, rankedAddress{rendezvous(m.address(), own, 0), m.address()})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b rankedAddress) int { return cmp.Compare(a.hash, b.hash) })
+	addresses := make(map[string]bool, partnerCount)
+	for _, r := range ranked[:min(partnerCount, len(ranked))] {
+		addresses[r.address] = true
+	}
+	s.partners = partners{changes: s.table.changes, addresses: addresses}
+	return addresses
+}
+
+type rankedAddress struct {
+	hash    uint64
+	address string
+}
+
+// preferPartners reduces the lists of peers to partners in a large fleet, except for one choice in randomPeerEvery and if no
+// partner is among them.
+func (s *State) preferPartners(recent, available []string) (preferredRecent, preferredAvailable []string) {
+	if len(recent)+len(available) <= 2*partnerCount || s.random.IntN(randomPeerEvery) == 0 {
+		return recent, available
+	}
+	chosen := s.partnerAddresses()
+	for _, address := range recent {
+		if chosen[address] {
+			preferredRecent = append(preferredRecent, address)
+		}
+	}
+	for _, address := range available {
+		if chosen[address] {
+			preferredAvailable = append(preferredAvailable, address)
+		}
+	}
+	if len(preferredRecent)+len(preferredAvailable) == 0 {
+		return recent, available
+	}
+	return preferredRecent, preferredAvailable
+}
+
+// choosePeers returns the addresses of up to n distinct random peers, in a large fleet mostly partners. At least every other one is a peer that answered
 // recently if there are any, which keeps the nodes of a small group connected when it is cut off from the rest. Seeds
 // are added while peers are few or silent. Peers in their retry delay are chosen only if there are no others.
 func (s *State) choosePeers(now time.Time, n int) []string {
@@ -32,6 +93,7 @@
 	if len(recent)+len(available) == 0 {
 		available = backedOff
 	}
+	recent, available = s.preferPartners(recent, available)
 	chosen := make([]string, 0, n)
 	for len(chosen) < n && len(recent)+len(available) > 0 {
 		s.preferRecent = !s.preferRecent
