io: a panic in the handler of one request ends that request, not the process

Cause (looked for, after the operators' report of an unexpected error that took a whole process down): net/rpc calls handlers without a recover, so a panic in one call or gossip message ended the node; at the front end it left the caller without a response. Change: both boundaries recover, log the stack, count it (kind=panic), and answer: unknown to the caller, an error to the node.

--- a/io/methods.go
+++ b/io/methods.go
@@ -26,12 +26,14 @@
 // GuardMethods are the net/rpc methods that call a core.Executor on behalf of one connection.
 type GuardMethods struct {
 	ctx      context.Context
+	server   *Server
 	executor core.Executor
 	bodies   *bodyStore
 }
 
 // Body stores a part of the body of a later call, unless the call would be refused.
-func (m *GuardMethods) Body(chunk *schema.BodyChunk, reply *Reply) error {
+func (m *GuardMethods) Body(chunk *schema.BodyChunk, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Guard.Body", &err)
 	if gate, ok := m.executor.(core.BodyGate); ok && chunk.GetOffset() == 0 {
 		if reason := gate.RefuseBody(chunk.GetInstance(), chunk.GetEager()); reason != schema.Reason_REASON_NONE {
 			reply.message = schema.BodyChunkReply_builder{Refusal: reason}.Build()
@@ -44,7 +46,8 @@
 
 // Execute runs a call. Its context is cancelled when the connection is closed. A call whose body was transferred to another
 // process, or expired, does not run.
-func (m *GuardMethods) Execute(request *schema.ExecuteRequest, reply *Reply) error {
+func (m *GuardMethods) Execute(request *schema.ExecuteRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Guard.Execute", &err)
 	if transfer := request.GetBodyTransfer(); transfer != 0 {
 		body, ok := m.bodies.take(transfer)
 		if !ok {
@@ -59,54 +62,63 @@
 }
 
 // Cancel cancels an attempt.
-func (m *GuardMethods) Cancel(request *schema.CancelRequest, reply *Reply) error {
+func (m *GuardMethods) Cancel(request *schema.CancelRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Guard.Cancel", &err)
 	reply.message = m.executor.Cancel(m.ctx, request)
 	return nil
 }
 
 // Issue returns a new ticket.
-func (m *GuardMethods) Issue(request *schema.IssueRequest, reply *Reply) error {
+func (m *GuardMethods) Issue(request *schema.IssueRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Guard.Issue", &err)
 	reply.message = m.executor.Issue(m.ctx, request)
 	return nil
 }
 
 // Supersede records the successor of a refused ticket, or closes the ticket.
-func (m *GuardMethods) Supersede(request *schema.SupersedeRequest, reply *Reply) error {
+func (m *GuardMethods) Supersede(request *schema.SupersedeRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Guard.Supersede", &err)
 	reply.message = m.executor.Supersede(m.ctx, request)
 	return nil
 }
 
 // PeerMethods are the net/rpc methods that call a core.Peer.
 type PeerMethods struct {
-	peer core.Peer
+	server *Server
+	peer   core.Peer
 }
 
 // Sync performs one step of the gossip protocol.
-func (m *PeerMethods) Sync(request *schema.SyncRequest, reply *Reply) error {
+func (m *PeerMethods) Sync(request *schema.SyncRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Peer.Sync", &err)
 	reply.message = m.peer.Sync(request)
 	return nil
 }
 
 // Buckets exchanges buckets of member records.
-func (m *PeerMethods) Buckets(request *schema.BucketsRequest, reply *Reply) error {
+func (m *PeerMethods) Buckets(request *schema.BucketsRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Peer.Buckets", &err)
 	reply.message = m.peer.Buckets(request)
 	return nil
 }
 
 // Manifest returns the hashes of the document sections.
-func (m *PeerMethods) Manifest(request *schema.ManifestRequest, reply *Reply) error {
+func (m *PeerMethods) Manifest(request *schema.ManifestRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Peer.Manifest", &err)
 	reply.message = m.peer.Manifest(request)
 	return nil
 }
 
 // Sections returns the texts of document sections.
-func (m *PeerMethods) Sections(request *schema.SectionsRequest, reply *Reply) error {
+func (m *PeerMethods) Sections(request *schema.SectionsRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Peer.Sections", &err)
 	reply.message = m.peer.Sections(request)
 	return nil
 }
 
 // Suspects receives suspect records pushed by another node.
-func (m *PeerMethods) Suspects(request *schema.SuspectsRequest, reply *Reply) error {
+func (m *PeerMethods) Suspects(request *schema.SuspectsRequest, reply *Reply) (err error) {
+	defer m.server.recoverPanic("Peer.Suspects", &err)
 	reply.message = m.peer.Suspects(request)
 	return nil
 }
--- a/io/server.go
+++ b/io/server.go
@@ -282,9 +282,9 @@
 func (c *serverConn) serve() {
 	methods := rpc.NewServer()
 	_ = methods.RegisterName(nodeService, &NodeMethods{})
-	_ = methods.RegisterName(guardService, &GuardMethods{ctx: c.ctx, executor: c.server.executor, bodies: c.server.bodies})
+	_ = methods.RegisterName(guardService, &GuardMethods{ctx: c.ctx, server: c.server, executor: c.server.executor, bodies: c.server.bodies})
 	if c.server.peer != nil {
-		_ = methods.RegisterName(peerService, &PeerMethods{peer: c.server.peer})
+		_ = methods.RegisterName(peerService, &PeerMethods{server: c.server, peer: c.server.peer})
 	}
 	methods.ServeCodec(c)
 }
--- a/io/session.go
+++ b/io/session.go
@@ -202,7 +202,7 @@
 	s.responses <- a
 	s.front.group.Go(func() {
 		defer close(a.done)
-		reply := s.front.handler.Handle(s.ctx, call)
+		reply := s.front.handle(s, call)
 		a.response = newResponse(s.front.wire, call, reply)
 		a.response.close = last
 	})
