core: load reports of a large fleet are half as frequent

Change: above 100 instances the interval of reports and of the probes behind them grows with the fleet, up to twice the setting. Ruled out: fewer subscriptions (with one instead of six the views are too few). Test: TestReportInterval.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -153,7 +153,7 @@
 	}()
 	group.Go(b.receive)
 	for {
-		wait := b.interval
+		wait := b.snapshots.Snapshot().ReportInterval(b.interval)
 		if wait <= 0 {
 			wait = idleInterval
 		}
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -223,6 +223,21 @@
 	return rules
 }
 
+const (
+	// Fleets of up to reportFleet instances report their load at the configured interval. In larger ones the interval grows
+	// with the fleet, up to maxReportStretch times: each node has more instances to choose from.
+	reportFleet      = 100
+	maxReportStretch = 2
+)
+
+// ReportInterval returns the interval of load reports, or of the probes that they are based on, for the size of the fleet.
+func (s *Snapshot) ReportInterval(base time.Duration) time.Duration {
+	if s == nil || len(s.instances) <= reportFleet {
+		return base
+	}
+	return min(maxReportStretch*base, base*time.Duration(len(s.instances))/reportFleet)
+}
+
 // ListTime returns the time as of which the platform's instance list is known, or the zero time.
 func (s *Snapshot) ListTime() time.Time {
 	if s == nil {
--- a/core/snapshot_test.go
+++ b/core/snapshot_test.go
@@ -1,9 +1,12 @@
 package core_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"verbenareel/core"
@@ -46,3 +49,18 @@
 		}
 	})
 }
+
+// TestReportInterval guards against reports that cost as much for each node, whatever the size of the fleet, and against
+// intervals that grow without bound.
+func TestReportInterval(t *testing.T) {
+	const base = 50 * time.Millisecond
+	var none *core.Snapshot
+	qt.Check(t, none.ReportInterval(base), qt.Equals, base)
+	for instances, want := range map[int]time.Duration{14: base, 100: base, 150: 75 * time.Millisecond, 296: 100 * time.Millisecond, 840: 100 * time.Millisecond} {
+		var members []*schema.Member
+		for i := range instances {
+			members = append(members, schema.Member_builder{Instance: fmt.Sprint("sheets-", i), Service: "sheets", Address: fmt.Sprint("10.0.0.1:", i)}.Build())
+		}
+		qt.Check(t, core.NewSnapshot(1, &schema.Document{}, members).ReportInterval(base), qt.Equals, want)
+	}
+}
