--- a/guard/cold.go
+++ b/guard/cold.go
@@ -84,8 +84,7 @@
 // budget allows no probe within tickInterval, the next tick sends one.
 func (g *Guard) confirmWarm() {
 	for waited := time.Duration(0); waited < tickInterval; waited += probeRetryDelay {
-		<-g.clock.After(probeRetryDelay)
-		if g.tryProbe() {
+		if !g.sleep(probeRetryDelay) || g.tryProbe() {
 			return
 		}
 	}
--- a/guard/pace.go
+++ b/guard/pace.go
@@ -109,9 +109,8 @@
 // retries after maxPaceAge.
 func (g *Guard) pollPace() {
 	for {
-		asked := g.tryProbe()
-		if !asked {
-			<-g.clock.After(maxPaceAge)
+		if !g.tryProbe() && !g.sleep(maxPaceAge) {
+			return
 		}
 		g.mu.Lock()
 		now := g.clock.Now()
@@ -123,10 +122,19 @@
 		again := g.controller.Queued() > 0 && (g.pace.slow() || now.Sub(g.pace.reportedAt) > maxPaceAge) && !g.draining
 		g.pacePolling = again
 		g.mu.Unlock()
-		if !again {
+		if !again || !g.sleep(maxPaceAge) {
 			return
 		}
-		<-g.clock.After(maxPaceAge)
+	}
+}
+
+// sleep waits for a duration and reports whether the guard is still running after it.
+func (g *Guard) sleep(d time.Duration) bool {
+	select {
+	case <-g.clock.After(d):
+		return true
+	case <-g.done:
+		return false
 	}
 }
 
@@ -134,8 +142,8 @@
 // was in a slow phase, because the call would take several times as long as on another instance.
 func (g *Guard) abandonIfSlow(c *call) {
 	for !g.paceReportedSinceStart(c) && g.clock.Now().Sub(c.admit.Started()) < abandonWindow {
-		if !g.tryProbe() {
-			<-g.clock.After(probeRetryDelay)
+		if !g.tryProbe() && !g.sleep(probeRetryDelay) {
+			return
 		}
 	}
 	g.mu.Lock()
@@ -184,6 +192,7 @@
 	select {
 	case <-answered:
 	case <-g.clock.After(maxPaceWait):
+	case <-g.done:
 	}
 	return true
 }
--- a/io/front.go
+++ b/io/front.go
@@ -141,8 +141,11 @@
 // DisableKeepAlives adds "Connection: close" to all responses from now on. New connections are still accepted.
 func (f *Front) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
 
+// cancelledAnswerTime is how long a shutdown waits for the responses to the calls that it cancelled.
+const cancelledAnswerTime = 250 * time.Millisecond
+
 // Shutdown stops accepting connections, closes idle connections and waits for the calls in progress. If ctx is done first,
-// the contexts of the calls are cancelled.
+// the contexts of the calls are cancelled, and their callers still get the responses.
 func (f *Front) Shutdown(ctx context.Context) error {
 	f.keepAlivesDisabled.Store(true)
 	f.drain()
@@ -158,6 +161,11 @@
 	case <-ended:
 	case <-ctx.Done():
 		err = fmt.Errorf("http front: calls still in progress: %w", ctx.Err())
+		f.cancelCalls()
+		select {
+		case <-ended:
+		case <-f.clock.After(cancelledAnswerTime):
+		}
 	}
 	f.close()
 	f.closeDone()
@@ -175,6 +183,15 @@
 	}
 }
 
+// cancelCalls cancels the contexts of all calls in progress.
+func (f *Front) cancelCalls() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for s := range f.sessions {
+		s.cancel()
+	}
+}
+
 func (f *Front) close() {
 	f.stop()
 	f.mutex.Lock()
--- a/io/front_test.go
+++ b/io/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	stdio "io"
 	"net"
 	"net/http"
@@ -171,3 +172,24 @@
 	group.Wait()
 	<-front.Done()
 }
+
+// TestShutdownAnswers guards against requests that a planned stop cuts off without an answer: those in progress at its end are
+// cancelled, and their callers are told.
+func TestShutdownAnswers(t *testing.T) {
+	started := make(chan struct{})
+	front, err := io.NewFront("127.0.0.1:0", contextHandlerFunc(func(ctx context.Context, _ *core.Call) *schema.ExecuteReply {
+		close(started)
+		<-ctx.Done()
+		return core.NotRun(schema.Reason_REASON_CANCELLED)
+	}))
+	front = serveInBackground(t, front, err)
+	var group conc.WaitGroup
+	group.Go(func() {
+		<-started
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		qt.Check(t, front.Shutdown(ctx), qt.IsNotNil)
+	})
+	qt.Check(t, roundTrip(t, front.Addr(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n").code, qt.Equals, http.StatusServiceUnavailable)
+	group.Wait()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,9 @@
 	deregistrationDelay = 2500 * time.Millisecond
 	// limitsPollInterval is the interval at which the limits of the document are checked for changes.
 	limitsPollInterval = 100 * time.Millisecond
+	// closeShare is the divisor of the time for a graceful shutdown that gives the time to answer cancelled calls and to
+	// close connections at its end.
+	closeShare = 10
 	// defaultDrainTimeout is the maximum duration of a graceful shutdown if drain_timeout is not set.
 	defaultDrainTimeout = 30 * time.Second
 )
@@ -334,20 +337,16 @@
 	if limit <= 0 {
 		limit = defaultDrainTimeout
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, cancel := context.WithTimeout(context.Background(), limit-limit/closeShare)
 	defer cancel()
 	n.shuttingDown.Store(true)
 	n.router.DisableAbandon()
 	n.waitForDeregistration(ctx)
 	n.exchange.Announce(schema.InstanceState_INSTANCE_STATE_LEAVING)
-	if err := n.guard.Drain(ctx); err != nil {
-		return fmt.Errorf("drain guard: %w", err)
-	}
-	if err := n.front.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut down HTTP server: %w", err)
-	}
-	if err := n.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut down RPC server: %w", err)
+	// A part that does not finish in time does not keep the others from answering their callers.
+	err := errors.Join(n.guard.Drain(ctx), n.front.Shutdown(ctx), n.server.Shutdown(ctx))
+	if err != nil {
+		return fmt.Errorf("graceful shutdown: %w", err)
 	}
 	n.logger.Info("graceful shutdown finished")
 	return nil
