--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -25,8 +25,8 @@
 const (
 	// Of each service, a node subscribes to the reports of localSubscriptions instances in its own failure domain and of
 	// remoteSubscriptions instances in other ones. A fresh view of some instances is worth more than an old view of all.
-	localSubscriptions  = 4
-	remoteSubscriptions = 3
+	localSubscriptions  = 6
+	remoteSubscriptions = 6
 	// Subscribers in other failure domains get one report in remoteReportEvery.
 	remoteReportEvery = 4
 	// One report in allNodesEvery also goes to nodes that do not subscribe, and so does the first one after a confirmation
