--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -27,6 +27,9 @@
 	// remoteSubscriptions instances in other ones. A fresh view of some instances is worth more than an old view of all.
 	localSubscriptions  = 6
 	remoteSubscriptions = 6
+	// The same in a large fleet, in which there are more instances to choose from.
+	largeLocalSubscriptions  = 4
+	largeRemoteSubscriptions = 3
 	// Subscribers in other failure domains get one report in remoteReportEvery.
 	remoteReportEvery = 4
 	// One report in allNodesEvery also goes to nodes that do not subscribe, and so does the first one after a confirmation
@@ -253,7 +256,7 @@
 			}
 			seen[i.Address()] = true
 			switch {
-			case !b.isSubscriber(i, servicePeers):
+			case !b.isSubscriber(i, servicePeers, snapshot.Large()):
 				b.others = append(b.others, address)
 			case i.Domain() == b.self.GetDomain():
 				b.local = append(b.local, address)
@@ -278,13 +281,10 @@
 // isSubscriber reports whether a node subscribes to the reports of this instance. The node ranks the instances of a service
 // in its own failure domain, and those in other ones, by a hash of its own and their addresses, so that different nodes
 // subscribe to different instances.
-func (b *Beacon) isSubscriber(subscriber *core.Instance, peers []*core.Instance) bool {
+func (b *Beacon) isSubscriber(subscriber *core.Instance, peers []*core.Instance, large bool) bool {
 	ownHash := pairHash(subscriber.Address(), b.self.GetAddress())
 	local := subscriber.Domain() == b.self.GetDomain()
-	limit := remoteSubscriptions
-	if local {
-		limit = localSubscriptions
-	}
+	limit := subscriptions(local, large)
 	for _, peer := range peers {
 		if peer.Address() == subscriber.Address() {
 			continue
@@ -300,6 +300,19 @@
 	return true
 }
 
+// subscriptions returns the number of instances of one service that a node subscribes to.
+func subscriptions(local, large bool) int {
+	switch {
+	case local && large:
+		return largeLocalSubscriptions
+	case local:
+		return localSubscriptions
+	case large:
+		return largeRemoteSubscriptions
+	}
+	return remoteSubscriptions
+}
+
 func pairHash(subscriber, publisher string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -230,9 +230,12 @@
 	maxReportStretch = 2
 )
 
+// Large reports whether the fleet is so large that nodes report less often and to fewer others.
+func (s *Snapshot) Large() bool { return s != nil && len(s.instances) > reportFleet }
+
 // ReportInterval returns the interval of load reports, or of the probes that they are based on, for the size of the fleet.
 func (s *Snapshot) ReportInterval(base time.Duration) time.Duration {
-	if s == nil || len(s.instances) <= reportFleet {
+	if !s.Large() {
 		return base
 	}
 	return min(maxReportStretch*base, base*time.Duration(len(s.instances))/reportFleet)
