--- /dev/null
+++ b/review/stand/main.go
@@ -0,0 +1,261 @@
+// Command stand plays the cases of the review: each starts nodes as processes with the command of the deploy file, and
+// stand-ins for the platform's store, the servers and the clients.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	exitHeld = iota
+	exitBroken
+	exitCouldNotRun
+)
+
+var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
+	"hup":   hupInDrain,
+	"late":  lateRequests,
+	"lying": lyingHealth,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
+		os.Exit(exitCouldNotRun)
+	}
+	os.Exit(play(os.Args[1], os.Args[2]))
+}
+
+// play runs one case. The record is written to the folder of the case.
+func play(name, folder string) int {
+	log, err := newRecord(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCouldNotRun
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	log.say("case %s, trouble %v", name, trouble)
+	f, err := newFleet(log, "hk-a", "hk-b", "hk-c")
+	if err != nil {
+		log.say("could not run: %v", err)
+		return exitCouldNotRun
+	}
+	defer f.close()
+	ended := make(chan int, 1)
+	go func() {
+		broken, err := cases[name](f, trouble)
+		switch {
+		case err != nil:
+			log.say("could not run: %v", err)
+			ended <- exitCouldNotRun
+		case broken:
+			log.say("the rule is broken")
+			ended <- exitBroken
+		default:
+			log.say("the rule held")
+			ended <- exitHeld
+		}
+	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case code := <-ended:
+		return code
+	case <-stopped:
+	case <-time.After(110 * time.Second):
+		log.say("could not run: too slow")
+	}
+	return exitCouldNotRun
+}
+
+func fixed(d time.Duration) func(*http.Request) time.Duration {
+	return func(*http.Request) time.Duration { return d }
+}
+
+// startAll adds one machine for each zone given, starts the nodes and waits until they serve.
+func startAll(f *fleet, service string, work func(*http.Request) time.Duration, zones ...string) error {
+	for _, zone := range zones {
+		if _, err := f.add(service, zone, work); err != nil {
+			return err
+		}
+	}
+	for _, m := range f.machines {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	return f.waitReady()
+}
+
+// watchReadiness asks a node for readiness once a second. The result tells whether its clients get new work: not after two
+// misses in a row.
+func watchReadiness(m *machine) *atomic.Bool {
+	in := &atomic.Bool{}
+	in.Store(true)
+	go func() {
+		misses := 0
+		for {
+			time.Sleep(time.Second)
+			if m.ready() {
+				misses = 0
+			} else if misses++; misses >= 2 && in.Swap(false) {
+				m.fleet.record.say("clients of %s get no more work", m.name)
+			}
+			in.Store(misses < 2)
+		}
+	}()
+	return in
+}
+
+// hupInDrain stops a node by SIGTERM, and tells it a second later by SIGHUP that its settings file has changed.
+// Rule LOST: around planned work, a request that a process has read, and that a server runs, gets a complete answer.
+func hupInDrain(f *fleet, trouble bool) (bool, error) {
+	f.publish(7, []route{{"orders", "/orders/", "unsafe", "1500ms", "cutting"}}, "cutting")
+	if err := startAll(f, "cutting", fixed(400*time.Millisecond), "hk-a", "hk-a", "hk-b", "hk-c"); err != nil {
+		return false, err
+	}
+	m := f.machines[0]
+	in := watchReadiness(m)
+	l := &load{}
+	end := time.Now().Add(7 * time.Second)
+	l.run(25*time.Millisecond, func() bool { return time.Now().After(end) || !in.Load() }, func(n int) *attempt {
+		return do(f.record, m, "PUT", "/orders/x", fmt.Sprintf("order %d", n), 2*time.Second)
+	})
+	time.Sleep(2 * time.Second)
+	termAt := time.Now()
+	m.signal(syscall.SIGTERM)
+	time.Sleep(time.Second)
+	if trouble {
+		f.grace = "7s"
+		if err := m.writeSettings(); err != nil {
+			return false, err
+		}
+		m.signal(syscall.SIGHUP)
+	}
+	attempts := l.wait()
+	time.Sleep(time.Second)
+	lost := 0
+	for _, a := range attempts {
+		if a.unsent || a.code != 0 || a.sent.Before(termAt.Add(-2*time.Second)) {
+			continue
+		}
+		for _, x := range f.machines {
+			for _, r := range x.server.runsOf(a.id) {
+				lost++
+				f.record.say("LOST: %s, sent %.3f s after SIGTERM, run by %s (%s), ended after %.3f s: %s", a.id,
+					a.sent.Sub(termAt).Seconds(), r.server, r.ended, a.ended.Sub(a.sent).Seconds(), a.err)
+			}
+		}
+	}
+	f.record.say("%d requests, %d passed on to a server and cut without an answer", len(l.attempts), lost)
+	return lost > 0, nil
+}
+
+// lyingHealth lets one server leave: its entry says draining, and its health check says falsely that it is well. Without the
+// disruption the health check tells the truth.
+// Rule DRAIN: no request reaches a server later than drain (2 s) after the store has acknowledged that it is draining.
+func lyingHealth(f *fleet, trouble bool) (bool, error) {
+	const drain = 2 * time.Second
+	f.publish(7, []route{{"orders", "/orders/", "unsafe", "1500ms", "cutting"}}, "cutting")
+	if err := startAll(f, "cutting", fixed(200*time.Millisecond), "hk-a", "hk-b", "hk-c", "hk-a"); err != nil {
+		return false, err
+	}
+	leaving := f.machines[0].server
+	l := &load{}
+	end := time.Now().Add(8 * time.Second)
+	l.run(20*time.Millisecond, func() bool { return time.Now().After(end) }, func(n int) *attempt {
+		return do(f.record, f.machines[1+n%3], "PUT", "/orders/x", fmt.Sprintf("order %d", n), 2*time.Second)
+	})
+	time.Sleep(2 * time.Second)
+	leaving.sayWell.Store(trouble)
+	leaving.leaving.Store(true)
+	f.store.put("servers/"+leaving.id, leaving.entry("hk-a", "draining", 2))
+	acknowledged := time.Now()
+	f.record.say("the store has acknowledged that %s is draining; its health check says well: %v", leaving.id, trouble)
+	// The server serves for drain after that, and a little longer.
+	time.Sleep(drain + 1500*time.Millisecond)
+	f.record.say("server %s exits", leaving.id)
+	_ = leaving.server.Close()
+	f.store.remove("servers/" + leaving.id)
+	attempts := l.wait()
+	late, lost := 0, 0
+	leaving.mutex.Lock()
+	defer leaving.mutex.Unlock()
+	for _, a := range attempts {
+		at, reached := leaving.arrivals[a.id]
+		if !reached || at.Sub(acknowledged) <= drain || a.sent.Before(acknowledged) {
+			continue
+		}
+		late++
+		f.record.event("DRAIN: %s reaches %s %.3f s after the acknowledgement", a.id, leaving.id, at.Sub(acknowledged).Seconds())
+		if a.code != http.StatusOK {
+			lost++
+			f.record.say("order %s reached the leaving server %.3f s after the acknowledgement and ended with %d %s", a.id,
+				at.Sub(acknowledged).Seconds(), a.code, a.err)
+		}
+	}
+	f.record.say("%d orders; %d reached the server later than %v after the acknowledgement; %d of these were lost", len(attempts), late, drain, lost)
+	return late > 0, nil
+}
+
+// lateRequests stops the only node of a zone by SIGTERM while servers are at work on long requests.
+// Rule LOST: after a SIGTERM no request at which its server is at work is broken off, unless the server was still at work in
+// the last sixth of grace on a request that was sent no later than 3 s after the SIGTERM, or its time was up.
+func lateRequests(f *fleet, trouble bool) (bool, error) {
+	const timeout = 2 * time.Second
+	// One request in three takes 1.8 s, the others 0.3 s.
+	work := func(r *http.Request) time.Duration {
+		if r.URL.Path[len(r.URL.Path)-1] == '0' {
+			return 1800 * time.Millisecond
+		}
+		return 300 * time.Millisecond
+	}
+	f.publish(7, []route{{"orders", "/orders/", "unsafe", "2000ms", "cutting"}, {"deposits", "/deposits/", "unsafe", "2000ms", "sheets"}}, "cutting", "sheets")
+	if _, err := f.add("sheets", "hk-b", work); err != nil {
+		return false, err
+	}
+	if err := startAll(f, "cutting", work, "hk-a", "hk-c"); err != nil {
+		return false, err
+	}
+	m := f.machines[1]
+	l := &load{}
+	end := time.Now().Add(9 * time.Second)
+	past := func() bool { return time.Now().After(end) }
+	l.run(40*time.Millisecond, past, func(n int) *attempt {
+		return do(f.record, f.machines[0], "PUT", fmt.Sprintf("/orders/%d", n%3), fmt.Sprintf("order %d", n), 3*time.Second)
+	})
+	l.run(70*time.Millisecond, past, func(n int) *attempt {
+		return do(f.record, m, "PUT", fmt.Sprintf("/deposits/%d", n%3), fmt.Sprintf("deposit %d", n), 3*time.Second)
+	})
+	time.Sleep(2 * time.Second)
+	termAt := time.Now()
+	if trouble {
+		m.signal(syscall.SIGTERM)
+	}
+	attempts := l.wait()
+	time.Sleep(time.Second)
+	lost := 0
+	for _, a := range attempts {
+		if a.to != m || a.unsent || a.signed != "" || a.sent.Sub(termAt) <= 3*time.Second || a.ended.Sub(a.sent) >= timeout {
+			continue
+		}
+		for _, x := range f.machines {
+			for _, r := range x.server.runsOf(a.id) {
+				if r.end.IsZero() || r.end.After(a.ended) {
+					lost++
+					f.record.say("LOST: %s, sent %.3f s after SIGTERM, run by %s (%s, %.3f s), broken off after %.3f s: %d %s", a.id,
+						a.sent.Sub(termAt).Seconds(), r.server, r.ended, r.end.Sub(r.start).Seconds(), a.ended.Sub(a.sent).Seconds(), a.code, a.err)
+				}
+			}
+		}
+	}
+	f.record.say("%d requests, %d broken off while their server was at work", len(attempts), lost)
+	return lost > 0, nil
+}
--- /dev/null
+++ b/review/stand/server.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is one run of a request at a server.
+type run struct {
+	id, server, caller string
+	bytes              int
+	start, end         time.Time
+	ended              string
+}
+
+// appServer is a stand-in for an application server beside a node.
+type appServer struct {
+	id, service, address string
+	slots                int
+	// work returns how long a request takes.
+	work func(r *http.Request) time.Duration
+	// leaving makes the health check answer 503, unless sayWell makes it answer 200 falsely.
+	leaving, sayWell atomic.Bool
+	server           *http.Server
+	log              *record
+
+	mutex   sync.Mutex
+	running int
+	runs    []*run
+	// arrivals holds the time at which each request reached the server.
+	arrivals map[string]time.Time
+}
+
+func newAppServer(log *record, id, service, address string, work func(*http.Request) time.Duration) (*appServer, error) {
+	a := &appServer{id: id, service: service, address: address, slots: 18, work: work, log: log, arrivals: map[string]time.Time{}}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	a.server = &http.Server{Handler: http.HandlerFunc(a.serve)}
+	go func() { _ = a.server.Serve(listener) }()
+	return a, nil
+}
+
+func (a *appServer) setLoad(w http.ResponseWriter) {
+	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,100", a.running, a.slots))
+}
+
+func (a *appServer) serve(w http.ResponseWriter, r *http.Request) {
+	a.mutex.Lock()
+	a.setLoad(w)
+	if r.URL.Path == "/health" && r.Header.Get("Request-Id") == "" {
+		a.mutex.Unlock()
+		w.Header().Set("Instance-Id", a.id)
+		if a.leaving.Load() && !a.sayWell.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	a.mutex.Unlock()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Response-Signature", "sig-"+a.id+"-"+id)
+	if target := r.Header.Get("Target-Instance"); target != "" && target != a.id {
+		w.Header().Set("Instance-Id", a.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	a.mutex.Lock()
+	a.arrivals[id] = time.Now()
+	if a.running >= a.slots {
+		a.mutex.Unlock()
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	a.running++
+	current := &run{id: id, server: a.id, caller: r.Header.Get("Caller-Service"), bytes: len(body), start: time.Now()}
+	a.runs = append(a.runs, current)
+	a.mutex.Unlock()
+	a.log.event("server %s runs %s", a.id, id)
+	// A request is dropped when its connection closes.
+	select {
+	case <-time.After(a.work(r)):
+		current.ended = "ok"
+	case <-r.Context().Done():
+		current.ended = "dropped"
+	}
+	a.mutex.Lock()
+	current.end = time.Now()
+	a.running--
+	a.setLoad(w)
+	a.mutex.Unlock()
+	a.log.event("server %s ends %s: %s", a.id, id, current.ended)
+	if current.ended == "ok" {
+		_, _ = fmt.Fprintf(w, "answer to %s from %s\n", id, a.id)
+	}
+}
+
+func (a *appServer) runsOf(id string) []*run {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var found []*run
+	for _, r := range a.runs {
+		if r.id == id {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// entry returns the server's entry in the store.
+func (a *appServer) entry(zone, state string, sequence int) string {
+	return fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"sequence":%d,"warmup_left":"0ms"}}`,
+		a.address, 1790000000000, a.service, zone, a.slots, state, sequence)
+}
