--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 	"hup":   hupInDrain,
 	"late":  lateRequests,
 	"lying": lyingHealth,
+	"cut":   leavingBehindCut,
 }
 
 func main() {
@@ -259,3 +260,100 @@
 	f.record.say("%d requests, %d broken off while their server was at work", len(attempts), lost)
 	return lost > 0, nil
 }
+
+// leavingBehindCut lets servers leave one after the other, each while its machine is cut off from the store. The server's entry
+// is removed once the cut has mended; without the disruption, at once. Its health check tells the truth all the while.
+// Rule DRAIN: no request reaches a server later than drain (2 s) after the store has acknowledged that it is gone, from
+// machines in touch: none that was cut off in the last 3 s.
+func leavingBehindCut(f *fleet, trouble bool) (bool, error) {
+	const (
+		drain  = 2 * time.Second
+		window = 3 * time.Second
+		cut    = 3 * time.Second
+		// before is how long before the end of the cut the server begins to leave, and after how long after it the store
+		// hears of that.
+		before = 500 * time.Millisecond
+		after  = time.Second
+		// longer is how much longer than drain the server serves.
+		longer = 500 * time.Millisecond
+	)
+	f.publish(7, []route{{"orders", "/orders/", "unsafe", "1500ms", "cutting"}}, "cutting")
+	var proxies []*proxy
+	for _, zone := range []string{"hk-a", "hk-b", "hk-c", "hk-a", "hk-b", "hk-c", "hk-a", "hk-b", "hk-c", "hk-a", "hk-b"} {
+		m, err := f.add("cutting", zone, fixed(250*time.Millisecond))
+		if err != nil {
+			return false, err
+		}
+		p, err := newProxy(f.endpoint.address)
+		if err != nil {
+			return false, err
+		}
+		defer p.close()
+		m.storeAddress = p.address()
+		proxies = append(proxies, p)
+	}
+	if err := startAll(f, "cutting", nil); err != nil {
+		return false, err
+	}
+	l := &load{}
+	var stop atomic.Bool
+	l.run(10*time.Millisecond, stop.Load, func(n int) *attempt {
+		return do(f.record, f.machines[9+n%2], "PUT", "/orders/x", fmt.Sprintf("order %d", n), 2*time.Second)
+	})
+	type leave struct {
+		server             *appServer
+		mended, acked, end time.Time
+	}
+	var leaves []*leave
+	for i := range 9 {
+		time.Sleep(500 * time.Millisecond)
+		s := f.machines[i].server
+		x := &leave{server: s}
+		if trouble {
+			f.record.say("machine %s is cut off from the store", f.machines[i].name)
+			proxies[i].setCut(true)
+		}
+		time.Sleep(cut - before)
+		s.leaving.Store(true)
+		f.record.say("server %s leaves, and its health check says so", s.id)
+		if trouble {
+			time.Sleep(before)
+			proxies[i].setCut(false)
+			x.mended = time.Now()
+			f.record.say("the cut has mended")
+			time.Sleep(after)
+		}
+		f.store.remove("servers/" + s.id)
+		x.acked = time.Now()
+		f.record.say("the entry of %s is removed", s.id)
+		time.Sleep(drain + longer)
+		x.end = time.Now()
+		f.record.say("server %s exits", s.id)
+		_ = s.server.Close()
+		leaves = append(leaves, x)
+	}
+	stop.Store(true)
+	attempts := l.wait()
+	late, lost := 0, 0
+	for _, x := range leaves {
+		count := 0
+		x.server.mutex.Lock()
+		for _, a := range attempts {
+			at, reached := x.server.arrivals[a.id]
+			if !reached || at.Sub(x.acked) <= drain || a.sent.Sub(x.mended) <= window || at.After(x.end) {
+				continue
+			}
+			count++
+			f.record.event("DRAIN: %s reaches %s %.3f s after the removal", a.id, x.server.id, at.Sub(x.acked).Seconds())
+			if a.code != http.StatusOK {
+				lost++
+				f.record.say("order %s reached %s %.3f s after its removal and ended with %d %s", a.id, x.server.id, at.Sub(x.acked).Seconds(), a.code, a.err)
+			}
+		}
+		x.server.mutex.Unlock()
+		f.record.say("%d orders reached %s later than %v after its removal", count, x.server.id, drain)
+		late += count
+	}
+	f.record.say("%d orders; %d reached a server later than %v after its removal; %d of these were lost", len(attempts), late, drain, lost)
+	return late > 0, nil
+}
