--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,7 @@
 	"late":  lateRequests,
 	"lying": lyingHealth,
 	"cut":   leavingBehindCut,
+	"cold":  coldKilled,
 }
 
 func main() {
@@ -357,3 +358,72 @@
 	f.record.say("%d orders; %d reached a server later than %v after its removal; %d of these were lost", len(attempts), late, drain, lost)
 	return late > 0, nil
 }
+
+// coldKilled lets a server turn cold, and kills the node beside it a moment later. The node is started again after a short delay.
+// The server crashes beyond the bound of the rule.
+// Rule FAILBACK: a cold server gets at most warmup_per_s (17) x warmup_factor (1.5) + warmup_slack (5) requests in one second.
+func coldKilled(f *fleet, trouble bool) (bool, error) {
+	const (
+		bound      = 30
+		coldTime   = 3 * time.Second
+		killAfter  = 120 * time.Millisecond
+		startAfter = 50 * time.Millisecond
+	)
+	f.publish(7, []route{{"orders", "/orders/", "unsafe", "1500ms", "cutting"}}, "cutting", "sheets")
+	if _, err := f.add("cutting", "hk-a", fixed(40*time.Millisecond)); err != nil {
+		return false, err
+	}
+	if err := startAll(f, "sheets", fixed(40*time.Millisecond), "hk-b", "hk-c"); err != nil {
+		return false, err
+	}
+	m := f.machines[0]
+	l := &load{}
+	end := time.Now().Add(6 * time.Second)
+	l.run(3*time.Millisecond, func() bool { return time.Now().After(end) }, func(n int) *attempt {
+		return do(f.record, f.machines[1+n%2], "PUT", "/orders/x", fmt.Sprintf("order %d", n), 1500*time.Millisecond)
+	})
+	time.Sleep(2 * time.Second)
+	m.server.mutex.Lock()
+	clear(m.server.arrivals)
+	coldAt := time.Now()
+	m.server.coldUntil, m.server.coldBound = coldAt.Add(coldTime), bound
+	m.server.mutex.Unlock()
+	f.record.say("server %s is cold for %v", m.server.id, coldTime)
+	if trouble {
+		time.Sleep(killAfter)
+		m.signal(syscall.SIGKILL)
+		<-m.exited
+		time.Sleep(startAfter)
+		if err := m.start(); err != nil {
+			return false, err
+		}
+		f.record.say("node %s is started again", m.name)
+	}
+	attempts := l.wait()
+	lost := 0
+	for _, a := range attempts {
+		if a.code != http.StatusOK && a.sent.After(coldAt.Add(killAfter+startAfter)) && len(m.server.runsOf(a.id)) > 0 {
+			lost++
+		}
+	}
+	most := mostWithin(m.server, coldAt, time.Second)
+	f.record.say("%d orders; the cold server got up to %d in one second, the bound is %d; %d orders were lost with the server", len(attempts), most, bound, lost)
+	return most > bound, nil
+}
+
+// mostWithin returns the highest number of requests that reached a cold server within a span.
+func mostWithin(a *appServer, from time.Time, span time.Duration) int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	most := 0
+	for _, first := range a.arrivals {
+		count := 0
+		for _, at := range a.arrivals {
+			if since := at.Sub(first); since >= 0 && since < span && at.After(from) && at.Before(a.coldUntil) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -26,8 +26,13 @@
 	work func(r *http.Request) time.Duration
 	// leaving makes the health check answer 503, unless sayWell makes it answer 200 falsely.
 	leaving, sayWell atomic.Bool
-	server           *http.Server
-	log              *record
+	// coldUntil is when the server is warm again.
+	coldUntil time.Time
+	// coldBound is the number of requests within a second beyond which the cold server crashes; 0 means none.
+	coldBound int
+	crashed   bool
+	server    *http.Server
+	log       *record
 
 	mutex   sync.Mutex
 	running int
@@ -57,6 +62,9 @@
 	if r.URL.Path == "/health" && r.Header.Get("Request-Id") == "" {
 		a.mutex.Unlock()
 		w.Header().Set("Instance-Id", a.id)
+		if left := time.Until(a.coldUntil); left > 0 {
+			w.Header().Set("Warmup-Ms", fmt.Sprint(left.Milliseconds()))
+		}
 		if a.leaving.Load() && !a.sayWell.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -77,6 +85,10 @@
 	}
 	a.mutex.Lock()
 	a.arrivals[id] = time.Now()
+	if a.tooMany() {
+		a.mutex.Unlock()
+		return
+	}
 	if a.running >= a.slots {
 		a.mutex.Unlock()
 		w.Header().Set("Not-Executed", "1")
@@ -106,6 +118,27 @@
 	}
 }
 
+// tooMany reports whether the server has crashed, and lets it crash if it is cold and more requests than it bears came within
+// the last second. It is called with the mutex held.
+func (a *appServer) tooMany() bool {
+	if a.crashed || a.coldBound == 0 || time.Now().After(a.coldUntil) {
+		return a.crashed
+	}
+	count := 0
+	for _, at := range a.arrivals {
+		if time.Since(at) < time.Second {
+			count++
+		}
+	}
+	if count <= a.coldBound {
+		return false
+	}
+	a.crashed = true
+	a.log.say("server %s crashes: it is cold, and request %d within a second came", a.id, count)
+	go func() { _ = a.server.Close() }()
+	return true
+}
+
 func (a *appServer) runsOf(id string) []*run {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
