--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # It needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/verbenareel ] && [ -x target/review-stand ] || exit 2
-exec target/review-stand hup review/1
+exec target/review-stand mixed review/1
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # It needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/verbenareel ] && [ -x target/review-stand ] || exit 2
-exec target/review-stand lying review/3
+exec target/review-stand late review/3
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -103,7 +103,7 @@
 // add adds a machine with a server, whose entry is written to the store. The node is not started.
 func (f *fleet) add(service, zone string, work func(*http.Request) time.Duration) (*machine, error) {
 	n := len(f.machines) + 1
-	ip := fmt.Sprintf("127.0.77.%d", n)
+	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%250, n)
 	m := &machine{
 		fleet: f, name: fmt.Sprintf("sidecar-%s-%d", zone, n), zone: zone, ip: ip, storeAddress: f.endpoint.address,
 		outbound: fmt.Sprintf("%s:%d", ip, f.ports[0]), readiness: fmt.Sprintf("%s:%d", ip, f.ports[1]),
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -25,6 +26,7 @@
 	"lying": lyingHealth,
 	"cut":   leavingBehindCut,
 	"cold":  coldKilled,
+	"mixed": brokenOffAnswers,
 }
 
 func main() {
@@ -427,3 +429,72 @@
 	}
 	return most
 }
+
+// brokenOffAnswers lets some answers have no length and end with their connection, while the pace of the servers changes as it
+// always does. Without the disruption the same answers have a length.
+// Rule MIXED: no client gets a success whose body is not the server's whole body.
+func brokenOffAnswers(f *fleet, trouble bool) (bool, error) {
+	const (
+		// Six servers, of which three give such answers to one request in twenty, for 5 s at a time.
+		servers, touched = 6, 3
+		share            = 0.05
+		length, pause    = 5 * time.Second, 300 * time.Millisecond
+		windows          = 18
+		// In each period a server is slow by a chance of about one in three.
+		period, slowShare, slowPace = 100 * time.Millisecond, 0.35, 500
+		work                        = 220 * time.Millisecond
+	)
+	f.publish(7, []route{{"sheets", "/sheets/", "safe", "1200ms", "sheets"}}, "sheets")
+	started := time.Now()
+	var on atomic.Bool
+	for i := range servers {
+		m, err := f.add("sheets", f.zones[i%len(f.zones)], nil)
+		if err != nil {
+			return false, err
+		}
+		m.server.framed = !trouble
+		m.server.pace = func() int {
+			now := uint64(time.Since(started) / period)
+			if rand.New(rand.NewPCG(uint64(i), now)).Float64() < slowShare {
+				return slowPace
+			}
+			return 100
+		}
+		m.server.work = func(*http.Request) time.Duration { return work * time.Duration(m.server.pace()) / 100 }
+		m.server.streams = func(*http.Request) bool { return i < touched && on.Load() && rand.Float64() < share }
+	}
+	if err := startAll(f, "sheets", nil); err != nil {
+		return false, err
+	}
+	l := &load{}
+	var stop atomic.Bool
+	l.run(12*time.Millisecond, stop.Load, func(n int) *attempt {
+		return do(f.record, f.machines[n%servers], "GET", fmt.Sprintf("/sheets/%d", n), "", 2500*time.Millisecond)
+	})
+	for range windows {
+		time.Sleep(pause)
+		on.Store(true)
+		time.Sleep(length)
+		on.Store(false)
+	}
+	stop.Store(true)
+	attempts := l.wait()
+	wrong, streamed := 0, 0
+	for _, a := range attempts {
+		for _, m := range f.machines {
+			if a.code != http.StatusOK || a.signed != "sig-"+m.server.id+"-"+a.id {
+				continue
+			}
+			switch a.body {
+			case fmt.Sprintf("answer to %s from %s\n", a.id, m.server.id):
+			case wholeBody(a.id):
+				streamed++
+			default:
+				wrong++
+				f.record.say("MIXED: %s gets 200 with the signature %s and %d of %d bytes of the body: %q", a.id, a.signed, len(a.body), len(wholeBody(a.id)), a.body)
+			}
+		}
+	}
+	f.record.say("%d requests, %d whole answers that were sent as they were made, %d parts of such answers given as whole ones", len(attempts), streamed, wrong)
+	return wrong > 0, nil
+}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -30,9 +30,15 @@
 	coldUntil time.Time
 	// coldBound is the number of requests within a second beyond which the cold server crashes; 0 means none.
 	coldBound int
-	crashed   bool
-	server    *http.Server
-	log       *record
+	// pace returns how long work takes now, in hundredths of the usual time.
+	pace func() int
+	// streams reports whether the answer to a request is sent as it is made: the header and half of the body at once. Such an
+	// answer has no length and ends with its connection, unless framed is set.
+	streams func(r *http.Request) bool
+	framed  bool
+	crashed bool
+	server  *http.Server
+	log     *record
 
 	mutex   sync.Mutex
 	running int
@@ -53,7 +59,14 @@
 }
 
 func (a *appServer) setLoad(w http.ResponseWriter) {
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,100", a.running, a.slots))
+	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,%d", a.running, a.slots, a.paceNow()))
+}
+
+func (a *appServer) paceNow() int {
+	if a.pace == nil {
+		return 100
+	}
+	return a.pace()
 }
 
 func (a *appServer) serve(w http.ResponseWriter, r *http.Request) {
@@ -87,7 +100,7 @@
 	a.arrivals[id] = time.Now()
 	if a.tooMany() {
 		a.mutex.Unlock()
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if a.running >= a.slots {
 		a.mutex.Unlock()
@@ -100,6 +113,10 @@
 	a.runs = append(a.runs, current)
 	a.mutex.Unlock()
 	a.log.event("server %s runs %s", a.id, id)
+	if a.streams != nil && a.streams(r) {
+		a.stream(w, r, current)
+		return
+	}
 	// A request is dropped when its connection closes.
 	select {
 	case <-time.After(a.work(r)):
@@ -113,9 +130,48 @@
 	a.setLoad(w)
 	a.mutex.Unlock()
 	a.log.event("server %s ends %s: %s", a.id, id, current.ended)
-	if current.ended == "ok" {
-		_, _ = fmt.Fprintf(w, "answer to %s from %s\n", id, a.id)
+	if current.ended != "ok" {
+		// No answer: the connection is closed.
+		panic(http.ErrAbortHandler)
 	}
+	_, _ = fmt.Fprintf(w, "answer to %s from %s\n", id, a.id)
+}
+
+// wholeBody is the body of each answer that is sent as it is made.
+func wholeBody(id string) string { return "first half of " + id + "\nsecond half of " + id + "\n" }
+
+// stream sends the header and the first half of the body at once, and the rest when the work is done. The request is dropped,
+// and the connection closed, when the other side closes it.
+func (a *appServer) stream(w http.ResponseWriter, r *http.Request, current *run) {
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	body, length := wholeBody(current.id), ""
+	if a.framed {
+		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s-%s\r\nServer-Load: 1,0,%d,%d\r\n%sConnection: close\r\n\r\n%s",
+		current.id, a.id, current.id, a.slots, a.paceNow(), length, body[:len(body)/2])
+	_ = buffered.Flush()
+	closed := make(chan struct{})
+	go func() {
+		_, _ = conn.Read(make([]byte, 1))
+		close(closed)
+	}()
+	ended := "dropped"
+	select {
+	case <-time.After(a.work(r)):
+		ended = "ok"
+		_, _ = conn.Write([]byte(body[len(body)/2:]))
+	case <-closed:
+	}
+	a.mutex.Lock()
+	current.ended, current.end = ended, time.Now()
+	a.running--
+	a.mutex.Unlock()
+	a.log.event("server %s ends %s: %s", a.id, current.id, ended)
 }
 
 // tooMany reports whether the server has crashed, and lets it crash if it is cold and more requests than it bears came within
