--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -435,8 +435,8 @@
 // Rule MIXED: no client gets a success whose body is not the server's whole body.
 func brokenOffAnswers(f *fleet, trouble bool) (bool, error) {
 	const (
-		// Six servers, of which three give such answers to one request in twenty, for 5 s at a time.
-		servers, touched = 6, 3
+		// Twelve servers, of which six give such answers to one request in twenty, for 5 s at a time.
+		servers, touched = 12, 6
 		share            = 0.05
 		length, pause    = 5 * time.Second, 300 * time.Millisecond
 		windows          = 18
@@ -468,7 +468,7 @@
 	}
 	l := &load{}
 	var stop atomic.Bool
-	l.run(12*time.Millisecond, stop.Load, func(n int) *attempt {
+	l.run(6*time.Millisecond, stop.Load, func(n int) *attempt {
 		return do(f.record, f.machines[n%servers], "GET", fmt.Sprintf("/sheets/%d", n), "", 2500*time.Millisecond)
 	})
 	for range windows {
