--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -80,7 +80,10 @@
 	return f, err
 }
 
-// freePorts returns ports that are free on all loopback addresses at the moment.
+// address returns the address of the machine with a number. Runs beside each other use different ones.
+func address(n int) string { return fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%250, n) }
+
+// freePorts returns ports that are free at the moment on the address of the first machine.
 func freePorts(count int) ([]int, error) {
 	var ports []int
 	var held []net.Listener
@@ -90,7 +93,7 @@
 		}
 	}()
 	for range count {
-		l, err := net.Listen("tcp", "0.0.0.0:0")
+		l, err := net.Listen("tcp", address(1)+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -103,7 +106,7 @@
 // add adds a machine with a server, whose entry is written to the store. The node is not started.
 func (f *fleet) add(service, zone string, work func(*http.Request) time.Duration) (*machine, error) {
 	n := len(f.machines) + 1
-	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%250, n)
+	ip := address(n)
 	m := &machine{
 		fleet: f, name: fmt.Sprintf("sidecar-%s-%d", zone, n), zone: zone, ip: ip, storeAddress: f.endpoint.address,
 		outbound: fmt.Sprintf("%s:%d", ip, f.ports[0]), readiness: fmt.Sprintf("%s:%d", ip, f.ports[1]),
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -168,14 +168,15 @@
 func lyingHealth(f *fleet, trouble bool) (bool, error) {
 	const drain = 2 * time.Second
 	f.publish(7, []route{{"orders", "/orders/", "unsafe", "1500ms", "cutting"}}, "cutting")
-	if err := startAll(f, "cutting", fixed(200*time.Millisecond), "hk-a", "hk-b", "hk-c", "hk-a"); err != nil {
+	if err := startAll(f, "cutting", fixed(200*time.Millisecond),
+		"hk-a", "hk-b", "hk-c", "hk-a", "hk-b", "hk-c", "hk-a", "hk-b", "hk-c", "hk-a"); err != nil {
 		return false, err
 	}
 	leaving := f.machines[0].server
 	l := &load{}
 	end := time.Now().Add(8 * time.Second)
-	l.run(20*time.Millisecond, func() bool { return time.Now().After(end) }, func(n int) *attempt {
-		return do(f.record, f.machines[1+n%3], "PUT", "/orders/x", fmt.Sprintf("order %d", n), 2*time.Second)
+	l.run(8*time.Millisecond, func() bool { return time.Now().After(end) }, func(n int) *attempt {
+		return do(f.record, f.machines[1+n%9], "PUT", "/orders/x", fmt.Sprintf("order %d", n), 2*time.Second)
 	})
 	time.Sleep(2 * time.Second)
 	leaving.sayWell.Store(trouble)
