cmd: SIGHUP never ends a node, from its start until it is gone

Cause: the settings watcher owned the handler, and its context was the one that SIGTERM cancels. When it returned, signal.Stop gave SIGHUP its default action back; before it began the default action was in force as well. Ruled out: the reload, which touches no connection.

Change: SIGHUP is caught from the first line of main and not released. The watcher reads a channel until the graceful shutdown is over. Other commands end on SIGHUP as on SIGTERM. SIGTERM and SIGINT are not released before the exit either.

--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -26,9 +26,9 @@
 // statusTimeout is the timeout of a request to the status address of a node.
 const statusTimeout = 5 * time.Second
 
-func nodeCommand() *cli.Command {
+func nodeCommand(hangups <-chan os.Signal) *cli.Command {
 	return &cli.Command{
-		Name:  "node",
+		Name:  nodeCommandName,
 		Usage: "run one node next to its backend server",
 		Flags: []cli.Flag{
 			&cli.StringFlag{
@@ -36,11 +36,12 @@
 				Usage: "TOML settings `FILE` of the node",
 			},
 		},
-		Action: runNode,
+		Action: func(ctx context.Context, c *cli.Command) error { return runNode(ctx, c, hangups) },
 	}
 }
 
-func runNode(ctx context.Context, c *cli.Command) error {
+// runNode runs a node until ctx is cancelled and its graceful shutdown has finished. Its settings are reloaded all the while.
+func runNode(ctx context.Context, c *cli.Command, hangups <-chan os.Signal) error {
 	text, err := os.ReadFile(c.String("settings"))
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
@@ -67,12 +68,12 @@
 		return fmt.Errorf("start node: %w", err)
 	}
 	logger.registerMetrics(n.Registry())
-	watcher := &settingsWatcher{path: c.String("settings"), text: text, level: logger.level, logger: logger.Logger, node: n}
-	watchCtx, stop := context.WithCancel(ctx)
+	watcher := &settingsWatcher{path: c.String("settings"), text: text, level: logger.level, logger: logger.Logger, node: n, hangups: hangups}
+	watchCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer stop()
-	group.Go(func() { _ = watcher.watch(watchCtx) })
+	group.Go(func() { watcher.watch(watchCtx) })
 	return n.Run(ctx)
 }
 
--- a/cmd/verbenareel/main.go
+++ b/cmd/verbenareel/main.go
@@ -13,23 +13,26 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := newCommand().Run(ctx, os.Args)
-	stop()
+	hangups := notifyHangup()
+	// The signals are not released before the process exits: a further one must not cut short what the first one began.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := newCommand(hangups).Run(ctx, os.Args)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "verbenareel:", err)
 		os.Exit(1)
 	}
 }
 
-func newCommand() *cli.Command {
+// newCommand returns the command line. hangups receives SIGHUP.
+func newCommand(hangups <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:  "verbenareel",
 		Usage: "load balancer for backend servers whose load shifts in milliseconds",
 		Description: "One node runs next to each backend server instance. Callers send HTTP requests to any node.\n" +
 			"Start with: verbenareel demo",
+		Before: cancelOnHangup,
 		Commands: []*cli.Command{
-			nodeCommand(),
+			nodeCommand(hangups),
 			checkCommand(),
 			statusCommand(),
 			explainCommand(),
--- a/cmd/verbenareel/reload.go
+++ b/cmd/verbenareel/reload.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,20 +25,19 @@
 	level  zap.AtomicLevel
 	logger *zap.Logger
 	node   *node.Node
+	// hangups receives SIGHUP.
+	hangups <-chan os.Signal
 }
 
 // watch reloads the settings when the file changes or SIGHUP is received, until ctx is cancelled.
-func (s *settingsWatcher) watch(ctx context.Context) error {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
+func (s *settingsWatcher) watch(ctx context.Context) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-sighup:
+			return
+		case <-s.hangups:
 			s.logger.Info("SIGHUP received; reading settings file")
 		case <-ticker.C:
 		}
