node, router: a late request is accepted in a shutdown only if it can end in time

Cause: guard drain and the closing of the front ran one after the other on one deadline, so the front accepted everything while a call ran at the own server, whatever its timeout. Ruled out: closing the front at once, since a server at work makes nested calls through its node; a later end, which only moves the limit.

Change: after the 2.5 s in which callers notice the shutdown, the router refuses a call whose deadline lies after the end of the shutdown, at once and as not run. Calls that show they are nested are exempt. The shutdown has a file of its own.

Failed before: platform TestLateRequests (502 instead of 503, shutdown failed with calls in progress).

--- a/node/node.go
+++ b/node/node.go
@@ -52,16 +52,8 @@
 	adapterBurst = 3
 	// adapterStartSpread spreads the first reads of nodes that start at the same time.
 	adapterStartSpread = 50 * time.Millisecond
-	// deregistrationDelay is how long a node continues to serve after it reports that it is not ready, so that callers
-	// have time to stop sending requests to it.
-	deregistrationDelay = 2500 * time.Millisecond
 	// limitsPollInterval is the interval at which the limits of the document are checked for changes.
 	limitsPollInterval = 100 * time.Millisecond
-	// closeShare is the divisor of the time for a graceful shutdown that gives the time to answer cancelled calls and to
-	// close connections at its end.
-	closeShare = 10
-	// defaultDrainTimeout is the maximum duration of a graceful shutdown if drain_timeout is not set.
-	defaultDrainTimeout = 30 * time.Second
 )
 
 // Node is a load balancer process that runs next to one backend server.
@@ -330,42 +322,6 @@
 	}
 }
 
-// shutdown announces that the instance is leaving, waits for requests in progress and closes the listeners.
-func (n *Node) shutdown() error {
-	n.logger.Info("graceful shutdown started")
-	limit := n.currentSettings.Load().GetDrainTimeout().AsDuration()
-	if limit <= 0 {
-		limit = defaultDrainTimeout
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), limit-limit/closeShare)
-	defer cancel()
-	n.shuttingDown.Store(true)
-	n.router.DisableAbandon()
-	n.waitForDeregistration(ctx)
-	n.exchange.Announce(schema.InstanceState_INSTANCE_STATE_LEAVING)
-	// A part that does not finish in time does not keep the others from answering their callers.
-	err := errors.Join(n.guard.Drain(ctx), n.front.Shutdown(ctx), n.server.Shutdown(ctx))
-	if err != nil {
-		return fmt.Errorf("graceful shutdown: %w", err)
-	}
-	n.logger.Info("graceful shutdown finished")
-	return nil
-}
-
-// waitForDeregistration keeps the node serving for deregistrationDelay so that callers can notice that it is not ready.
-// The backend server, which may outlive this process, still receives calls during this time. Without a readiness listener
-// callers are not informed, so it returns immediately.
-func (n *Node) waitForDeregistration(ctx context.Context) {
-	if n.ready == nil {
-		return
-	}
-	n.front.DisableKeepAlives()
-	select {
-	case <-ctx.Done():
-	case <-n.clock.After(deregistrationDelay):
-	}
-}
-
 // watchLimits applies the limits of the current document to the HTTP front.
 func (n *Node) watchLimits(ctx context.Context) error {
 	var applied *core.Snapshot
--- a/router/call.go
+++ b/router/call.go
@@ -120,6 +120,9 @@
 		timeout = min(timeout, input.Timeout)
 	}
 	c := &call{input: input, rule: rule, service: service, group: g, deadline: now.Add(timeout)}
+	if !r.endsInTime(input, c.deadline) {
+		return nil, c.finalReply(core.NotRun(schema.Reason_REASON_LEAVING))
+	}
 	if rule.HasTargetLatency() {
 		c.target = now.Add(rule.GetTargetLatency().AsDuration())
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -42,6 +42,8 @@
 	// retiring is set before the node stops. From then on no running call is aborted to be repeated at another
 	// instance.
 	retiring atomic.Bool
+	// latestDeadline is the latest deadline of a call that is accepted while the node stops, or nil.
+	latestDeadline atomic.Pointer[time.Time]
 
 	tasksMu sync.Mutex
 	stopped bool
@@ -122,6 +124,17 @@
 // being aborted and repeated at another one.
 func (r *Router) DisableAbandon() { r.retiring.Store(true) }
 
+// RefuseAfter is called while the node stops. From then on a call is accepted only if its deadline is not after the latest
+// one, because the node cannot wait longer for its answer. Nested calls are always accepted: they belong to a call that is
+// already running.
+func (r *Router) RefuseAfter(latest time.Time) { r.latestDeadline.Store(&latest) }
+
+// endsInTime reports whether a new call can be answered before the node stops.
+func (r *Router) endsInTime(input *core.Call, deadline time.Time) bool {
+	latest := r.latestDeadline.Load()
+	return latest == nil || input.Depth > 0 || !deadline.After(*latest)
+}
+
 // Done returns a channel that is closed when Run has returned.
 func (r *Router) Done() <-chan struct{} { return r.done }
 
