io: an answer without a length that this side ended is incomplete

Cause: a guard that breaks off a call half-closes the connection; the server drops the request and closes too, and the end of the connection was taken for the end of the body. Ruled out by the test: answers with a length and chunked ones. Ruled out by reading: read deadlines, the close of a stopped backend and resets are errors for the reader, and frames between nodes carry their size.

Change: the connection notes that it was half-closed before it does so, and an answer without a length that ends after that counts as cancelled.

Failed before: io TestCancelledHalfAnswer (200 with half of the body).

--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -7,6 +7,7 @@
 	stdio "io"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,8 @@
 	bytesRead    int
 	// inSync reports that no response to another request has been read.
 	inSync bool
+	// halfClosed is set before this side closes its writing end, upon which the server may close the connection too.
+	halfClosed atomic.Bool
 }
 
 func newBackendConn(b *Backend, conn *net.TCPConn) *backendConn {
@@ -117,6 +120,7 @@
 		defer c.stallTimer.Stop()
 	}
 	stopCancelWatch := context.AfterFunc(ctx, func() {
+		c.halfClosed.Store(true)
 		_ = c.CloseWrite()
 		if c.backend.wire.ServersDropCancelled {
 			_ = c.SetReadDeadline(time.Now().Add(cancelGrace))
@@ -296,7 +300,8 @@
 	return errNoResponse
 }
 
-// receiveNext reads the next response, which may be an interim (1xx) response.
+// receiveNext reads the next response, which may be an interim (1xx) response. A body delimited by the end of the connection is
+// complete only if the server ended the connection by itself.
 func (c *backendConn) receiveNext(request *core.Request, response *fasthttp.Response) error {
 	h := &response.Header
 	h.DisableNormalizing()
@@ -319,8 +324,11 @@
 	if err := response.ReadBody(c.reader, int(c.backend.maxResponseBody.Load())); err != nil {
 		return err
 	}
-	if length == lengthChunked {
+	switch {
+	case length == lengthChunked:
 		return h.ReadTrailer(c.reader)
+	case length == lengthUntilClose && c.halfClosed.Load():
+		return errCutShort
 	}
 	return nil
 }
@@ -341,6 +349,7 @@
 
 var (
 	errNoFraming  = errors.New("response has neither a content length nor chunked encoding")
+	errCutShort   = errors.New("response without a length was ended by the cancellation of its request")
 	errNoResponse = errors.New("none of the received responses belongs to the request")
 )
 
--- a/io/backend_test.go
+++ b/io/backend_test.go
@@ -223,6 +223,41 @@
 // maxConfigDelay is the time within which a change of the configuration must be in force (docs/design.md, P9).
 const maxConfigDelay = 4 * time.Second
 
+// TestCancelledHalfAnswer guards against half of an answer that is returned as a whole one: a server may drop a cancelled
+// request and close its connection, which is also how an answer without a length ends.
+func TestCancelledHalfAnswer(t *testing.T) {
+	for _, head := range []string{"", "Content-Length: 8\r\n", "Transfer-Encoding: chunked\r\n"} {
+		t.Run(head, func(t *testing.T) {
+			half := make(chan struct{})
+			address := newTCPServer(t, func(conn *net.TCPConn) {
+				reader := bufio.NewReader(conn)
+				_, _ = http.ReadRequest(reader)
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n" + head + "\r\n"))
+				if strings.HasPrefix(head, "Transfer") {
+					_, _ = conn.Write([]byte("4\r\n"))
+				}
+				_, _ = conn.Write([]byte("half"))
+				close(half)
+				_, _ = stdio.Copy(stdio.Discard, reader)
+			})
+			backend := newBackend(t, address, io.WithWire(customWire()))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var group conc.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
+				<-half
+				time.Sleep(20 * time.Millisecond)
+				cancel()
+			})
+			result := backend.Send(ctx, &core.Request{Method: "GET", URI: "/", ID: "1", Deadline: time.Now().Add(5 * time.Second)})
+			qt.Check(t, result.Code, qt.Equals, 0, qt.Commentf("%s", result.Body))
+			qt.Check(t, result.Written, qt.IsTrue)
+			qt.Check(t, result.Reason, qt.Equals, schema.Reason_REASON_CANCELLED)
+		})
+	}
+}
+
 // TestBeforeSend guards against a request that is written although the reason not to send it appeared while its connection
 // was opened. The connection stays usable.
 func TestBeforeSend(t *testing.T) {
