peers: an entry read since an outage has outlived it, so it was removed

Cause: behind a cut from the platform a missing entry counts as expired for 2.5 s. Three faults in that: the entry had been read since the outage; that read kept counting as proof that the server serves, against its own health check; and a failed read that began before the last successful one (a timeout on a dead connection) began the 2.5 s anew. Ruled out: a shorter grace, since entries that expired are back only within two seconds.

Change: peers/outage.go holds what is known of the platform and of the own entry, with one table of what a missing entry means. While nothing is known the list proves nothing and the health check decides. A missing entry is read again after a second within the grace. One log line tells when it applies.

--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -69,6 +69,8 @@
 	publishedAt time.Time
 	// platformDown is set while the platform is logged as unreachable.
 	platformDown bool
+	// ownExpired is the value that was last logged.
+	ownExpired bool
 }
 
 type digest struct {
--- a/peers/log.go
+++ b/peers/log.go
@@ -56,20 +56,29 @@
 
 // logPlatform logs when the platform becomes unreachable and when it can be read again.
 func (e *Exchange) logPlatform() {
-	lost := e.state.platformErr != nil
+	lost := e.state.outage.err != nil
 	if lost == e.platformDown {
 		return
 	}
 	e.platformDown = lost
 	if lost {
-		e.logger.Warn("platform cannot be read", zap.Error(e.state.platformErr), zap.Uint64("revision", e.state.Revision()),
+		e.logger.Warn("platform cannot be read", zap.Error(e.state.outage.err), zap.Uint64("revision", e.state.Revision()),
 			zap.Time("confirmed", e.state.confirmedAt), zap.Time("list_as_of", e.state.listedAt))
 		return
 	}
-	e.logger.Info("platform can be read again", zap.Duration("away", e.state.outageEnd.Sub(e.state.outageStart)),
+	e.logger.Info("platform can be read again", zap.Duration("away", e.state.outage.end.Sub(e.state.outage.start)),
 		zap.Uint64("revision", e.state.Revision()))
 }
 
+// logExpired logs when the node's own entry is missing from the platform's list but may have expired in an outage.
+func (e *Exchange) logExpired() {
+	if expired := e.state.ownExpired; expired != e.ownExpired {
+		e.ownExpired = expired
+		e.logger.Info("own entry missing after an outage of the platform; it may have expired", zap.Bool("missing", expired),
+			zap.Time("last_seen", e.state.ownSeenAt), zap.Duration("since_outage", e.clock.Now().Sub(e.state.outage.end)))
+	}
+}
+
 // domainsOutOfService returns the sorted names of the failure domains that the document takes out of service.
 func domainsOutOfService(s *core.Snapshot) []string {
 	var names []string
--- a/peers/members.go
+++ b/peers/members.go
@@ -249,24 +249,8 @@
 	return joined
 }
 
-// applyList applies the platform's list. With keepMissing, instances that the list no longer names keep their entries.
-func (t *memberTable) applyList(members []*schema.Member, now time.Time, self string, keepMissing bool) {
-	var own *schema.Member
-	others := make([]*schema.Member, 0, len(members))
-	for _, r := range members {
-		if r.GetInstance() == self {
-			own = r
-			continue
-		}
-		others = append(others, r)
-	}
-	t.applyOthers(others, now, self, keepMissing)
-	if own != nil || !keepMissing {
-		t.applyOwn(self, own, now)
-	}
-}
-
-// applyOthers applies the entries of all instances but the node's own one.
+// applyOthers applies the platform's list of all instances but the node's own one, self. With keepMissing, instances that
+// the list no longer names keep their entries.
 func (t *memberTable) applyOthers(members []*schema.Member, now time.Time, self string, keepMissing bool) {
 	entries := make(map[string]*schema.Member, len(members))
 	for _, r := range members {
@@ -299,6 +283,12 @@
 	})
 }
 
+// ownMissing reports whether the list is known to lack the node's own instance.
+func (t *memberTable) ownMissing(self string) bool {
+	m := t.byName[self]
+	return m != nil && m.missingFromList
+}
+
 // recordContact records a direct exchange with a member.
 func (t *memberTable) recordContact(m *member, now time.Time) {
 	if m != nil {
--- /dev/null
+++ b/peers/outage.go
@@ -0,0 +1,79 @@
+package peers
+
+import (
+	"time"
+
+	"verbenareel/schema"
+)
+
+// missingEntryInterval is the time between two reads of the node's own entry while it is missing and may come back.
+const missingEntryInterval = time.Second
+
+// outage tracks whether the platform can be read.
+type outage struct {
+	// err is the error of the last read that counts, or nil.
+	err error
+	// start is when the first of the consecutive failed reads ended, end when a read succeeded again.
+	start, end time.Time
+	// reached is when the latest of the successful reads began, failed when the last failed read ended.
+	reached, failed time.Time
+}
+
+// record records the result of a read that began at a time. The failure of a read says nothing about the platform if a later
+// one has succeeded: the answer was lost, or the connection had gone silent.
+func (o *outage) record(now, began time.Time, err error) {
+	switch {
+	case err != nil && began.Before(o.reached):
+	case err != nil:
+		if o.err == nil {
+			o.start = now
+		}
+		o.err, o.failed = err, now
+	default:
+		if o.err != nil {
+			o.err, o.end = nil, now
+		}
+		o.reached = latest(o.reached, began)
+	}
+}
+
+// inGrace reports whether the platform was unreachable until recently, so that entries of live instances may be missing. The
+// grace period starts with the first successful read, because the platform may have come back at any time after the last
+// failed one.
+func (o *outage) inGrace(now time.Time, grace time.Duration) bool {
+	return o.err != nil || !o.end.IsZero() && now.Sub(o.end) < grace
+}
+
+// inGrace reports whether entries of live instances may be missing because they expired in an outage of the platform.
+func (s *State) inGrace(now time.Time) bool { return s.outage.inGrace(now, s.reading.OutageGrace) }
+
+// recordReadResult records whether a read that began at a time reached the platform.
+func (s *State) recordReadResult(now, began time.Time, err error) {
+	if err != nil {
+		s.counters.PlatformFailures++
+	}
+	s.outage.record(now, began, err)
+}
+
+// applyOwnEntry applies the result of a read that began at a time: the entry of the node's own instance, or nil if it is
+// missing. What a missing entry means depends on the outage of the platform before it:
+//
+//	no outage, or the grace after it has passed    the instance is leaving or gone
+//	in the grace, entry read since the outage      the same: the entry has outlived the outage, so it was removed
+//	in the grace, entry not read since the outage  unknown: the entry may have expired
+//
+// In the last case the previous entry stays in force, but the list no longer confirms it: the health check of the backend
+// server alone decides whether it is leaving.
+func (s *State) applyOwnEntry(now, began time.Time, entry *schema.Member) {
+	s.table.authoritative = s.reading.ListAuthoritative
+	if entry != nil {
+		s.ownSeenAt = latest(s.ownSeenAt, began)
+	}
+	s.ownExpired = entry == nil && s.inGrace(now) && !s.ownSeenAt.After(s.outage.failed)
+	if s.ownExpired {
+		s.listedAt = time.Time{}
+		return
+	}
+	s.listedAt = began
+	s.table.applyOwn(s.self.GetInstance(), entry, now)
+}
--- a/peers/ownentry_test.go
+++ b/peers/ownentry_test.go
@@ -107,3 +107,58 @@
 	qt.Check(t, lists, qt.Equals, 0)
 	qt.Check(t, entries, qt.Equals, 1)
 }
+
+// TestOwnEntryAfterOutage guards against a server that goes on working after its entry was removed, since the node takes the
+// entry as lapsed in an outage of the platform that it has outlived, and against one that stops because its entry lapsed.
+func TestOwnEntryAfterOutage(t *testing.T) {
+	const (
+		present = "present"
+		absent  = "absent"
+		fails   = "fails"
+		// failsLate is the failure of a read that began before the last successful one.
+		failsLate = "fails late"
+		wait      = "wait"
+	)
+	for _, c := range []struct {
+		name  string
+		steps []string
+		want  schema.InstanceState
+		// listed reports whether the list says anything about the instance.
+		listed bool
+	}{
+		{"removed", []string{present, absent}, leaving, true},
+		{"lapsed in an outage", []string{present, fails, absent}, serving, false},
+		{"lapsed in an outage, back", []string{present, fails, absent, present}, serving, true},
+		{"still missing after the grace", []string{present, fails, absent, wait, absent}, leaving, true},
+		{"removed after an outage", []string{present, fails, present, absent}, leaving, true},
+		{"removed after an outage, old read fails", []string{present, fails, present, failsLate, absent}, leaving, true},
+		{"removed while an old read fails", []string{present, failsLate, absent}, leaving, true},
+		{"lapsed in a second outage", []string{present, fails, present, fails, absent}, serving, false},
+		{"removed, back", []string{present, fails, present, absent, present}, serving, true},
+		{"away", []string{present, fails}, serving, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_700_000_000, 0)
+			s := ownEntryState(now)
+			s.SetInstanceName(now, ownName)
+			for _, step := range c.steps {
+				read := ReadOwnEntry{Instance: ownName, sentAt: now.Add(10 * time.Millisecond)}
+				now = now.Add(50 * time.Millisecond)
+				switch step {
+				case present:
+					s.OwnEntryDone(now, read, listed(ownName, "127.0.0.1:1", serving), nil)
+				case absent:
+					s.OwnEntryDone(now, read, nil, nil)
+				case fails:
+					s.OwnEntryDone(now, read, nil, errDown)
+				case failsLate:
+					s.MembersDone(now, ReadMembers{sentAt: now.Add(-time.Second)}, nil, errDown)
+				case wait:
+					now = now.Add(s.reading.OutageGrace)
+				}
+			}
+			checkState(t, s, ownName, c.want)
+			qt.Check(t, !s.Snapshot().ListTime().IsZero(), qt.Equals, c.listed)
+		})
+	}
+}
--- a/peers/publish.go
+++ b/peers/publish.go
@@ -32,6 +32,7 @@
 func (e *Exchange) publish() {
 	e.logRejection()
 	e.logPlatform()
+	e.logExpired()
 	seen := publishedVersion{
 		revision: e.state.Revision(),
 		changes:  e.state.table.changes,
--- a/peers/read.go
+++ b/peers/read.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -232,14 +231,17 @@
 	if s.listRequestedAt.After(r.startedAt) {
 		return r.backoff()
 	}
-	if s.platformErr != nil && s.reading.OutageGrace > 0 {
+	if s.outage.err != nil && s.reading.OutageGrace > 0 {
 		// Other nodes may confirm the document, so only a read of the list shows that the platform is reachable again.
 		return latest(r.startedAt.Add(maxBackoff), r.backoff())
 	}
 	due := r.startedAt.Add(scale(s.listInterval(), 0.8+0.4*r.jitter))
-	if graceEnd := s.outageEnd.Add(s.reading.OutageGrace); s.reading.OutageGrace > 0 && graceEnd.After(r.startedAt) && graceEnd.Before(due) {
+	if graceEnd := s.outage.end.Add(s.reading.OutageGrace); s.reading.OutageGrace > 0 && graceEnd.After(r.startedAt) && graceEnd.Before(due) {
 		// Entries that are missing after the grace period are gone: they did not merely expire during the outage.
 		due = graceEnd
+		if again := r.startedAt.Add(missingEntryInterval); s.table.ownMissing(s.self.GetInstance()) && again.Before(due) {
+			due = again
+		}
 	}
 	return latest(due, r.backoff())
 }
@@ -262,7 +264,7 @@
 	s.detectPause(now)
 	s.documentRead.finish(now, sent.readID, err)
 	s.confirmRead.finish(now, sent.readID, err)
-	s.recordReadResult(now, err)
+	s.recordReadResult(now, sent.sentAt, err)
 	if err != nil {
 		s.countRecheckAnswer(sent.recheckID, 0)
 		s.finishRecheck()
@@ -289,25 +291,25 @@
 func (s *State) MembersDone(now time.Time, sent ReadMembers, list []*schema.Member, err error) {
 	s.detectPause(now)
 	s.membersRead.finish(now, sent.readID, err)
-	s.recordReadResult(now, err)
+	s.recordReadResult(now, sent.sentAt, err)
 	if err != nil {
 		return
 	}
-	own := s.self.GetInstance()
-	isOwn := func(r *schema.Member) bool { return r.GetInstance() == own }
+	var ownEntry *schema.Member
+	others := make([]*schema.Member, 0, len(list))
+	for _, r := range list {
+		if r.GetInstance() == s.self.GetInstance() {
+			ownEntry = r
+			continue
+		}
+		others = append(others, r)
+	}
+	s.table.applyOthers(others, now, s.self.GetInstance(), s.inGrace(now))
 	if s.reading.ReadOwnEntry {
-		others := slices.DeleteFunc(list, isOwn)
 		s.countDiscovery(len(others))
-		s.table.applyOthers(others, now, own, s.inGrace(now))
 		return
 	}
-	if !s.inGrace(now) || slices.ContainsFunc(list, isOwn) {
-		// During the grace period the node's own entry may be missing only because it expired, so such a list says
-		// nothing about the node's own instance.
-		s.listedAt = sent.sentAt
-	}
-	s.table.authoritative = s.reading.ListAuthoritative
-	s.table.applyList(list, now, own, s.inGrace(now))
+	s.applyOwnEntry(now, sent.sentAt, ownEntry)
 }
 
 // countDiscovery records how many other instances a list named. A few suffice: their nodes know the rest.
@@ -322,32 +324,8 @@
 func (s *State) OwnEntryDone(now time.Time, sent ReadOwnEntry, entry *schema.Member, err error) {
 	s.detectPause(now)
 	s.ownRead.finish(now, sent.readID, err)
-	s.recordReadResult(now, err)
-	if err != nil || sent.Instance != s.self.GetInstance() || entry == nil && s.inGrace(now) {
-		return
+	s.recordReadResult(now, sent.sentAt, err)
+	if err == nil && sent.Instance == s.self.GetInstance() {
+		s.applyOwnEntry(now, sent.sentAt, entry)
 	}
-	s.listedAt = sent.sentAt
-	s.table.authoritative = s.reading.ListAuthoritative
-	s.table.applyOwn(sent.Instance, entry, now)
-}
-
-// recordReadResult records whether a read reached the platform.
-func (s *State) recordReadResult(now time.Time, err error) {
-	switch {
-	case err != nil:
-		s.counters.PlatformFailures++
-		if s.platformErr == nil {
-			s.outageStart = now
-		}
-		s.platformErr = err
-	case s.platformErr != nil:
-		s.platformErr, s.outageEnd = nil, now
-	}
-}
-
-// inGrace reports whether the platform was unreachable until recently, so that entries of live instances may be
-// missing. The grace period starts with the first successful read, because the platform may have come back at any time
-// after the last failed one.
-func (s *State) inGrace(now time.Time) bool {
-	return s.platformErr != nil || !s.outageEnd.IsZero() && now.Sub(s.outageEnd) < s.reading.OutageGrace
 }
--- a/peers/state.go
+++ b/peers/state.go
@@ -155,10 +155,11 @@
 	confirmRead readSchedule
 	// listedAt is the time as of which the platform's list is known to include or omit the node's own instance.
 	listedAt time.Time
-	// platformErr is the error of the last read, or nil. outageStart is when the first of the consecutive failed reads
-	// ended, outageEnd when a read succeeded again.
-	platformErr            error
-	outageStart, outageEnd time.Time
+	// ownSeenAt is when the latest read began that showed the entry of the node's own instance.
+	ownSeenAt time.Time
+	// ownExpired is set while that entry is missing but may have expired in an outage of the platform.
+	ownExpired bool
+	outage     outage
 	// listRequestedAt is the time as of which a caller needs the list.
 	listRequestedAt time.Time
 	lastID          uint64
@@ -324,6 +325,7 @@
 		Instance: instance, Service: s.self.GetService(), Domain: s.self.GetDomain(), Address: s.self.GetAddress(),
 		Incarnation: s.self.GetIncarnation(), Version: version, State: state,
 	}.Build())
+	s.ownSeenAt = time.Time{}
 	s.announceRecords(now)
 	s.RequestListRead(now)
 }
--- a/peers/status.go
+++ b/peers/status.go
@@ -39,7 +39,7 @@
 		Rejected: s.rejected.revision, RejectedAt: s.rejected.at, RejectionErr: s.rejected.faults,
 		Members: s.table.effective(), Contacts: make(map[string]time.Time, len(s.table.sorted)),
 		Contact: s.lastContact, ConfirmedAt: s.confirmedAt, Reader: s.platform && s.isReader(now), Fresh: s.Fresh(now),
-		ListedAt: s.listedAt, PlatformErr: s.platformErr,
+		ListedAt: s.listedAt, PlatformErr: s.outage.err,
 		Counters: s.counters,
 	}
 	for _, m := range s.table.sorted {
