peers: one sync in four compares member records, whatever the number sent at once

Cause: whether a sync compares member records was decided once for all syncs of a tick, by a counter that grows by their number. With two at a time (a node contacts more peers after failures) an odd counter never met a multiple of four, so nobody repaired records until the number changed. Ruled out: the retry delay after failures; contact succeeded 0.1 s after the partition, and the records came 4.9 s later.

Change: it is decided for each sync.

--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -679,3 +679,22 @@
 	m.run(convergenceTicks)
 	c.Assert(m.diverged(), qt.HasLen, 0)
 }
+
+// TestStateRestartsBehindPartition guards against a node that comes back from a partition too late: the others have restarted
+// meanwhile and do not know it, and the platform is down, so it has to try them again by itself. The length of the partition
+// decides how long it waits.
+func TestStateRestartsBehindPartition(t *testing.T) {
+	c := qt.New(t)
+	for ticks := range 60 {
+		m := newModel(3, uint64(ticks), c.Fatalf)
+		m.put(true)
+		m.run(7)
+		m.processes[2].group = 1
+		m.run(ticks)
+		m.restart(0, 0)
+		m.restart(1, 0)
+		m.restorePaths(pathDown)
+		m.run(convergenceTicks)
+		c.Check(m.diverged(), qt.HasLen, 0, qt.Commentf("partition of %d ticks", ticks))
+	}
+}
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -156,8 +156,9 @@
 	if s.syncCount == 0 {
 		n = initialPeers
 	}
-	full := s.syncCount%fullSyncEvery == 0 || !s.fullSyncDone
+	fullSyncDone := s.fullSyncDone
 	for _, to := range s.choosePeers(now, n) {
+		full := s.syncCount%fullSyncEvery == 0 || !fullSyncDone
 		s.syncCount++
 		s.sendSync(now, to, s.newSyncRequest(now, full), 0)
 	}
