cmd: a node outlives the reader of its log

A node whose standard output is a pipe ended with SIGPIPE, status 141, at the first line after the reader had gone, and cut all its requests.

Cause: the Go runtime ends a process that writes to a closed standard output or standard error unless SIGPIPE is ignored or caught. Ruled out: a reader that only stops reading, which TestLogReader covers.

Change: a node ignores SIGPIPE before it writes anything. Lines that cannot be written count in verbenareel_log_dropped_total.

Failed before: proof TestLogReaderGone (the node was gone). Whether this is what the users saw is not known.

The service time is now fixed; the check is the same.

--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -8,7 +8,9 @@
 	stdio "io"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -42,6 +44,8 @@
 
 // runNode runs a node until ctx is cancelled and its graceful shutdown has finished. Its settings are reloaded all the while.
 func runNode(ctx context.Context, c *cli.Command, hangups <-chan os.Signal) error {
+	// Otherwise the first log line after the reader of standard output or standard error has gone would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	text, err := os.ReadFile(c.String("settings"))
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
--- a/cmd/verbenareel/logs.go
+++ b/cmd/verbenareel/logs.go
@@ -57,7 +57,7 @@
 func (l *processLogger) registerMetrics(registerer prometheus.Registerer) {
 	registerer.MustRegister(l.sampledOut.total, prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "verbenareel_log_dropped_total",
-		Help: "Log lines dropped since nobody read them.",
+		Help: "Log lines dropped since nobody read them or the reader has gone.",
 	}, func() float64 { return float64(l.writer.totalDrops.Load()) }))
 }
 
@@ -143,7 +143,10 @@
 		if dropped := w.unreportedDrops.Swap(0); dropped > 0 {
 			_, _ = fmt.Fprintf(w.out, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped)
 		}
-		_, _ = w.out.Write(line)
+		if _, err := w.out.Write(line); err != nil {
+			// The reader has gone. There is no place to report it but the counter.
+			w.totalDrops.Add(1)
+		}
 		w.pending.Add(-1)
 	}
 }
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	stdio "io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -52,6 +53,7 @@
 // process is a child process of the test.
 type process struct {
 	command *exec.Cmd
+	stdout  stdio.ReadCloser
 	stderr  bytes.Buffer
 	mu      sync.Mutex
 	exited  chan struct{}
@@ -64,6 +66,7 @@
 	p := &process{command: exec.Command(binary, arguments...), exited: make(chan struct{})}
 	stdout, err := p.command.StdoutPipe()
 	qt.Assert(t, err, qt.IsNil)
+	p.stdout = stdout
 	stderr, err := p.command.StderrPipe()
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, p.command.Start(), qt.IsNil)
--- a/proof/signal_test.go
+++ b/proof/signal_test.go
@@ -34,6 +34,8 @@
 	shape.ServiceTime = 600
 	f := startFleet(t, shape)
 	stopped := f.instances[0]
+	// By default service times vary up to several times the mean, beyond the timeout of the call.
+	stopped.control(t, `{"fixed": true}`)
 	var group conc.WaitGroup
 	defer group.Wait()
 	codes := make(chan int, 1)
@@ -70,3 +72,27 @@
 	default:
 	}
 }
+
+// TestLogReaderGone guards against a node that ends because the reader of its log has gone: the next line that it writes to
+// the closed pipe raises SIGPIPE. The lines that are lost must be counted.
+func TestLogReaderGone(t *testing.T) {
+	f := startFleet(t, smallShape(1))
+	i := f.instances[0]
+	qt.Assert(t, i.node.stdout.Close(), qt.IsNil)
+	i.node.signal(syscall.SIGHUP)
+	waitFor(t, 2*time.Second, "a lost line is counted", func() bool {
+		select {
+		case <-i.node.exited:
+			t.Fatalf("the node ended: %v", i.node.err)
+		default:
+		}
+		return i.metric(t, "verbenareel_log_dropped_total") > 0
+	})
+	response, err := http.Get("http://" + i.http + "/sheets/1")
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	qt.Check(t, response.StatusCode, qt.Equals, http.StatusOK)
+	i.node.signal(syscall.SIGTERM)
+	<-i.node.exited
+	qt.Check(t, i.node.err, qt.IsNil)
+}
