--- a/node/node.go
+++ b/node/node.go
@@ -175,36 +175,6 @@
 	n.router = router.New(n.self, n.exchange, n.guard, n.transport, n.clock, routerOptions...)
 }
 
-// listen opens the listeners and creates the components that serve them.
-func (n *Node) listen() error {
-	var err error
-	n.server, err = io.NewServer(n.settings.GetRpcAddress(), n.guard, n.exchange, io.WithLogger(n.logger),
-		io.WithRegisterer(n.registry))
-	if err != nil {
-		return fmt.Errorf("open RPC listener: %w", err)
-	}
-	n.front, err = io.NewFront(n.settings.GetHttpAddress(), n.router, io.WithLogger(n.logger),
-		io.WithRegisterer(n.registry), io.WithWire(n.wire()))
-	if err != nil {
-		return fmt.Errorf("open HTTP listener: %w", err)
-	}
-	n.status, err = newStatusServer(n.settings.GetStatusAddress(), n)
-	if err != nil {
-		return fmt.Errorf("open status listener: %w", err)
-	}
-	if address := n.settings.GetReadyAddress(); address != "" {
-		if n.ready, err = newReadinessServer(address, n); err != nil {
-			return fmt.Errorf("open readiness listener: %w", err)
-		}
-	}
-	n.beacon, err = beacon.New(n.self, n.server.Addr(), n.settings.GetReportInterval().AsDuration(), n.exchange, n.guard, n.router,
-		n.exchange, n.clock, beacon.WithLogger(n.logger), beacon.WithRegisterer(n.registry))
-	if err != nil {
-		return fmt.Errorf("open load report listener: %w", err)
-	}
-	return nil
-}
-
 // receiveWait returns the time until the bodies that are being transferred to this node have arrived.
 func (n *Node) receiveWait() time.Duration {
 	if n.server == nil {
