io: a session does not wait for ever for its caller after a refused request

A graceful shutdown hung until its time was up, and a connection stayed open for as long as its caller kept it, if a request was refused while the caller was still sending it.

Cause: after its last response a session closes its writing end and reads for one second. The goroutine that watches for the caller's close was still reading, took the rest of the request and removed the read deadline. Ruled out: the same without further data, which ends after a second.

Change: the session waits for the watch to end before it begins that second.

--- a/io/session.go
+++ b/io/session.go
@@ -80,11 +80,15 @@
 		s.cancel()
 	}
 	close(s.responses)
+	watched := closedChannel
 	if errors.Is(err, errLastRequest) && s.inFlight.Load() > 0 {
-		s.watchForClose(written)
+		watched = s.watchForClose(written)
 	}
 	<-written
 	s.cancel()
+	// The watch and linger both set the read deadline.
+	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
+	<-watched
 	if s.lastWritten {
 		s.linger()
 	}
@@ -92,6 +96,13 @@
 	s.releaseReader()
 }
 
+// closedChannel is a channel that is closed.
+var closedChannel = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // drain lets the session end when its requests have been answered.
 func (s *session) drain() {
 	s.draining.Store(true)
@@ -263,9 +274,11 @@
 }
 
 // watchForClose cancels the context of the session if the caller closes the connection while its last request is in
-// progress.
-func (s *session) watchForClose(written <-chan struct{}) {
+// progress. The returned channel is closed when the watch has ended, which an expired read deadline does after written.
+func (s *session) watchForClose(written <-chan struct{}) <-chan struct{} {
+	ended := make(chan struct{})
 	s.front.group.Go(func() {
+		defer close(ended)
 		var rest [512]byte
 		for {
 			_ = s.conn.SetReadDeadline(time.Time{})
@@ -285,6 +298,7 @@
 			}
 		}
 	})
+	return ended
 }
 
 // linger closes the writing end of the connection and waits at most lingerTimeout for the caller to close its end.
