io: a planned stop answers the requests that have already arrived

Cause: the front closed its listener at once, and each session's read deadline was set to the past, which also keeps data that has arrived from being read.

Change: the front accepts the queue for 10 ms before it closes the listener; a session takes requests for 50 ms more and completes the one that it is reading. The last response of a connection no longer depends on a guess that no request follows. Ruled out: keeping the listener open to the end, which only moves the moment.

--- a/io/front.go
+++ b/io/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,8 +37,13 @@
 	mutex    sync.Mutex
 	sessions map[*session]struct{}
 	draining bool
+	closed   bool
 }
 
+// acceptLastWait is how long connections are accepted after a graceful shutdown has begun. They may have waited in the kernel's
+// queue, and would be reset if the listener was closed.
+const acceptLastWait = 10 * time.Millisecond
+
 // frontLimits are the size limits and timeouts that apply to callers.
 type frontLimits struct {
 	maxHeader     int
@@ -107,7 +113,7 @@
 		switch {
 		case err == nil:
 			f.startSession(conn)
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		default:
 			// The error may be temporary, such as a lack of file descriptors.
@@ -119,16 +125,19 @@
 }
 
 // startSession starts a session for the connection, or closes the connection if the limit is reached or the front is
-// shutting down.
+// closed.
 func (f *Front) startSession(conn net.Conn) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.draining || len(f.sessions) >= f.maxConnections {
+	if f.closed || len(f.sessions) >= f.maxConnections {
 		f.errorCounter.inc(kindTooManyConns)
 		_ = conn.Close()
 		return
 	}
 	s := newSession(f, conn)
+	if f.draining {
+		s.drain(lastRequestWait)
+	}
 	f.sessions[s] = struct{}{}
 	f.group.Go(func() {
 		s.serve()
@@ -172,14 +181,22 @@
 	return err
 }
 
-// drain closes the listener and lets each session end after its last response.
+// drain accepts the connections that are waiting, closes the listener and lets each session end after its last response.
 func (f *Front) drain() {
+	f.startDraining()
+	if tcp, ok := f.listener.(*net.TCPListener); ok {
+		_ = tcp.SetDeadline(time.Now().Add(acceptLastWait))
+		_ = f.accept()
+	}
+	_ = f.listener.Close()
+}
+
+func (f *Front) startDraining() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.draining = true
-	_ = f.listener.Close()
 	for s := range f.sessions {
-		s.drain()
+		s.drain(lastRequestWait)
 	}
 }
 
@@ -196,7 +213,7 @@
 	f.stop()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.draining = true
+	f.closed = true
 	_ = f.listener.Close()
 	for s := range f.sessions {
 		s.abort()
--- a/io/session.go
+++ b/io/session.go
@@ -24,6 +24,9 @@
 	// lingerTimeout is how long to wait for the caller to close the connection after this side has closed its writing end.
 	// Closing a socket with unread data resets the connection, and the caller may lose the last response.
 	lingerTimeout = time.Second
+	// lastRequestWait is how long a session still accepts a request after a graceful shutdown has begun: it may have been sent
+	// before the caller could notice.
+	lastRequestWait = 50 * time.Millisecond
 	// interimResponse requests the body from a caller that sent "Expect: 100-continue".
 	interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
@@ -45,7 +48,10 @@
 	// responses contains the pending responses in the order of their requests.
 	responses chan *pendingResponse
 	inFlight  atomic.Int64
-	draining  atomic.Bool
+	// drainEnd is the time in nanoseconds since the Unix epoch after which no further request is read; 0 means that there is
+	// none. reading is set while a request is being read, which is completed even after that time.
+	drainEnd atomic.Int64
+	reading  atomic.Bool
 	// lastWritten reports that the last response of the connection has been written.
 	lastWritten bool
 
@@ -103,12 +109,18 @@
 	return c
 }()
 
-// drain lets the session end when its requests have been answered.
-func (s *session) drain() {
-	s.draining.Store(true)
-	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
+// drain lets the session end when its requests have been answered. A request that arrives within the wait is still accepted.
+func (s *session) drain(wait time.Duration) {
+	end := time.Now().Add(wait)
+	s.drainEnd.Store(end.UnixNano())
+	if !s.reading.Load() {
+		_ = s.conn.SetReadDeadline(end)
+	}
 }
 
+// draining reports whether drain was called.
+func (s *session) draining() bool { return s.drainEnd.Load() != 0 }
+
 // abort closes the connection and cancels its calls.
 func (s *session) abort() {
 	s.cancel()
@@ -121,10 +133,12 @@
 		if err := s.awaitRequest(); err != nil {
 			return err
 		}
+		s.reading.Store(true)
 		limits := s.front.limits.Load()
 		_ = s.conn.SetReadDeadline(time.Now().Add(limits.headerTimeout))
 		request := fasthttp.AcquireRequest()
 		err := s.readRequest(request, limits)
+		s.reading.Store(false)
 		if err == nil {
 			err = s.startCall(request)
 		} else {
@@ -146,8 +160,8 @@
 	idleSince := time.Now()
 	for {
 		_ = s.conn.SetReadDeadline(idleSince.Add(s.front.limits.Load().idleTimeout))
-		if s.draining.Load() {
-			return errLastRequest
+		if end := s.drainEnd.Load(); end != 0 {
+			_ = s.conn.SetReadDeadline(time.Unix(0, end))
 		}
 		n, err := s.conn.Read(s.firstByte[:])
 		switch {
@@ -158,7 +172,7 @@
 			return nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return errCallerClosed
-		case s.draining.Load():
+		case s.draining():
 			return errLastRequest
 		case s.inFlight.Load() > 0:
 			idleSince = time.Now()
@@ -252,12 +266,13 @@
 			continue
 		}
 		_ = s.conn.SetWriteDeadline(time.Now().Add(s.front.writeTimeout))
-		last := a.response.close || s.draining.Load() && len(s.responses) == 0
+		last := a.response.close
 		a.response.close = last || s.front.keepAlivesDisabled.Load()
 		a.response.write(w)
-		if err := w.Flush(); err != nil || last {
+		err := w.Flush()
+		s.lastWritten = err == nil && a.response.close
+		if err != nil || last {
 			stopped = true
-			s.lastWritten = err == nil
 			s.stopReading(err)
 		}
 	}
@@ -270,7 +285,7 @@
 		s.cancel()
 		_ = s.conn.Close()
 	}
-	s.drain()
+	s.drain(0)
 }
 
 // watchForClose cancels the context of the session if the caller closes the connection while its last request is in
