io: one budget for the large bodies that a node holds

Cause: each connection bounded its own answer by max_body, and nothing bounded the sum; the same for callers' requests, whose declared length is allocated before a byte arrives. Ruled out: heads, interim answers and bytes that are no answer.

Change: io.Memory counts bodies above 64 KB that are read from the server and from callers, and answers that are written: a sixteenth of the machine's memory, 8 to 32 MB. When it is full the largest body that is being read is given up, reason memory (503 for a request, 502 for an answer); small ones go on. A node sets a soft limit for its heap.

Failed before (budget without limit): io TestEndlessAnswersTogether, TestLargeRequestsTogether. Open: the sum of messages between nodes.

--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -46,6 +46,7 @@
 func runNode(ctx context.Context, c *cli.Command, hangups <-chan os.Signal) error {
 	// Otherwise the first log line after the reader of standard output or standard error has gone would end the process.
 	signal.Ignore(syscall.SIGPIPE)
+	limitHeap()
 	text, err := os.ReadFile(c.String("settings"))
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -36,6 +36,8 @@
 	inSync bool
 	// halfClosed is set before this side closes its writing end, upon which the server may close the connection too.
 	halfClosed atomic.Bool
+	// holding is the memory that the current response takes.
+	holding *holding
 }
 
 func newBackendConn(b *Backend, conn *net.TCPConn) *backendConn {
@@ -53,6 +55,9 @@
 	}
 	n, err := c.TCPConn.Read(p)
 	c.bytesRead += n
+	if full := c.holding.grow(n); full != nil {
+		return 0, full
+	}
 	return n, err
 }
 
@@ -113,6 +118,8 @@
 // expected to drop the request, otherwise until the time limit of the request.
 func (c *backendConn) roundTrip(ctx context.Context, request *core.Request) *core.Result {
 	c.reusable, c.bytesWritten, c.bytesRead, c.request = false, 0, 0, request
+	c.holding = c.backend.memory.hold(func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	defer c.holding.release()
 	timeout, stallTimeout := c.backend.timeouts(request.Deadline)
 	_ = c.SetDeadline(time.Now().Add(timeout))
 	if !c.lastUsed.IsZero() {
@@ -260,6 +267,8 @@
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
 	switch {
+	case c.holding.evicted.Load():
+		result.Reason = schema.Reason_REASON_MEMORY
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &smallBuffer):
 		result.Reason = schema.Reason_REASON_TOO_LARGE
 	case !notCancelled && c.backend.wire.ServersDropCancelled:
@@ -321,7 +330,13 @@
 	if length == lengthUntilClose && !c.backend.wire.CloseDelimitedBodies {
 		return errNoFraming
 	}
-	if err := response.ReadBody(c.reader, int(c.backend.maxResponseBody.Load())); err != nil {
+	limit := int(c.backend.maxResponseBody.Load())
+	if length <= limit {
+		if err := c.holding.reserve(length); err != nil {
+			return err
+		}
+	}
+	if err := response.ReadBody(c.reader, limit); err != nil {
 		return err
 	}
 	switch {
--- a/io/option.go
+++ b/io/option.go
@@ -54,6 +54,7 @@
 	pingAfter       time.Duration
 	pingTimeout     time.Duration
 	wire            *core.WireFormat
+	memory          *Memory
 }
 
 // Option configures a Server, Transport, Backend or Front. Options that do not apply to a component are ignored.
@@ -115,6 +116,12 @@
 	return func(o *options) { o.wire = wire }
 }
 
+// WithMemory sets the budget for large bodies that a Backend and a Front share. By default each has its own, as large as
+// that of a node.
+func WithMemory(memory *Memory) Option {
+	return func(o *options) { o.memory = memory }
+}
+
 func newOptions(opts []Option, idleTimeout time.Duration, maxConnections int) options {
 	o := options{
 		logger:          zap.NewNop(),
@@ -133,6 +140,9 @@
 	for _, set := range opts {
 		set(&o)
 	}
+	if o.memory == nil {
+		o.memory = DefaultMemory()
+	}
 	return o
 }
 
--- a/io/parse.go
+++ b/io/parse.go
@@ -278,6 +278,8 @@
 	case errors.As(err, &header):
 	case errors.Is(err, errHeaderTooLarge):
 		reason, code = schema.Reason_REASON_TOO_LARGE, fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errMemoryFull):
+		reason = schema.Reason_REASON_MEMORY
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		reason = schema.Reason_REASON_TOO_LARGE
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/io/response.go
+++ b/io/response.go
@@ -127,7 +127,8 @@
 	if after := reply.GetRetryAfterUs(); after > 0 {
 		return (time.Duration(after) * time.Microsecond).Round(time.Millisecond)
 	}
-	if reason := reply.GetReason(); reason == schema.Reason_REASON_BUSY || reason == schema.Reason_REASON_PREEMPTED {
+	switch reply.GetReason() {
+	case schema.Reason_REASON_BUSY, schema.Reason_REASON_PREEMPTED, schema.Reason_REASON_MEMORY:
 		return defaultRetryAfter
 	}
 	return 0
--- a/io/session.go
+++ b/io/session.go
@@ -13,6 +13,9 @@
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+
+	"verbenareel/core"
+	"verbenareel/schema"
 )
 
 const (
@@ -60,12 +63,16 @@
 	reader     *bufio.Reader
 	pushedBack []byte
 	firstByte  [1]byte
+	// holding is the memory that the request takes that is being read, or nil.
+	holding *holding
 }
 
 // pendingResponse is the response to one request. It is complete when done is closed.
 type pendingResponse struct {
 	done     chan struct{}
 	response *response
+	// holding is the memory that the request and the response take; nil for a response that takes hardly any.
+	holding *holding
 }
 
 func newSession(f *Front, conn net.Conn) *session {
@@ -136,8 +143,12 @@
 		s.reading.Store(true)
 		limits := s.front.limits.Load()
 		_ = s.conn.SetReadDeadline(time.Now().Add(limits.headerTimeout))
+		s.holding = s.front.memory.hold(func() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) })
 		request := fasthttp.AcquireRequest()
 		err := s.readRequest(request, limits)
+		if s.holding.evicted.Load() {
+			err = errMemoryFull
+		}
 		s.reading.Store(false)
 		if err == nil {
 			err = s.startCall(request)
@@ -146,6 +157,7 @@
 		}
 		fasthttp.ReleaseRequest(request)
 		if err != nil {
+			s.holding.release()
 			return err
 		}
 	}
@@ -189,7 +201,11 @@
 		s.pushedBack = s.pushedBack[n:]
 		return n, nil
 	}
-	return s.conn.Read(p)
+	n, err := s.conn.Read(p)
+	if full := s.holding.grow(n); full != nil {
+		return 0, full
+	}
+	return n, err
 }
 
 // readRequest reads and validates one request.
@@ -212,6 +228,11 @@
 			return err
 		}
 	}
+	if length := request.Header.ContentLength(); length <= limits.maxBody {
+		if err := s.holding.reserve(length); err != nil {
+			return err
+		}
+	}
 	return request.ContinueReadBody(s.reader, limits.maxBody, false)
 }
 
@@ -222,12 +243,20 @@
 		return s.reject(err)
 	}
 	last := request.ConnectionClose() || !request.Header.IsHTTP11()
-	a := &pendingResponse{done: make(chan struct{})}
+	if err := s.holding.pin(); err != nil {
+		return s.reject(err)
+	}
+	a := &pendingResponse{done: make(chan struct{}), holding: s.holding}
+	s.holding = s.front.memory.hold(nil)
 	s.inFlight.Add(1)
 	s.responses <- a
 	s.front.group.Go(func() {
 		defer close(a.done)
 		reply := s.front.handle(s, call)
+		if a.holding.grow(len(reply.GetBody())) != nil {
+			s.front.errorCounter.inc(core.ReasonName(schema.Reason_REASON_MEMORY))
+			reply = core.Unknown(schema.Reason_REASON_MEMORY)
+		}
 		a.response = newResponse(s.front.wire, call, reply)
 		a.response.close = last
 	})
@@ -263,6 +292,7 @@
 		<-a.done
 		s.inFlight.Add(-1)
 		if stopped {
+			a.holding.release()
 			continue
 		}
 		_ = s.conn.SetWriteDeadline(time.Now().Add(s.front.writeTimeout))
@@ -270,6 +300,7 @@
 		a.response.close = last || s.front.keepAlivesDisabled.Load()
 		a.response.write(w)
 		err := w.Flush()
+		a.holding.release()
 		s.lastWritten = err == nil && a.response.close
 		if err != nil || last {
 			stopped = true
--- a/node/listen.go
+++ b/node/listen.go
@@ -32,7 +32,8 @@
 			return err
 		}},
 		{"HTTP", settings.GetHttpAddress(), func(address string) (err error) {
-			n.front, err = io.NewFront(address, n.router, io.WithLogger(n.logger), io.WithRegisterer(n.registry), io.WithWire(n.wire()))
+			n.front, err = io.NewFront(address, n.router, io.WithLogger(n.logger), io.WithRegisterer(n.registry),
+				io.WithWire(n.wire()), io.WithMemory(n.memory))
 			return err
 		}},
 		{"status", settings.GetStatusAddress(), func(address string) (err error) {
--- a/node/node.go
+++ b/node/node.go
@@ -71,6 +71,7 @@
 	exchange        *peers.Exchange
 	backend         *io.Backend
 	transport       *io.Transport
+	memory          *io.Memory
 	server          *io.Server
 	front           *io.Front
 	status          *statusServer
@@ -151,9 +152,10 @@
 func (n *Node) buildComponents() {
 	n.self = n.newMember()
 	suspects := poison.New(suspectCapacity, suspectTTL)
+	n.memory = io.DefaultMemory()
 	n.transport = io.NewTransport(n.clock, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
 	n.backend = io.NewBackend(n.settings.GetBackendAddress(), io.WithLogger(n.logger), io.WithRegisterer(n.registry),
-		io.WithWire(n.wire()))
+		io.WithWire(n.wire()), io.WithMemory(n.memory))
 	n.exchange = peers.New(n.self, n.platform(), n.transport, n.clock, peers.WithSeeds(n.settings.GetSeeds()),
 		peers.WithLogger(n.logger), peers.WithRegisterer(n.registry), peers.WithSuspects(suspects),
 		peers.WithReadPolicy(n.reading()))
