peers: a missing own entry is read again soon

A server whose entry was gone or unreadable at the moment of a read stayed out of use for up to 24 s, the time between two reads: its entry may have expired, or another writer may have put something odd under its key until the server writes again. Seen while odd entries were tried; no caller reported it.

Change: for 5 s after the own entry has gone missing it is read each second, where it is read by itself; a list is too dear for that.

Failed before: peers TestMissingEntryReadAgain (leaving, 1.5 s after the entry is back). After it: passes 2 of 2 with all tests of the package.

--- a/peers/members.go
+++ b/peers/members.go
@@ -283,12 +283,6 @@
 	})
 }
 
-// ownMissing reports whether the list is known to lack the node's own instance.
-func (t *memberTable) ownMissing(self string) bool {
-	m := t.byName[self]
-	return m != nil && m.missingFromList
-}
-
 // recordContact records a direct exchange with a member.
 func (t *memberTable) recordContact(m *member, now time.Time) {
 	if m != nil {
--- a/peers/outage.go
+++ b/peers/outage.go
@@ -6,8 +6,13 @@
 	"verbenareel/schema"
 )
 
-// missingEntryInterval is the time between two reads of the node's own entry while it is missing and may come back.
-const missingEntryInterval = time.Second
+const (
+	// missingEntryInterval is the time between two reads of the node's own entry after it has gone missing. It may come back:
+	// it expired, or another writer has put something else there until the server writes again.
+	missingEntryInterval = time.Second
+	// missingEntryWindow is how long it is read so often.
+	missingEntryWindow = 5 * time.Second
+)
 
 // outage tracks whether the platform can be read.
 type outage struct {
@@ -74,6 +79,12 @@
 		s.listedAt = time.Time{}
 		return
 	}
+	switch {
+	case entry != nil:
+		s.ownMissingSince = time.Time{}
+	case s.ownMissingSince.IsZero():
+		s.ownMissingSince = began
+	}
 	s.listedAt = began
 	s.table.applyOwn(s.self.GetInstance(), entry, now)
 }
--- a/peers/ownentry_test.go
+++ b/peers/ownentry_test.go
@@ -162,3 +162,43 @@
 		})
 	}
 }
+
+// TestMissingEntryReadAgain guards against a server that stays out of use for a long time because its entry was gone or
+// unreadable for a moment, and against reads without end of an entry that stays away.
+func TestMissingEntryReadAgain(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := ownEntryState(now)
+	s.SetInstanceName(now, ownName)
+	present, reads := false, 0
+	step := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(TickInterval)
+			s.Tick(now)
+			for _, e := range s.TakeEffects() {
+				switch e := e.(type) {
+				case ReadMembers:
+					s.MembersDone(now, e, listedOthers(), nil)
+				case ReadOwnEntry:
+					reads++
+					var entry *schema.Member
+					if present {
+						entry = listed(ownName, "127.0.0.1:1", serving)
+					}
+					s.OwnEntryDone(now, e, entry, nil)
+				}
+			}
+		}
+	}
+	step(2 * time.Second)
+	checkState(t, s, ownName, leaving)
+	present = true
+	step(1500 * time.Millisecond)
+	checkState(t, s, ownName, serving)
+	present = false
+	s.RequestListRead(now)
+	step(time.Second)
+	checkState(t, s, ownName, leaving)
+	reads = 0
+	step(12 * time.Second)
+	qt.Check(t, reads >= 3 && reads <= 6, qt.IsTrue, qt.Commentf("%d reads", reads))
+}
--- a/peers/read.go
+++ b/peers/read.go
@@ -239,9 +239,9 @@
 	if graceEnd := s.outage.end.Add(s.reading.OutageGrace); s.reading.OutageGrace > 0 && graceEnd.After(r.startedAt) && graceEnd.Before(due) {
 		// Entries that are missing after the grace period are gone: they did not merely expire during the outage.
 		due = graceEnd
-		if again := r.startedAt.Add(missingEntryInterval); s.table.ownMissing(s.self.GetInstance()) && again.Before(due) {
-			due = again
-		}
+	}
+	if again := r.startedAt.Add(missingEntryInterval); s.reading.ReadOwnEntry && r.startedAt.Before(s.ownMissingSince.Add(missingEntryWindow)) && again.Before(due) {
+		due = again
 	}
 	return latest(due, r.backoff())
 }
--- a/peers/state.go
+++ b/peers/state.go
@@ -157,6 +157,8 @@
 	listedAt time.Time
 	// ownSeenAt is when the latest read began that showed the entry of the node's own instance.
 	ownSeenAt time.Time
+	// ownMissingSince is when the first read began that showed that the entry is gone, or zero.
+	ownMissingSince time.Time
 	// ownExpired is set while that entry is missing but may have expired in an outage of the platform.
 	ownExpired bool
 	outage     outage
@@ -325,7 +327,7 @@
 		Instance: instance, Service: s.self.GetService(), Domain: s.self.GetDomain(), Address: s.self.GetAddress(),
 		Incarnation: s.self.GetIncarnation(), Version: version, State: state,
 	}.Build())
-	s.ownSeenAt = time.Time{}
+	s.ownSeenAt, s.ownMissingSince = time.Time{}, time.Time{}
 	s.announceRecords(now)
 	s.RequestListRead(now)
 }
