peers, platform: a node watches its own server's entry

Cause: a node read its server's entry every 16 to 24 s unless the health check gave a reason to ask, and nothing watched it. Ruled out: reading each second, ten times the calls.

Change: once a read has shown the entry, one watch of up to 25 s is pending in place of the regular reads. A changed entry is applied at once.

--- a/core/core.go
+++ b/core/core.go
@@ -185,17 +185,20 @@
 
 // EntryReader is a Platform that can read a single entry of its list.
 type EntryReader interface {
+	// Member returns the current entry of an instance in the list, or nil if the list does not name it.
 	Member(ctx context.Context, instance string) (*schema.Member, error)
+	// WatchMember returns the current entry of an instance as soon as it differs from the one that was last returned for the
+	// instance, or after wait.
+	WatchMember(ctx context.Context, instance string, wait time.Duration) (*schema.Member, error)
 }
 
-// Adapter is a Platform with its own protocol, document format and wire format.
+// Adapter is a Platform with its own protocol, document format and wire format. Its Members may return a list that is seconds
+// old, which costs the platform less.
 type Adapter interface {
 	Platform
+	EntryReader
 	// Wire returns the wire format used by callers and backend servers.
 	Wire() *WireFormat
-	// Member returns the current entry of an instance in the list, or nil if the list does not name it. Members of an
-	// adapter may return a list that is seconds old, which costs the platform less.
-	Member(ctx context.Context, instance string) (*schema.Member, error)
 	// Parse parses a text returned by Document and fills in the defaults, or returns the errors in the text. The result
 	// depends only on the text and the settings.
 	Parse(text []byte) (*schema.Document, error)
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,8 @@
 	adapterWatchTimeout = 15 * time.Second
 	// adapterListInterval is the minimum time between two reads of the instance list through an adapter.
 	adapterListInterval = 20 * time.Second
+	// adapterEntryWait is how long a watch of the node's own entry may stay pending.
+	adapterEntryWait = 25 * time.Second
 	// adapterStaleAge is the age of the last confirmation of the document at which a node reads it beside its watch.
 	adapterStaleAge = 700 * time.Millisecond
 	// adapterReaders is the number of nodes per failure domain that watch an adapter's platform.
@@ -216,6 +218,7 @@
 		MinListInterval:    adapterListInterval,
 		ListAuthoritative:  true,
 		ReadOwnEntry:       true,
+		OwnEntryWait:       adapterEntryWait,
 		MaxConfirmationAge: adapterStaleAge,
 		StartSpread:        adapterStartSpread,
 		Burst:              adapterBurst,
--- a/peers/effect.go
+++ b/peers/effect.go
@@ -64,6 +64,16 @@
 	readID   uint64
 }
 
+// WatchOwnEntry asks the platform to answer once the node's own entry changes, or after Wait. It is completed by
+// State.OwnEntryWatched.
+type WatchOwnEntry struct {
+	Instance   string
+	Wait       time.Duration
+	sentAt     time.Time
+	readID     uint64
+	pauseCount uint64
+}
+
 func (SendSync) effect()      {}
 func (SendBuckets) effect()   {}
 func (FetchManifest) effect() {}
@@ -71,3 +81,4 @@
 func (ReadDocument) effect()  {}
 func (ReadMembers) effect()   {}
 func (ReadOwnEntry) effect()  {}
+func (WatchOwnEntry) effect() {}
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -367,6 +367,11 @@
 			entry, err := e.readEntry(ctx, m.Instance)
 			e.deliver(func(now time.Time) { e.state.OwnEntryDone(now, m, entry, err) })
 		})
+	case WatchOwnEntry:
+		e.group.Go(func() {
+			entry, err := e.watchEntry(ctx, m.Instance, m.Wait)
+			e.deliver(func(now time.Time) { e.state.OwnEntryWatched(now, m, entry, err) })
+		})
 	}
 }
 
@@ -379,6 +384,15 @@
 	return reader.Member(ctx, instance)
 }
 
+// watchEntry is like readEntry, but waits for the entry to change.
+func (e *Exchange) watchEntry(ctx context.Context, instance string, wait time.Duration) (*schema.Member, error) {
+	reader, ok := e.platform.(core.EntryReader)
+	if !ok {
+		return nil, errNoEntryReader
+	}
+	return reader.WatchMember(ctx, instance, wait)
+}
+
 // errNoEntryReader reports a ReadPolicy that does not fit the platform.
 var errNoEntryReader = errors.New("platform cannot read single entries")
 
--- a/peers/outage.go
+++ b/peers/outage.go
@@ -60,6 +60,24 @@
 	s.outage.record(now, began, err)
 }
 
+// OwnEntryWatched processes the result of a WatchOwnEntry. A nil entry means that the list does not name the instance.
+func (s *State) OwnEntryWatched(now time.Time, sent WatchOwnEntry, entry *schema.Member, err error) {
+	s.detectPause(now)
+	s.ownWatch.finish(now, sent.readID, err)
+	s.recordReadResult(now, sent.sentAt, err)
+	if err != nil || sent.Instance != s.self.GetInstance() {
+		return
+	}
+	// The answer is as old as the request if the process was paused meanwhile.
+	asOf := sent.sentAt
+	if sent.pauseCount == s.pauseCount {
+		asOf = asOf.Add(min(sent.Wait, now.Sub(sent.sentAt)))
+	}
+	if asOf.After(s.listedAt) {
+		s.applyOwnEntry(now, asOf, entry)
+	}
+}
+
 // applyOwnEntry applies the result of a read that began at a time: the entry of the node's own instance, or nil if it is
 // missing. What a missing entry means depends on the outage of the platform before it:
 //
--- a/peers/ownentry_test.go
+++ b/peers/ownentry_test.go
@@ -202,3 +202,49 @@
 	step(12 * time.Second)
 	qt.Check(t, reads >= 3 && reads <= 6, qt.IsTrue, qt.Commentf("%d reads", reads))
 }
+
+// TestOwnEntryWatch guards against a change of the own entry that is noticed only at the next regular read, and against a watch
+// that costs more calls than the reads in whose place it is.
+func TestOwnEntryWatch(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := ownEntryState(now)
+	s.reading.OwnEntryWait = 25 * time.Second
+	s.SetInstanceName(now, ownName)
+	serving, leaving := listed(ownName, "127.0.0.1:1", serving), listed(ownName, "127.0.0.1:1", leaving)
+	var watch *WatchOwnEntry
+	reads, watches := 0, 0
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(TickInterval)
+			s.Tick(now)
+			for _, e := range s.TakeEffects() {
+				switch e := e.(type) {
+				case ReadMembers:
+					s.MembersDone(now, e, listedOthers(), nil)
+				case ReadOwnEntry:
+					reads++
+					s.OwnEntryDone(now, e, serving, nil)
+				case WatchOwnEntry:
+					watches++
+					watch = &e
+				}
+			}
+			if watch != nil && now.Sub(watch.sentAt) >= watch.Wait {
+				done := *watch
+				watch = nil
+				s.OwnEntryWatched(now, done, serving, nil)
+			}
+		}
+	}
+	run(2 * time.Minute)
+	qt.Check(t, reads, qt.Equals, 1)
+	qt.Check(t, watches, qt.Equals, 5)
+	qt.Assert(t, watch, qt.IsNotNil)
+	s.OwnEntryWatched(now, *watch, leaving, nil)
+	checkState(t, s, ownName, leaving.GetState())
+
+	// The answer to a watch that is older than a read says nothing.
+	s.OwnEntryDone(now.Add(time.Second), ReadOwnEntry{Instance: ownName, sentAt: now.Add(time.Second)}, serving, nil)
+	s.OwnEntryWatched(now.Add(time.Second), *watch, leaving, nil)
+	checkState(t, s, ownName, serving.GetState())
+}
--- a/peers/read.go
+++ b/peers/read.go
@@ -135,6 +135,12 @@
 		s.beginRead(now, &s.ownRead)
 		s.emit(ReadOwnEntry{Instance: s.self.GetInstance(), sentAt: now, readID: s.lastID})
 	}
+	if s.ownWatchDue(now) && s.takeToken(now) {
+		s.beginRead(now, &s.ownWatch)
+		s.emit(WatchOwnEntry{
+			Instance: s.self.GetInstance(), Wait: s.reading.OwnEntryWait, sentAt: now, readID: s.lastID, pauseCount: s.pauseCount,
+		})
+	}
 	held := !watch && idleReads && s.documentDueSoon(now)
 	if !held && !s.membersRead.pending(now, readTimeout) && !now.Before(s.membersDue()) && s.takeToken(now) {
 		s.beginRead(now, &s.membersRead)
@@ -226,6 +232,18 @@
 	return !now.Before(s.entryDue(&s.ownRead))
 }
 
+// ownWatchDue reports whether to watch the node's own entry. It is watched once a read has shown it, until it is gone.
+func (s *State) ownWatchDue(now time.Time) bool {
+	if s.reading.OwnEntryWait == 0 || s.ownSeenAt.IsZero() || !s.ownMissingSince.IsZero() || s.outage.err != nil {
+		return false
+	}
+	return !s.ownWatchPending(now) && !now.Before(s.ownWatch.backoff())
+}
+
+func (s *State) ownWatchPending(now time.Time) bool {
+	return s.ownWatch.pending(now, s.reading.OwnEntryWait+readTimeout)
+}
+
 // entryDue returns the time of the next read of the list, or part of it, that shows the state of the node's own instance.
 func (s *State) entryDue(r *readSchedule) time.Time {
 	if s.listRequestedAt.After(r.startedAt) {
@@ -236,6 +254,10 @@
 		return latest(r.startedAt.Add(maxBackoff), r.backoff())
 	}
 	due := r.startedAt.Add(scale(s.listInterval(), 0.8+0.4*r.jitter))
+	if !s.ownWatch.startedAt.IsZero() {
+		// A watch tells what a regular read would, and sooner.
+		due = latest(due, s.ownWatch.startedAt.Add(s.reading.OwnEntryWait+readTimeout))
+	}
 	if graceEnd := s.outage.end.Add(s.reading.OutageGrace); s.reading.OutageGrace > 0 && graceEnd.After(r.startedAt) && graceEnd.Before(due) {
 		// Entries that are missing after the grace period are gone: they did not merely expire during the outage.
 		due = graceEnd
--- a/peers/state.go
+++ b/peers/state.go
@@ -149,6 +149,8 @@
 	documentRead, membersRead readSchedule
 	// ownRead is the read of the entry of the node's own instance.
 	ownRead readSchedule
+	// ownWatch is the watch of that entry.
+	ownWatch readSchedule
 	// discoveryReads counts the reads of lists until one named enough other instances.
 	discoveryReads int
 	// confirmRead is the read of the document in addition to a pending watch.
@@ -204,6 +206,9 @@
 	// ReadOwnEntry reads the entry of the node's own instance by itself. The list may then be seconds old: it serves to find
 	// other nodes, and says nothing about the node's own instance.
 	ReadOwnEntry bool
+	// OwnEntryWait is how long a watch of the node's own entry may stay pending. It takes the place of regular reads of the
+	// entry; 0 disables it.
+	OwnEntryWait time.Duration
 	// MaxConfirmationAge is the age of the last confirmation of the document, by the platform or by another node, above which a node
 	// reads the document even if a watch is pending: a watch may fail to deliver a change. 0 disables these reads and
 	// relies on watches and idle reads.
