--- a/guard/cold_test.go
+++ b/guard/cold_test.go
@@ -182,7 +182,7 @@
 				p := startProcess(random, server, known)
 				time.Sleep(randomDuration(random, 50*time.Millisecond, 1500*time.Millisecond))
 				p.kill()
-				time.Sleep(randomDuration(random, 300*time.Millisecond, 900*time.Millisecond))
+				time.Sleep(randomDuration(random, 20*time.Millisecond, 900*time.Millisecond))
 			}
 			time.Sleep(coldTime)
 		}
