platform, peers: a watch that hears nothing proves nothing

After the store has dropped its history watches hear nothing, so a server that had left could have been used again until the next read.

--- a/io/memory.go
+++ b/io/memory.go
@@ -105,6 +105,9 @@
 
 // pin keeps the message, which has been read whole, from being given up. It returns errMemoryFull if it has been already.
 func (h *holding) pin() error {
+	if !h.counts {
+		return nil
+	}
 	h.memory.mutex.Lock()
 	defer h.memory.mutex.Unlock()
 	if h.evicted.Load() {
--- a/peers/outage.go
+++ b/peers/outage.go
@@ -68,6 +68,10 @@
 	if err != nil || sent.Instance != s.self.GetInstance() {
 		return
 	}
+	if before := s.table.byName[sent.Instance].listEntry; entry != nil && sameRecord(before, entry) {
+		// A watch may hear nothing, so that nothing has changed is no proof that the list still names the instance.
+		return
+	}
 	// The answer is as old as the request if the process was paused meanwhile.
 	asOf := sent.sentAt
 	if sent.pauseCount == s.pauseCount {
