--- a/guard/cold.go
+++ b/guard/cold.go
@@ -15,6 +15,9 @@
 	// coldUtilization is the fraction of a cold server's capacity per second that is used when cold_factor raises
 	// that capacity above the rate.
 	coldUtilization = 0.9
+	// minRestartTime is a lower bound on the time from the start of a backend server to the start of a replacement
+	// node process beside it: the old process has to end, and its end has to be noticed, before a new one is started.
+	minRestartTime = 250 * time.Millisecond
 	// coldResolution is larger than the unit of the remaining cold time that a backend server reports. A server that
 	// reports 0 may still be cold for up to one unit.
 	coldResolution = 2 * time.Millisecond
@@ -97,11 +100,10 @@
 	g.controller.HoldUntil(g.epoch.Add(admit.RateWindow))
 }
 
-// releaseHold ends the hold of holdAfterRestart if the backend server turned cold after this process had begun, so that no earlier
-// process can have sent it calls since. The report was requested at the time asked, and what it says of the start of the cold
-// time is at least that old.
-func (g *Guard) releaseHold(asked time.Time, report *core.ServerReport) {
-	if since, ok := g.coldSince(asked, report); ok && since.After(g.epoch) {
+// releaseHold ends the hold of holdAfterRestart if the backend server turned cold so late that an earlier process
+// cannot have sent it calls since.
+func (g *Guard) releaseHold(now time.Time, report *core.ServerReport) {
+	if since, ok := g.coldSince(now, report); ok && since.After(g.epoch.Add(-minRestartTime)) {
 		g.controller.HoldUntil(time.Time{})
 	}
 }
--- a/guard/run.go
+++ b/guard/run.go
@@ -330,7 +330,7 @@
 		g.treatAsCold(now, "report of the backend server")
 	}
 	if report.Cold {
-		g.releaseHold(asked, report)
+		g.releaseHold(now, report)
 	}
 	g.server.coldState.update(now, asked, report.Cold)
 	g.server.reportApplied = now
