peers: watches of the own entry end before the platform's history does

Change: a watch waits 18 s. Above 100 members nodes read every 20 s as before instead of watching: a watch still costs about two calls more in a node's first minute. Ruled out: omitting the first read, without which the revision to watch from is not known.

--- a/node/node.go
+++ b/node/node.go
@@ -44,8 +44,9 @@
 	adapterWatchTimeout = 15 * time.Second
 	// adapterListInterval is the minimum time between two reads of the instance list through an adapter.
 	adapterListInterval = 20 * time.Second
-	// adapterEntryWait is how long a watch of the node's own entry may stay pending.
-	adapterEntryWait = 25 * time.Second
+	// adapterEntryWait is how long a watch of the node's own entry may stay pending. It is below the 20 s for which the
+	// platform keeps its history: other entries change meanwhile, and a watch that begins before the history does is refused.
+	adapterEntryWait = 18 * time.Second
 	// adapterStaleAge is the age of the last confirmation of the document at which a node reads it beside its watch.
 	adapterStaleAge = 700 * time.Millisecond
 	// adapterReaders is the number of nodes per failure domain that watch an adapter's platform.
--- a/peers/outage.go
+++ b/peers/outage.go
@@ -12,6 +12,9 @@
 	missingEntryInterval = time.Second
 	// missingEntryWindow is how long it is read so often.
 	missingEntryWindow = 5 * time.Second
+	// maxWatchingFleet is the number of members up to which nodes watch their own entries. Each call to the platform counts, and
+	// a watch costs about two calls more than the reads in a node's first minute.
+	maxWatchingFleet = 100
 )
 
 // outage tracks whether the platform can be read.
--- a/peers/ownentry_test.go
+++ b/peers/ownentry_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -247,4 +248,9 @@
 	s.OwnEntryDone(now.Add(time.Second), ReadOwnEntry{Instance: ownName, sentAt: now.Add(time.Second)}, serving, nil)
 	s.OwnEntryWatched(now.Add(time.Second), *watch, leaving, nil)
 	checkState(t, s, ownName, serving.GetState())
+
+	for i := range maxWatchingFleet {
+		s.table.getOrAdd(fmt.Sprint("other-", i), now)
+	}
+	qt.Check(t, s.ownWatchDue(now.Add(time.Minute)), qt.IsFalse, qt.Commentf("in a large fleet"))
 }
--- a/peers/read.go
+++ b/peers/read.go
@@ -232,9 +232,10 @@
 	return !now.Before(s.entryDue(&s.ownRead))
 }
 
-// ownWatchDue reports whether to watch the node's own entry. It is watched once a read has shown it, until it is gone.
+// ownWatchDue reports whether to watch the node's own entry. It is watched once a read has shown it, until it is gone; in a
+// large fleet it is read only.
 func (s *State) ownWatchDue(now time.Time) bool {
-	if s.reading.OwnEntryWait == 0 || s.ownSeenAt.IsZero() || !s.ownMissingSince.IsZero() || s.outage.err != nil {
+	if s.reading.OwnEntryWait == 0 || len(s.table.sorted) > maxWatchingFleet || s.ownSeenAt.IsZero() || !s.ownMissingSince.IsZero() || s.outage.err != nil {
 		return false
 	}
 	return !s.ownWatchPending(now) && !now.Before(s.ownWatch.backoff())
