peers: what is known of the own entry has a file of its own

The reads and the watch of the node's own entry, and what a missing entry means, stood in four files. They move to ownentry.go; outage.go keeps what is known of the platform. No statement changes; the tests of the package pass.

--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -375,27 +375,6 @@
 	}
 }
 
-// readEntry reads the entry of an instance in the platform's list; nil means that the list does not name it.
-func (e *Exchange) readEntry(ctx context.Context, instance string) (*schema.Member, error) {
-	reader, ok := e.platform.(core.EntryReader)
-	if !ok {
-		return nil, errNoEntryReader
-	}
-	return reader.Member(ctx, instance)
-}
-
-// watchEntry is like readEntry, but waits for the entry to change.
-func (e *Exchange) watchEntry(ctx context.Context, instance string, wait time.Duration) (*schema.Member, error) {
-	reader, ok := e.platform.(core.EntryReader)
-	if !ok {
-		return nil, errNoEntryReader
-	}
-	return reader.WatchMember(ctx, instance, wait)
-}
-
-// errNoEntryReader reports a ReadPolicy that does not fit the platform.
-var errNoEntryReader = errors.New("platform cannot read single entries")
-
 // roundTrip sends a message and passes its reply to done on the control loop.
 func roundTrip[M any, R any](
 	ctx context.Context, e *Exchange, timeout time.Duration, message M,
--- a/peers/read.go
+++ b/peers/read.go
@@ -223,28 +223,6 @@
 	return latest(r.startedAt.Add(scale(s.listInterval(), 0.8+0.4*r.jitter)), r.backoff())
 }
 
-// ownEntryDue reports whether to read the node's own entry. Its instance is first known from the backend server, with which
-// a read is requested.
-func (s *State) ownEntryDue(now time.Time) bool {
-	if !s.reading.ReadOwnEntry || s.listRequestedAt.IsZero() || s.ownRead.pending(now, readTimeout) {
-		return false
-	}
-	return !now.Before(s.entryDue(&s.ownRead))
-}
-
-// ownWatchDue reports whether to watch the node's own entry. It is watched once a read has shown it, until it is gone; in a
-// large fleet it is read only.
-func (s *State) ownWatchDue(now time.Time) bool {
-	if s.reading.OwnEntryWait == 0 || len(s.table.sorted) > maxWatchingFleet || s.ownSeenAt.IsZero() || !s.ownMissingSince.IsZero() || s.outage.err != nil {
-		return false
-	}
-	return !s.ownWatchPending(now) && !now.Before(s.ownWatch.backoff())
-}
-
-func (s *State) ownWatchPending(now time.Time) bool {
-	return s.ownWatch.pending(now, s.reading.OwnEntryWait+readTimeout)
-}
-
 // entryDue returns the time of the next read of the list, or part of it, that shows the state of the node's own instance.
 func (s *State) entryDue(r *readSchedule) time.Time {
 	if s.listRequestedAt.After(r.startedAt) {
@@ -342,13 +320,3 @@
 		s.discoveryReads = maxDiscoveryReads
 	}
 }
-
-// OwnEntryDone processes the result of a ReadOwnEntry. A nil entry means that the list does not name the instance.
-func (s *State) OwnEntryDone(now time.Time, sent ReadOwnEntry, entry *schema.Member, err error) {
-	s.detectPause(now)
-	s.ownRead.finish(now, sent.readID, err)
-	s.recordReadResult(now, sent.sentAt, err)
-	if err == nil && sent.Instance == s.self.GetInstance() {
-		s.applyOwnEntry(now, sent.sentAt, entry)
-	}
-}
