io: TestTransportErrors cuts the connection only when both calls have arrived

Cause: the test cut the connection 20 ms after it began a call, on the assumption that the call arrives within that time. Ruled out by the stacks: a call of the product that is still open.

Change: the cut waits until the server has the call.

--- a/io/rpc_test.go
+++ b/io/rpc_test.go
@@ -93,8 +93,9 @@
 // sent. A wrong value could make the router repeat a call that has run.
 func TestTransportErrors(t *testing.T) {
 	release := make(chan struct{})
-	ended := make(chan struct{}, 8)
+	started, ended := make(chan struct{}, 8), make(chan struct{}, 8)
 	server := newServer(t, func(ctx context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
+		started <- struct{}{}
 		select {
 		case <-ctx.Done():
 			ended <- struct{}{}
@@ -111,6 +112,7 @@
 		defer cancel()
 		_, err := transport.Execute(ctx, to, newExecuteRequest("held"))
 		checkError(t, err, schema.Reason_REASON_DEADLINE, true)
+		<-started
 	})
 	t.Run("context already cancelled", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -119,8 +121,12 @@
 		checkError(t, err, schema.Reason_REASON_CANCELLED, false)
 	})
 	t.Run("connection cut", func(t *testing.T) {
-		timer := time.AfterFunc(20*time.Millisecond, forwarder.Cut)
-		defer timer.Stop()
+		var group conc.WaitGroup
+		defer group.Wait()
+		group.Go(func() {
+			<-started
+			forwarder.Cut()
+		})
 		_, err := transport.Execute(t.Context(), to, newExecuteRequest("held"))
 		checkError(t, err, schema.Reason_REASON_NODE_LOST, true)
 		// The contexts of both blocked calls must be cancelled when the connection is closed.
