--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -31,7 +31,7 @@
 	group.Wait()
 }
 
-// encodedPath sends unsafe requests whose path has an encoded slash, while half of the servers lose answers.
+// encodedPath sends unsafe requests whose path has an encoded slash or an empty segment, while half of the servers lose answers.
 func encodedPath(f *fleet) ([]string, error) {
 	f.configure(7, []string{"sheets"},
 		newRoute("orders", "/orders/", "unsafe", "sheets"), newRoute("lookup", "/orders/lookup/", "safe", "sheets"))
@@ -59,7 +59,7 @@
 	}
 	each(1000, 8*time.Millisecond, func(i int) {
 		r := confirm
-		r.path = fmt.Sprintf("/orders/lookup%%2F%d/confirm", 100+i)
+		r.path = fmt.Sprintf([]string{"/orders/lookup%%2F%d/confirm", "/orders//lookup/%d/confirm"}[i/4%2], 100+i)
 		f.send(f.machines[i%4], r)
 	})
 	return f.twice(), nil
@@ -150,15 +150,15 @@
 	old := m.server
 	f.record.printf("server %s of %s ends for good", old.id, old.service)
 	old.end()
-	time.Sleep(2200 * time.Millisecond)
+	time.Sleep(2 * time.Second)
+	m.signal(syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond)
 	if err := m.startServer("i-cutting-new", "cutting"); err != nil {
 		f.record.printf("replacement: %v", err)
 		return
 	}
 	m.register("ready")
-	time.Sleep(800 * time.Millisecond)
-	m.signal(syscall.SIGTERM)
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(2300 * time.Millisecond)
 	f.record.printf("entry servers/%s lapses after three heartbeat intervals", old.id)
 	f.store.remove("servers/" + old.id)
 }
@@ -223,9 +223,7 @@
 				f.record.printf("server does not come back: %v", err)
 				return
 			}
-			m.server.mu.Lock()
-			m.server.coldUntil = time.Now().Add(coldTime)
-			m.server.mu.Unlock()
+			m.server.turnCold()
 			f.crashOn(m)
 			m.register("ready")
 		})
@@ -304,3 +302,122 @@
 	}
 	return broken, nil
 }
+
+const (
+	// killDelay is the time from the moment at which a server turns cold to the kill of its node, and restartDelay the time from
+	// the end of the node to the start of its successor.
+	killDelay    = 120 * time.Millisecond
+	restartDelay = 50 * time.Millisecond
+	// coldBound is the number of requests that a cold server may get in one second: warmup_per_s x warmup_factor + warmup_slack.
+	coldBound = 17.0*1.5 + 5
+)
+
+// coldRestart turns servers cold, one after the other, and with the disruption kills the node beside each right after that.
+func coldRestart(f *fleet) ([]string, error) {
+	f.configure(7, []string{"sheets"}, newRoute("orders", "/orders/", "unsafe", "sheets"))
+	for _, zone := range zones {
+		m, err := f.add(zone, "sheets")
+		if err != nil {
+			return nil, err
+		}
+		m.server.setWork(func() time.Duration { return 15 * time.Millisecond })
+	}
+	order := request{method: http.MethodPost, host: host, path: "/orders/17", body: "sets=40", timeout: 2 * time.Second}
+	if err := f.awaitReady(order); err != nil {
+		return nil, err
+	}
+	var group sync.WaitGroup
+	group.Go(func() {
+		each(5500, 2*time.Millisecond, func(i int) {
+			r := order
+			r.path = fmt.Sprintf("/orders/%d", i)
+			f.send(f.machines[i%2], r)
+		})
+	})
+	var broken []string
+	for i := range 2 {
+		time.Sleep(2 * time.Second)
+		m := f.machines[i]
+		cold := time.Now()
+		m.server.turnCold()
+		if f.trouble {
+			if err := m.restartNode(killDelay, restartDelay); err != nil {
+				return nil, err
+			}
+		}
+		time.Sleep(coldTime + 500*time.Millisecond)
+		if busiest := m.server.busiestSecond(cold, cold.Add(coldTime)); float64(busiest) > coldBound {
+			broken = append(broken, fmt.Sprintf("%s got %d requests in one second while it was cold, bound %.1f", m.server.id, busiest, coldBound))
+		} else {
+			f.record.printf("%s got at most %d requests in one second while it was cold, bound %.1f", m.server.id, busiest, coldBound)
+		}
+	}
+	group.Wait()
+	return broken, nil
+}
+
+// restartNode kills the node after a time and starts its successor after another.
+func (m *machine) restartNode(killAfter, startAfter time.Duration) error {
+	time.Sleep(killAfter)
+	m.signal(syscall.SIGKILL)
+	<-m.exited
+	time.Sleep(startAfter)
+	m.fleet.record.printf("node of %s starts again", m.name)
+	return m.startNode()
+}
+
+const (
+	// drainTime is the bound drain of the deployment, and leavingTime how long a leaving server serves.
+	drainTime   = 2 * time.Second
+	leavingTime = 3500 * time.Millisecond
+	// idleServers is the number of servers in the store that get no work and have no node.
+	idleServers = 100
+)
+
+// leavingInLargeFleet lets a server leave while its health check says well, in a fleet of more than 100 servers.
+func leavingInLargeFleet(f *fleet) ([]string, error) {
+	f.configure(7, []string{"sheets", "archive"}, newRoute("orders", "/orders/", "unsafe", "sheets"))
+	for i := range idleServers {
+		f.store.put(fmt.Sprintf("servers/i-archive-%d", i), map[string]any{
+			"address": fmt.Sprintf("%s.%d:%d", f.block, 100+i, f.base+portApp),
+			"info":    map[string]any{"service": "archive", "version": "v1", "zone": zones[i%2], "slots": serverSlots},
+			"status":  map[string]any{"state": "ready", "sequence": 4, "warmup_left": "0ms"},
+			"born":    time.Now().UnixMilli(),
+		})
+	}
+	for i := range 4 {
+		if _, err := f.add(zones[i%2], "sheets"); err != nil {
+			return nil, err
+		}
+	}
+	order := request{method: http.MethodPost, host: host, path: "/orders/17", body: "sets=40", timeout: 2 * time.Second}
+	if err := f.awaitReady(order); err != nil {
+		return nil, err
+	}
+	var group sync.WaitGroup
+	group.Go(func() {
+		each(800, 10*time.Millisecond, func(i int) {
+			r := order
+			r.path = fmt.Sprintf("/orders/%d", i)
+			f.send(f.machines[1+i%3], r)
+		})
+	})
+	time.Sleep(2 * time.Second)
+	leaving := f.machines[0]
+	leaving.server.mu.Lock()
+	leaving.server.draining = !f.trouble
+	leaving.server.mu.Unlock()
+	leaving.register("draining")
+	acknowledged := time.Now()
+	time.Sleep(leavingTime)
+	leaving.server.end()
+	f.record.printf("server %s ends", leaving.server.id)
+	group.Wait()
+	var broken []string
+	for _, r := range leaving.server.runList() {
+		if late := r.at.Sub(acknowledged); late > drainTime {
+			broken = append(broken, fmt.Sprintf("%s reached %s %.2f s after the store had acknowledged that it drains", r.id, r.server, late.Seconds()))
+		}
+	}
+	return broken, nil
+}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,7 +25,9 @@
 	"reused-address":  reusedAddress,
 	"crash-midway":    crashing,
 	"failed-with-503": failedWith503,
+	"cold-restart":    coldRestart,
 	"pipelined":       pipelined,
+	"large-drain":     leavingInLargeFleet,
 }
 
 func main() { os.Exit(play()) }
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -46,9 +46,11 @@
 	listener    net.Listener
 	group       sync.WaitGroup
 
-	mu        sync.Mutex
-	conns     map[net.Conn]struct{}
-	runs      []run
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	runs  []run
+	// arrivals are the times of all requests but health checks and those answered 421.
+	arrivals  []time.Time
 	running   int
 	draining  bool
 	coldUntil time.Time
@@ -126,6 +128,33 @@
 	s.work = work
 }
 
+// turnCold makes the server cold for coldTime from now on.
+func (s *server) turnCold() {
+	s.record.printf("server %s turns cold for %v", s.id, coldTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(coldTime)
+}
+
+// busiestSecond returns the largest number of arrivals within one second, from one time to another.
+func (s *server) busiestSecond(from, to time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var window []time.Time
+	busiest := 0
+	for _, at := range s.arrivals {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		window = append(window, at)
+		for at.Sub(window[0]) >= time.Second {
+			window = window[1:]
+		}
+		busiest = max(busiest, len(window))
+	}
+	return busiest
+}
+
 // runList returns the requests that the server has begun to run.
 func (s *server) runList() []run {
 	s.mu.Lock()
@@ -169,6 +198,7 @@
 		return s.write(conn, id, http.StatusBadRequest, "Not-Executed: 1\r\n", "")
 	}
 	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
 	if s.running >= serverSlots {
 		s.mu.Unlock()
 		return s.write(conn, id, http.StatusServiceUnavailable, "Not-Executed: 1\r\n", "")
