--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -306,8 +306,8 @@
 const (
 	// killDelay is the time from the moment at which a server turns cold to the kill of its node, and restartDelay the time from
 	// the end of the node to the start of its successor.
-	killDelay    = 120 * time.Millisecond
-	restartDelay = 50 * time.Millisecond
+	killDelay    = 60 * time.Millisecond
+	restartDelay = 100 * time.Millisecond
 	// coldBound is the number of requests that a cold server may get in one second: warmup_per_s x warmup_factor + warmup_slack.
 	coldBound = 17.0*1.5 + 5
 )
