--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -31,6 +31,17 @@
 	group.Wait()
 }
 
+// Servers lose answers for two spells, with a pause between them.
+const (
+	spell = 4 * time.Second
+	pause = 2 * time.Second
+)
+
+// inSpell reports whether servers lose answers at a time after the start of the requests.
+func inSpell(since time.Duration) bool {
+	return since < spell || since >= spell+pause && since < spell+pause+spell
+}
+
 // encodedPath sends unsafe requests whose path has an encoded slash or an empty segment, while half of the servers lose answers.
 func encodedPath(f *fleet) ([]string, error) {
 	f.configure(7, []string{"sheets"},
@@ -46,18 +57,19 @@
 	if err := f.awaitReady(confirm); err != nil {
 		return nil, err
 	}
+	start := time.Now()
 	if f.trouble {
 		for _, m := range f.machines[:2] {
-			f.record.printf("answer_lost: from now on server %s loses the answers of 0.4 of the requests that it runs", m.server.id)
+			f.record.printf("answer_lost: server %s loses the answers of 0.4 of the requests that it runs, for %v and, after a pause, again", m.server.id, spell)
 			m.server.setChoose(func(*http.Request) action {
-				if rand.Float64() < 0.4 {
+				if inSpell(time.Since(start)) && rand.Float64() < 0.4 {
 					return actionLose
 				}
 				return actionAnswer
 			})
 		}
 	}
-	each(1000, 8*time.Millisecond, func(i int) {
+	each(1250, 8*time.Millisecond, func(i int) {
 		r := confirm
 		r.path = fmt.Sprintf([]string{"/orders/lookup%%2F%d/confirm", "/orders//lookup/%d/confirm"}[i/4%2], 100+i)
 		f.send(f.machines[i%4], r)
