guard: recognize a crash wherever the answer breaks off, by signs of the server

The opposite error too: three lost answers of a server that lives, with nothing else running, refused a request for 10 minutes.

Cause: the guard took the end of a connection for a sign of a crash only before the first byte of the answer and without a cancellation, and decided by whether other calls were running. The bytes read so far do not tell a cut answer from a crash.

Ruled out: counting every cut answer, which makes the second error worse; a new connection by itself, since a server may be back at once.

Now the end of a connection raises a suspicion. A refused connection, a report of another name or incarnation or of a cold start that began during the call, or the end of several calls with no connection left confirms a crash. A report of the same process discards it, and it lapses after 5 s. An idle connection that is still open spares the connection attempt.

--- a/core/core.go
+++ b/core/core.go
@@ -150,6 +150,9 @@
 	Report *ServerReport
 	// ConnectionReset reports that the backend server closed or reset the connection before it sent a response.
 	ConnectionReset bool
+	// ConnectionEnded reports that the backend server closed or reset the connection before its response was complete:
+	// before the response, within it, or after the request was cancelled.
+	ConnectionEnded bool
 }
 
 // Backend sends calls to the backend server of a guard.
@@ -161,8 +164,11 @@
 	Send(ctx context.Context, request *Request) *Result
 	// Probe requests the load report of the backend server.
 	Probe(ctx context.Context) (*ServerReport, error)
-	// Connect checks that a new connection can be opened.
+	// Connect checks that a new connection can be opened. The error wraps syscall.ECONNREFUSED if the server refuses it.
 	Connect(ctx context.Context) error
+	// HasOpenIdle reports whether an idle connection is still open, so that the server process that accepted it has not
+	// ended.
+	HasOpenIdle() bool
 	// Configure sets the maximum number of open connections, the maximum body size in bytes, and the probe path. An empty
 	// path selects the default of the wire format.
 	Configure(connections, maxBody int, probePath string)
--- a/guard/call.go
+++ b/guard/call.go
@@ -35,6 +35,8 @@
 	// withdrawn is true if the call was cancelled while running, by the router, the caller or the guard itself; its
 	// result is then no evidence about the backend server.
 	withdrawn bool
+	// reply is the reply to a held call, unless the backend server crashed.
+	reply *schema.ExecuteReply
 	// outcome receives exactly one reply.
 	outcome chan *schema.ExecuteReply
 }
--- a/guard/cold_test.go
+++ b/guard/cold_test.go
@@ -102,6 +102,7 @@
 
 func (*coldServer) Configure(int, int, string)    {}
 func (*coldServer) Connect(context.Context) error { return nil }
+func (*coldServer) HasOpenIdle() bool             { return false }
 
 // peak returns the highest number of calls that arrived within one second while the server was cold.
 func (s *coldServer) peak() int {
--- a/guard/crash.go
+++ b/guard/crash.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,57 +14,102 @@
 )
 
 const (
-	// resetQuietTime is the time without another reset after which all connections to a crashed server are assumed to
-	// have been reset. It is awaited at most maxQuietWaits times.
+	// resetQuietTime is the time without the end of another connection after which all connections to a crashed server
+	// are assumed to have ended. It is awaited at most maxQuietWaits times.
 	resetQuietTime = 5 * time.Millisecond
 	maxQuietWaits  = 10
-	// crashConnectTimeout is the timeout of the connection attempt that distinguishes a crash from a single reset.
+	// crashConnectTimeout is the timeout of the connection attempt that distinguishes a crash from the end of a single
+	// connection.
 	crashConnectTimeout = 200 * time.Millisecond
 	// pushTimeout is the longest time that replies to the calls in flight during a crash wait for the push of
 	// suspects.
 	pushTimeout = 200 * time.Millisecond
+	// suspicionLife is how long a suspicion waits for a sign of a crash.
+	suspicionLife = 5 * time.Second
+	// crashSpread is the longest time between the ends of connections that one crash ends.
+	crashSpread = 100 * time.Millisecond
+	// maxSuspicions bounds the number of suspicions. The oldest are discarded first.
+	maxSuspicions = 256
 )
 
-// crash holds the state of crash detection.
+// crash holds the state of crash detection. The end of a connection in the middle of a call is no proof of a crash: a
+// server that lives, or a middlebox, can end it too. It only raises a suspicion. A crash is confirmed by a refused
+// connection, by a report of another process, by a report of a cold start that began during the call, or by the end of
+// several connections with no other left. A report of the same process discards the suspicion.
 type crash struct {
-	// held are the calls whose connection was reset. Their callers wait until it is known whether the server crashed.
-	held     []*call
-	checking bool
+	// held are the calls whose connection ended. Their callers wait until it is known whether the server crashed.
+	held       []*call
+	checking   bool
+	suspicions []suspicion
 	// lastCrash is the time of the last crash, and recorded holds the fingerprints that it made suspects. A call that
-	// was in flight at that time and is reset later belongs to the same crash.
+	// was in flight at that time and whose connection ends later belongs to the same crash.
 	lastCrash time.Time
 	recorded  map[uint64]struct{}
 }
 
-// holdResetCall withholds the reply to a call whose connection was reset until it is known whether the backend server
-// crashed. No call starts until then, as it could be another copy of the request that crashed the server.
-func (g *Guard) holdResetCall(c *call) {
+// suspicion is a call whose connection ended, with what was known of the backend server at that time.
+type suspicion struct {
+	fingerprint    uint64
+	started, ended time.Time
+	alone          bool
+	instance       string
+	incarnation    uint64
+	warm           bool
+}
+
+// suspect records that the connection of a call ended.
+func (g *Guard) suspect(now time.Time, c *call) {
+	g.crash.suspicions = slices.DeleteFunc(g.crash.suspicions, func(s suspicion) bool { return s.expired(now) })
+	if len(g.crash.suspicions) == maxSuspicions {
+		g.crash.suspicions = slices.Delete(g.crash.suspicions, 0, 1)
+	}
+	g.crash.suspicions = append(g.crash.suspicions, suspicion{
+		fingerprint: c.fingerprint,
+		started:     c.admit.Started(),
+		ended:       now,
+		alone:       c.admit.Alone,
+		instance:    g.member().GetInstance(),
+		incarnation: g.server.incarnation,
+		warm:        g.server.coldState.known && !g.server.coldState.cold,
+	})
+}
+
+func (s suspicion) expired(now time.Time) bool { return now.Sub(s.ended) > suspicionLife }
+
+// holdCall withholds the reply to a call whose connection ended until it is known whether the backend server crashed.
+// If the server had not begun its response, no call starts until then, as it could be another copy of the request that
+// crashed the server.
+func (g *Guard) holdCall(c *call, result *core.Result) {
 	g.crash.held = append(g.crash.held, c)
+	if result.ConnectionReset {
+		g.controller.Pause()
+	}
 	if g.crash.checking {
 		return
 	}
 	g.crash.checking = true
-	g.controller.Pause()
 	g.goroutines.Go(g.checkCrash)
 }
 
-// checkCrash determines whether resets were caused by a crash of the backend server, and replies to the calls that
-// were reset.
+// checkCrash determines whether connections ended because of a crash of the backend server, and replies to the held
+// calls.
 func (g *Guard) checkCrash() {
-	g.awaitResets()
+	g.awaitEnds()
 	ctx, cancel := context.WithTimeout(context.Background(), crashConnectTimeout)
 	defer cancel()
-	err := g.backend.Connect(ctx)
-	held, suspects := g.classifyResets(err)
-	if len(suspects) > 0 {
-		g.pushSuspects(suspects)
+	var err error
+	lives := g.backend.HasOpenIdle()
+	if !lives {
+		err = g.backend.Connect(ctx)
 	}
-	g.replyHeld(held, len(suspects) > 0)
+	held, crashed, suspects := g.classifyEnds(err, lives)
+	g.pushSuspects(suspects)
+	g.replyHeld(held, crashed)
 }
 
-// awaitResets waits until no more connections are reset. On a busy machine the resets of one crash are detected over
-// tens of milliseconds.
-func (g *Guard) awaitResets() {
+// awaitEnds waits until no more connections end. On a busy machine the ends that one crash causes are detected over tens
+// of milliseconds.
+func (g *Guard) awaitEnds() {
 	count := 1
 	for range maxQuietWaits {
 		<-g.clock.After(resetQuietTime)
@@ -75,55 +123,106 @@
 	}
 }
 
-// classifyResets returns the calls that were reset and, after a crash, their fingerprints. Resets count as a crash if
-// the backend server refuses a new connection or if every connection with a call in flight was reset.
-func (g *Guard) classifyResets(err error) ([]*call, []uint64) {
+// classifyEnds decides whether the backend server crashed, given the result of a connection attempt and whether an older
+// connection shows that it lives. It returns the held calls and the fingerprints that became suspects.
+func (g *Guard) classifyEnds(err error, lives bool) (held []*call, crashed bool, suspects []uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	held := g.crash.held
+	held = g.crash.held
 	g.crash.held = nil
 	g.crash.checking = false
-	var suspects []uint64
-	if err != nil || len(g.running) == 0 || g.fromLastCrash(held) {
-		suspects = g.recordCrash(now, held)
+	allEnded := len(held) > 1 && len(g.running) == 0 && !lives
+	if isRefused(err) || allEnded || g.inLastCrash(held) {
+		suspects = g.confirmCrash(now, g.crash.suspicions)
 	}
+	crashed = g.inLastCrash(held)
 	if err != nil {
 		g.markDown(now, err)
 	}
 	g.checkPause(now)
 	g.refresh(now)
 	g.resumeStarts(now)
-	return held, suspects
+	return held, crashed, suspects
 }
 
-// fromLastCrash reports whether all the calls were in flight at the last crash.
-func (g *Guard) fromLastCrash(held []*call) bool {
-	for _, c := range held {
-		if !c.admit.Started().Before(g.crash.lastCrash) {
-			return false
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// inLastCrash reports whether all the calls were in flight at the last crash.
+func (g *Guard) inLastCrash(held []*call) bool {
+	return !slices.ContainsFunc(held, func(c *call) bool { return c.admit.Started().After(g.crash.lastCrash) })
+}
+
+// confirmRefused confirms the suspicions if a connection attempt was refused.
+func (g *Guard) confirmRefused(now time.Time, err error) {
+	if isRefused(err) {
+		g.pushLater(g.confirmCrash(now, g.crash.suspicions))
+	}
+}
+
+// judgeSuspicions confirms or discards suspicions by a report of the backend server that was requested at the time asked.
+func (g *Guard) judgeSuspicions(now, asked time.Time, report *core.ServerReport) {
+	var crashed []suspicion
+	for _, s := range g.crash.suspicions {
+		if g.restartedSince(now, report, s) {
+			crashed = append(crashed, s)
+		}
+	}
+	g.pushLater(g.confirmCrash(now, crashed))
+	g.crash.suspicions = slices.DeleteFunc(g.crash.suspicions, func(s suspicion) bool { return s.ended.Before(asked) })
+}
+
+// restartedSince reports whether a report shows that the backend server started anew after the call of the suspicion had
+// started.
+func (g *Guard) restartedSince(now time.Time, report *core.ServerReport, s suspicion) bool {
+	switch {
+	case report.Instance != "" && s.instance != "" && report.Instance != s.instance:
+		return true
+	case report.Incarnation != 0 && s.incarnation != 0 && report.Incarnation != s.incarnation:
+		return true
+	case !report.Cold:
+		return false
+	}
+	if since, ok := g.coldSince(now, report); ok {
+		return since.After(s.started)
+	}
+	return s.warm
+}
+
+// confirmCrash records a crash that ended the connections of the suspicions, and returns the fingerprints that became
+// suspects. Only the latest suspicions belong to it: the server was alive when the others ended.
+func (g *Guard) confirmCrash(now time.Time, suspicions []suspicion) []uint64 {
+	var latest []suspicion
+	for _, s := range suspicions {
+		if !s.expired(now) && suspicions[len(suspicions)-1].ended.Sub(s.ended) <= crashSpread {
+			latest = append(latest, s)
 		}
 	}
-	return true
+	if len(latest) == 0 {
+		return nil
+	}
+	g.crash.suspicions = nil
+	return g.recordCrash(now, latest)
 }
 
-// recordCrash records the requests as suspects and returns their fingerprints. A fingerprint is counted once per
-// crash.
-func (g *Guard) recordCrash(now time.Time, held []*call) []uint64 {
-	if !g.fromLastCrash(held) {
-		g.crash.lastCrash = now
-		g.crash.recorded = make(map[uint64]struct{}, len(held))
+// recordCrash records the requests of the suspicions as suspects and returns their fingerprints. A fingerprint is counted
+// once per crash.
+func (g *Guard) recordCrash(now time.Time, suspicions []suspicion) []uint64 {
+	later := func(s suspicion) bool { return s.started.After(g.crash.lastCrash) }
+	if slices.ContainsFunc(suspicions, later) {
+		g.crash.lastCrash = suspicions[len(suspicions)-1].ended
+		g.crash.recorded = make(map[uint64]struct{}, len(suspicions))
 		g.metrics.crashes.Inc()
 	}
-	fingerprints := make([]uint64, 0, len(held))
-	for _, c := range held {
-		if _, ok := g.crash.recorded[c.fingerprint]; !ok {
-			g.crash.recorded[c.fingerprint] = struct{}{}
-			fingerprints = append(fingerprints, c.fingerprint)
+	fingerprints := make([]uint64, 0, len(suspicions))
+	for _, s := range suspicions {
+		if _, ok := g.crash.recorded[s.fingerprint]; !ok {
+			g.crash.recorded[s.fingerprint] = struct{}{}
+			fingerprints = append(fingerprints, s.fingerprint)
 		}
 	}
-	g.logger.Warn("backend server crashed", zap.Int("calls", len(held)), zap.Uint64s("fingerprints", fingerprints))
-	g.suspects.Record(now, fingerprints, len(held) == 1 && held[0].admit.Alone)
+	g.logger.Warn("backend server crashed", zap.Int("calls", len(suspicions)), zap.Uint64s("fingerprints", fingerprints))
+	g.suspects.Record(now, fingerprints, len(suspicions) == 1 && suspicions[0].alone)
 	g.treatAsCold(now, "crash of the backend server")
 	return fingerprints
 }
@@ -138,7 +237,7 @@
 
 // pushSuspects sends suspects to the other instances. It returns once they have acknowledged or after pushTimeout.
 func (g *Guard) pushSuspects(fingerprints []uint64) {
-	if g.push == nil {
+	if g.push == nil || len(fingerprints) == 0 {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -155,13 +254,20 @@
 	}
 }
 
-// replyHeld settles the calls that were reset.
+// pushLater sends suspects to the other instances in the background.
+func (g *Guard) pushLater(fingerprints []uint64) {
+	if len(fingerprints) > 0 {
+		g.goroutines.Go(func() { g.pushSuspects(fingerprints) })
+	}
+}
+
+// replyHeld settles the held calls.
 func (g *Guard) replyHeld(held []*call, crashed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	for _, c := range held {
-		reply := core.Unknown(schema.Reason_REASON_CONNECTION_LOST)
+		reply := c.reply
 		if crashed {
 			reply = core.Unknown(schema.Reason_REASON_CRASHED)
 			reply.SetSuspect(true)
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +68,7 @@
 	checks   int
 	probes   int
 	down     error
+	openIdle bool
 	report   *core.ServerReport
 	send     func(ctx context.Context, request *core.Request, inFlight int) *core.Result
 }
@@ -91,8 +93,9 @@
 func (b *backend) Probe(ctx context.Context) (*core.ServerReport, error) {
 	b.mu.Lock()
 	b.probes++
+	report := b.report
 	b.mu.Unlock()
-	return b.report, b.Connect(ctx)
+	return report, b.Connect(ctx)
 }
 
 func (*backend) Configure(int, int, string) {}
@@ -104,6 +107,12 @@
 	return b.down
 }
 
+func (b *backend) HasOpenIdle() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.openIdle
+}
+
 func (b *backend) calls() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -384,7 +393,7 @@
 		b.checkAnswered(<-reply)
 		b.Check(b.backend.checks > 0, qt.IsTrue)
 
-		b.backend.setDown(errors.New("refused"))
+		b.backend.setDown(syscall.ECONNREFUSED)
 		b.clock.pause(10 * time.Second)
 		b.checkNotRun(<-b.start(b.Context(), lookup()), schema.Reason_REASON_PAUSED)
 		b.backend.setDown(nil)
@@ -495,12 +504,12 @@
 			alone.Store(inFlight == 1)
 			if request.URI == "/bad" {
 				time.Sleep(service)
-				b.backend.setDown(errors.New("refused"))
+				b.backend.setDown(syscall.ECONNREFUSED)
 				close(crashed)
 			}
 			select {
 			case <-crashed:
-				return &core.Result{Written: true, ConnectionReset: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
+				return &core.Result{Written: true, ConnectionReset: true, ConnectionEnded: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
 			case <-time.After(5 * service):
 				return answered()
 			}
@@ -576,7 +585,7 @@
 // stopped answering, or it crashed. It also guards against a single reset that is treated as a crash, and against
 // calls that hang on silent connections and are treated as a slow server.
 func TestColdAgain(t *testing.T) {
-	lost := &core.Result{Written: true, ConnectionReset: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
+	lost := &core.Result{Written: true, ConnectionReset: true, ConnectionEnded: true, Reason: schema.Reason_REASON_CONNECTION_LOST}
 	resets := func(down error, limit int, reasons ...schema.Reason) func(*harness) {
 		return func(b *harness) {
 			gate := make(chan struct{})
@@ -641,7 +650,7 @@
 		},
 		"all reset":          resets(nil, cold, crashed, crashed, crashed),
 		"one reset":          resets(nil, slots, single),
-		"one reset, refused": resets(errors.New("refused"), 0, crashed),
+		"one reset, refused": resets(syscall.ECONNREFUSED, 0, crashed),
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/guard/run.go
+++ b/guard/run.go
@@ -184,11 +184,16 @@
 		// The backend client may not have called Sent.
 		g.controller.MarkSent(now, &c.admit)
 	}
+	ended := result.ConnectionEnded && reply.GetStatus() == schema.Status_STATUS_UNKNOWN
+	if ended {
+		g.suspect(now, c)
+	}
 	g.recordResult(now, c, result, reply)
 	g.checkPause(now)
 	g.refresh(now)
-	if result.ConnectionReset && reply.GetStatus() == schema.Status_STATUS_UNKNOWN {
-		g.holdResetCall(c)
+	if ended && c.ctx.Err() == nil {
+		c.reply = reply
+		g.holdCall(c, result)
 		g.release(now, c)
 		return
 	}
@@ -318,6 +323,7 @@
 		return
 	}
 	g.server.reportReceived = now
+	g.judgeSuspicions(now, asked, report)
 	g.logColdChange(now, report)
 	if report.Instance != "" && report.Instance != g.member().GetInstance() {
 		g.replaceInstance(now, report.Instance)
--- a/guard/tick.go
+++ b/guard/tick.go
@@ -298,6 +298,7 @@
 	g.server.connecting = false
 	g.server.connectDue = false
 	if err != nil {
+		g.confirmRefused(now, err)
 		g.markDown(now, err)
 	} else {
 		g.server.down = false
--- a/io/backend.go
+++ b/io/backend.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -145,6 +146,13 @@
 	return conn.Close()
 }
 
+// HasOpenIdle implements core.Backend.
+func (b *Backend) HasOpenIdle() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.ContainsFunc(b.idle, (*backendConn).isOpen)
+}
+
 // Probe implements core.Backend.
 func (b *Backend) Probe(ctx context.Context) (*core.ServerReport, error) {
 	result := b.Send(ctx, &core.Request{Method: fasthttp.MethodGet, URI: *b.probePath.Load()})
--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -32,6 +32,8 @@
 	stallTimer   *time.Timer
 	bytesWritten int
 	bytesRead    int
+	// endedByServer reports that the server closed or reset the connection.
+	endedByServer bool
 	// inSync reports that no response to another request has been read.
 	inSync bool
 	// halfClosed is set before this side closes its writing end, upon which the server may close the connection too.
@@ -55,6 +57,7 @@
 	}
 	n, err := c.TCPConn.Read(p)
 	c.bytesRead += n
+	c.endedByServer = c.endedByServer || isReset(err)
 	if full := c.holding.grow(n); full != nil {
 		return 0, full
 	}
@@ -117,7 +120,7 @@
 // cancellation to the server and unblocks a blocked write. It then continues to read: for cancelGrace if the server is
 // expected to drop the request, otherwise until the time limit of the request.
 func (c *backendConn) roundTrip(ctx context.Context, request *core.Request) *core.Result {
-	c.reusable, c.bytesWritten, c.bytesRead, c.request = false, 0, 0, request
+	c.reusable, c.bytesWritten, c.bytesRead, c.request, c.endedByServer = false, 0, 0, request, false
 	c.holding = c.backend.memory.hold(func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 	defer c.holding.release()
 	timeout, stallTimeout := c.backend.timeouts(request.Deadline)
@@ -256,14 +259,15 @@
 		result.Reason = contextReason(ctx)
 	default:
 		result.ConnectionReset = isReset(err) && !cancelled
+		result.ConnectionEnded = result.ConnectionReset
 	}
 	return result
 }
 
-// receiveFailure returns the result of a request whose response could not be read. Reset is not set after a cancellation,
-// because the end of the connection is then no sign of a crash.
+// receiveFailure returns the result of a request whose response could not be read. ConnectionReset is not set after a
+// cancellation, because most servers then close the connection.
 func (c *backendConn) receiveFailure(err error, notCancelled bool) *core.Result {
-	result := &core.Result{Written: true}
+	result := &core.Result{Written: true, ConnectionEnded: c.endedByServer}
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
 	switch {
--- a/io/backend_test.go
+++ b/io/backend_test.go
@@ -372,3 +372,42 @@
 	total := <-written
 	qt.Check(t, total < maxAccepted, qt.IsTrue, qt.Commentf("%d bytes", total))
 }
+
+// TestConnectionEnded guards against a crash of the backend server within its response that looks like a response that could
+// not be read, and against a response that could not be read that looks like a crash.
+func TestConnectionEnded(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+	for _, c := range []struct {
+		name, answer          string
+		stays, leaves         bool
+		ended, reset, hasIdle bool
+	}{
+		{name: "before the response", ended: true, reset: true},
+		{name: "within the head", answer: head, ended: true},
+		{name: "within the body", answer: head + "\r\nhi", ended: true},
+		{name: "after the caller had left", leaves: true, ended: true},
+		{name: "not HTTP", answer: "hello\r\n\r\n", stays: true},
+		{name: "silent", stays: true},
+		{name: "whole", answer: okResponse, stays: true, hasIdle: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			address, _ := newHTTPServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+				_, _ = stdio.WriteString(conn, c.answer)
+				if c.leaves {
+					cancel()
+					time.Sleep(20 * time.Millisecond)
+				}
+				return c.stays
+			})
+			backend := newBackend(t, address)
+			request := newPostRequest()
+			request.Deadline = time.Now().Add(100 * time.Millisecond)
+			result := backend.Send(ctx, request)
+			qt.Check(t, result.ConnectionEnded, qt.Equals, c.ended)
+			qt.Check(t, result.ConnectionReset, qt.Equals, c.reset)
+			qt.Check(t, backend.HasOpenIdle(), qt.Equals, c.hasIdle)
+		})
+	}
+}
