guard: assume a crash while nothing shows that the server lives, until its report

Now a report is requested at once if the probe budget allows it. Without one, a reset before the answer, or the end of a suspect that ran alone, counts as a crash as it did before, and a later report of the same process clears the suspects again. A cut answer alone is no reason to assume one.

--- a/guard/call.go
+++ b/guard/call.go
@@ -35,8 +35,10 @@
 	// withdrawn is true if the call was cancelled while running, by the router, the caller or the guard itself; its
 	// result is then no evidence about the backend server.
 	withdrawn bool
-	// reply is the reply to a held call, unless the backend server crashed.
+	// reply is the reply to a held call, unless the backend server crashed. reset reports that its connection ended before
+	// the response.
 	reply *schema.ExecuteReply
+	reset bool
 	// outcome receives exactly one reply.
 	outcome chan *schema.ExecuteReply
 }
--- a/guard/crash.go
+++ b/guard/crash.go
@@ -34,13 +34,18 @@
 
 // crash holds the state of crash detection. The end of a connection in the middle of a call is no proof of a crash: a
 // server that lives, or a middlebox, can end it too. It only raises a suspicion. A crash is confirmed by a refused
-// connection, by a report of another process, by a report of a cold start that began during the call, or by the end of
-// several connections with no other left. A report of the same process discards the suspicion.
+// connection, by a report of another process, or by a report of a cold start that began during the call. It is assumed if
+// calls were reset and nothing shows that the server lives. A report of the same process discards suspicions and the
+// assumption.
 type crash struct {
 	// held are the calls whose connection ended. Their callers wait until it is known whether the server crashed.
 	held       []*call
 	checking   bool
 	suspicions []suspicion
+	// assumed are the suspicions of the last crash if it was only assumed.
+	assumed []suspicion
+	// unpushed are the suspects that were not yet sent to the other instances.
+	unpushed []uint64
 	// lastCrash is the time of the last crash, and recorded holds the fingerprints that it made suspects. A call that
 	// was in flight at that time and whose connection ends later belongs to the same crash.
 	lastCrash time.Time
@@ -81,7 +86,8 @@
 // crashed the server.
 func (g *Guard) holdCall(c *call, result *core.Result) {
 	g.crash.held = append(g.crash.held, c)
-	if result.ConnectionReset {
+	c.reset = result.ConnectionReset
+	if c.reset {
 		g.controller.Pause()
 	}
 	if g.crash.checking {
@@ -92,7 +98,7 @@
 }
 
 // checkCrash determines whether connections ended because of a crash of the backend server, and replies to the held
-// calls.
+// calls. A server that accepts a new connection may have restarted, which its report shows.
 func (g *Guard) checkCrash() {
 	g.awaitEnds()
 	ctx, cancel := context.WithTimeout(context.Background(), crashConnectTimeout)
@@ -102,6 +108,9 @@
 	if !lives {
 		err = g.backend.Connect(ctx)
 	}
+	if !lives && err == nil {
+		g.tryProbe()
+	}
 	held, crashed, suspects := g.classifyEnds(err, lives)
 	g.pushSuspects(suspects)
 	g.replyHeld(held, crashed)
@@ -124,7 +133,7 @@
 }
 
 // classifyEnds decides whether the backend server crashed, given the result of a connection attempt and whether an older
-// connection shows that it lives. It returns the held calls and the fingerprints that became suspects.
+// connection shows that it lives. It returns the held calls and the suspects to send to the other instances.
 func (g *Guard) classifyEnds(err error, lives bool) (held []*call, crashed bool, suspects []uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -132,11 +141,14 @@
 	held = g.crash.held
 	g.crash.held = nil
 	g.crash.checking = false
-	allEnded := len(held) > 1 && len(g.running) == 0 && !lives
-	if isRefused(err) || allEnded || g.inLastCrash(held) {
-		suspects = g.confirmCrash(now, g.crash.suspicions)
+	switch {
+	case isRefused(err), g.inLastCrash(held):
+		g.confirmCrash(now, g.crash.suspicions)
+	case !lives && len(g.running) == 0 && slices.ContainsFunc(held, (*call).impliesCrash):
+		g.crash.assumed = g.confirmCrash(now, g.crash.suspicions)
 	}
 	crashed = g.inLastCrash(held)
+	suspects, g.crash.unpushed = g.crash.unpushed, nil
 	if err != nil {
 		g.markDown(now, err)
 	}
@@ -146,6 +158,10 @@
 	return held, crashed, suspects
 }
 
+// impliesCrash reports whether a crash is assumed if the connection of the call ended and nothing shows that the server
+// lives. An answer that was cut short is no reason to treat the server as cold, unless the request was a suspect already.
+func (c *call) impliesCrash() bool { return c.reset || c.admit.Alone }
+
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // inLastCrash reports whether all the calls were in flight at the last crash.
@@ -156,20 +172,34 @@
 // confirmRefused confirms the suspicions if a connection attempt was refused.
 func (g *Guard) confirmRefused(now time.Time, err error) {
 	if isRefused(err) {
-		g.pushLater(g.confirmCrash(now, g.crash.suspicions))
+		g.confirmCrash(now, g.crash.suspicions)
+		g.pushLater()
 	}
 }
 
 // judgeSuspicions confirms or discards suspicions by a report of the backend server that was requested at the time asked.
 func (g *Guard) judgeSuspicions(now, asked time.Time, report *core.ServerReport) {
-	var crashed []suspicion
-	for _, s := range g.crash.suspicions {
-		if g.restartedSince(now, report, s) {
-			crashed = append(crashed, s)
-		}
+	restarted := func(s suspicion) bool { return g.restartedSince(now, report, s) }
+	refuted := func(s suspicion) bool { return s.ended.Before(asked) && !restarted(s) }
+	if slices.ContainsFunc(g.crash.assumed, refuted) {
+		g.withdrawCrash(now)
+	}
+	if slices.ContainsFunc(g.crash.assumed, restarted) {
+		g.crash.assumed = nil
 	}
-	g.pushLater(g.confirmCrash(now, crashed))
-	g.crash.suspicions = slices.DeleteFunc(g.crash.suspicions, func(s suspicion) bool { return s.ended.Before(asked) })
+	g.confirmCrash(now, slices.DeleteFunc(slices.Clone(g.crash.suspicions), func(s suspicion) bool { return !restarted(s) }))
+	g.pushLater()
+	g.crash.suspicions = slices.DeleteFunc(g.crash.suspicions, refuted)
+}
+
+// withdrawCrash clears the suspects of a crash that was only assumed: their requests ended without a crash.
+func (g *Guard) withdrawCrash(now time.Time) {
+	g.logger.Info("backend server did not crash", zap.Int("calls", len(g.crash.assumed)))
+	for _, s := range g.crash.assumed {
+		g.clearSuspect(now, s.fingerprint)
+	}
+	g.crash.assumed = nil
+	g.crash.lastCrash = time.Time{}
 }
 
 // restartedSince reports whether a report shows that the backend server started anew after the call of the suspicion had
@@ -189,9 +219,9 @@
 	return s.warm
 }
 
-// confirmCrash records a crash that ended the connections of the suspicions, and returns the fingerprints that became
-// suspects. Only the latest suspicions belong to it: the server was alive when the others ended.
-func (g *Guard) confirmCrash(now time.Time, suspicions []suspicion) []uint64 {
+// confirmCrash records a crash that ended the connections of the suspicions, and returns those that belong to it: only the
+// latest ones, because the server was alive when the others ended.
+func (g *Guard) confirmCrash(now time.Time, suspicions []suspicion) []suspicion {
 	var latest []suspicion
 	for _, s := range suspicions {
 		if !s.expired(now) && suspicions[len(suspicions)-1].ended.Sub(s.ended) <= crashSpread {
@@ -201,13 +231,13 @@
 	if len(latest) == 0 {
 		return nil
 	}
-	g.crash.suspicions = nil
-	return g.recordCrash(now, latest)
+	g.crash.suspicions, g.crash.assumed = nil, nil
+	g.recordCrash(now, latest)
+	return latest
 }
 
-// recordCrash records the requests of the suspicions as suspects and returns their fingerprints. A fingerprint is counted
-// once per crash.
-func (g *Guard) recordCrash(now time.Time, suspicions []suspicion) []uint64 {
+// recordCrash records the requests of the suspicions as suspects. A fingerprint is counted once per crash.
+func (g *Guard) recordCrash(now time.Time, suspicions []suspicion) {
 	later := func(s suspicion) bool { return s.started.After(g.crash.lastCrash) }
 	if slices.ContainsFunc(suspicions, later) {
 		g.crash.lastCrash = suspicions[len(suspicions)-1].ended
@@ -223,8 +253,8 @@
 	}
 	g.logger.Warn("backend server crashed", zap.Int("calls", len(suspicions)), zap.Uint64s("fingerprints", fingerprints))
 	g.suspects.Record(now, fingerprints, len(suspicions) == 1 && suspicions[0].alone)
+	g.crash.unpushed = append(g.crash.unpushed, fingerprints...)
 	g.treatAsCold(now, "crash of the backend server")
-	return fingerprints
 }
 
 // resumeStarts resumes the controller unless another check requires it to stay paused.
@@ -254,11 +284,14 @@
 	}
 }
 
-// pushLater sends suspects to the other instances in the background.
-func (g *Guard) pushLater(fingerprints []uint64) {
-	if len(fingerprints) > 0 {
-		g.goroutines.Go(func() { g.pushSuspects(fingerprints) })
+// pushLater sends new suspects to the other instances in the background, unless checkCrash is about to send them.
+func (g *Guard) pushLater() {
+	suspects := g.crash.unpushed
+	if len(suspects) == 0 || g.crash.checking {
+		return
 	}
+	g.crash.unpushed = nil
+	g.goroutines.Go(func() { g.pushSuspects(suspects) })
 }
 
 // replyHeld settles the held calls.
--- a/guard/crash_test.go
+++ b/guard/crash_test.go
@@ -115,6 +115,36 @@
 	}
 }
 
+// TestCrashAssumed guards against a request that crashes more than two backend servers because each of them is back at once
+// and has not reported yet, and against a suspect that remains one after the server has reported that it lives.
+func TestCrashAssumed(t *testing.T) {
+	runCrash(t, func(b *crashHarness) {
+		b.report(core.ServerReport{})
+		time.Sleep(2 * time.Second)
+		for ending, count := range map[string]int{"before the response": 1, "within the response": 0} {
+			result := endings()[ending]
+			result.Written, result.ConnectionEnded = true, true
+			b.backend.send = func(context.Context, *core.Request, int) *core.Result { return &result }
+			request := lookup()
+			request.SetUri("/" + ending)
+			_ = b.Execute(b.Context(), request)
+			crashes := func() int {
+				return b.table.Crashes(b.clock.Now(), core.Fingerprint("sheets", "GET", request.GetUri(), nil))
+			}
+			b.Check(crashes(), qt.Equals, count)
+			request.SetSuspect(true)
+			b.checkUnknown(b.Execute(b.Context(), request), schema.Reason_REASON_CRASHED)
+			b.Check(crashes(), qt.Equals, count+1)
+		}
+		b.table.Clear(b.clock.Now(), core.Fingerprint("sheets", "GET", "/within the response", nil))
+		b.lose(endings()["before the response"], func() {})
+		b.Check(b.crashes(), qt.Equals, 1)
+		b.report(warmReport())
+		time.Sleep(2 * time.Second)
+		b.Check(b.crashes(), qt.Equals, 0)
+	})
+}
+
 // TestLivingServer guards against requests that become suspects although the backend server lives: their answers were lost,
 // cut or too slow.
 func TestLivingServer(t *testing.T) {
