guard: recognize a crashing request by path, caller and body, with and without its query

Cause: the fingerprint of a suspect was the one of tickets: service, method, path with query, body.

Ruled out: only the path without the query, since answers to other queries of the same caller would clear the suspect and the request that crashes servers would never be refused.

A suspect has two fingerprints, without and with its query, both with the caller's service. Tickets keep theirs, which is now computed only for calls with a ticket.

guard TestCrashFingerprint failed before in "query differs".

--- a/guard/call.go
+++ b/guard/call.go
@@ -13,9 +13,10 @@
 
 // call is one attempt to run a request.
 type call struct {
-	admit       admit.Call
-	request     *schema.ExecuteRequest
-	fingerprint uint64
+	admit   admit.Call
+	request *schema.ExecuteRequest
+	// fingerprints identify the request in the table of suspects.
+	fingerprints []uint64
 	// message is the request as the backend client sends it.
 	message core.Request
 	// ctx is passed to the backend client; cancel makes the client signal cancellation to the backend server. cancel
@@ -45,9 +46,10 @@
 
 func newCall(now time.Time, request *schema.ExecuteRequest, timeout time.Duration) *call {
 	c := &call{
-		request:     request,
-		fingerprint: core.Fingerprint(request.GetService(), request.GetMethod(), request.GetUri(), request.GetBody()),
-		outcome:     make(chan *schema.ExecuteReply, 1),
+		request: request,
+		fingerprints: core.SuspectFingerprints(request.GetService(), request.GetCaller(), request.GetMethod(), request.GetUri(),
+			request.GetBody()),
+		outcome: make(chan *schema.ExecuteReply, 1),
 	}
 	c.admit = admit.Call{
 		Priority:   request.GetPriority(),
@@ -123,7 +125,9 @@
 func (g *Guard) claimTicket(c *call) core.Claim {
 	g.storeMu.Lock()
 	defer g.storeMu.Unlock()
-	return g.store.Begin(g.clock.Now(), c.request.GetTicket(), c.fingerprint)
+	r := c.request
+	fingerprint := core.Fingerprint(r.GetService(), r.GetMethod(), r.GetUri(), r.GetBody())
+	return g.store.Begin(g.clock.Now(), r.GetTicket(), fingerprint)
 }
 
 // awaitTicket waits for another attempt that is running the same ticket. It returns the reason for which it stopped
@@ -218,11 +222,11 @@
 		return schema.Reason_REASON_TOO_LARGE
 	}
 	now := g.clock.Now()
-	crashes := g.suspects.Crashes(now, c.fingerprint)
+	crashes := g.crashes(now, c)
 	if crashes >= poison.RefusalThreshold {
 		return schema.Reason_REASON_POISONED
 	}
-	c.admit.Alone = crashes > 0 || r.GetSuspect() && !g.suspects.Known(now, c.fingerprint)
+	c.admit.Alone = crashes > 0 || r.GetSuspect() && !g.wasSuspect(now, c)
 	return schema.Reason_REASON_NONE
 }
 
--- a/guard/crash.go
+++ b/guard/crash.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"verbenareel/admit"
 	"verbenareel/core"
 	"verbenareel/schema"
 )
@@ -54,7 +55,7 @@
 
 // suspicion is a call whose connection ended, with what was known of the backend server at that time.
 type suspicion struct {
-	fingerprint    uint64
+	fingerprints   []uint64
 	started, ended time.Time
 	alone          bool
 	instance       string
@@ -69,13 +70,13 @@
 		g.crash.suspicions = slices.Delete(g.crash.suspicions, 0, 1)
 	}
 	g.crash.suspicions = append(g.crash.suspicions, suspicion{
-		fingerprint: c.fingerprint,
-		started:     c.admit.Started(),
-		ended:       now,
-		alone:       c.admit.Alone,
-		instance:    g.member().GetInstance(),
-		incarnation: g.server.incarnation,
-		warm:        g.server.coldState.known && !g.server.coldState.cold,
+		fingerprints: c.fingerprints,
+		started:      c.admit.Started(),
+		ended:        now,
+		alone:        c.admit.Alone,
+		instance:     g.member().GetInstance(),
+		incarnation:  g.server.incarnation,
+		warm:         g.server.coldState.known && !g.server.coldState.cold,
 	})
 }
 
@@ -196,7 +197,7 @@
 func (g *Guard) withdrawCrash(now time.Time) {
 	g.logger.Info("backend server did not crash", zap.Int("calls", len(g.crash.assumed)))
 	for _, s := range g.crash.assumed {
-		g.clearSuspect(now, s.fingerprint)
+		g.clearSuspect(now, s.fingerprints)
 	}
 	g.crash.assumed = nil
 	g.crash.lastCrash = time.Time{}
@@ -246,9 +247,11 @@
 	}
 	fingerprints := make([]uint64, 0, len(suspicions))
 	for _, s := range suspicions {
-		if _, ok := g.crash.recorded[s.fingerprint]; !ok {
-			g.crash.recorded[s.fingerprint] = struct{}{}
-			fingerprints = append(fingerprints, s.fingerprint)
+		for _, f := range s.fingerprints {
+			if _, ok := g.crash.recorded[f]; !ok {
+				g.crash.recorded[f] = struct{}{}
+				fingerprints = append(fingerprints, f)
+			}
 		}
 	}
 	g.logger.Warn("backend server crashed", zap.Int("calls", len(suspicions)), zap.Uint64s("fingerprints", fingerprints))
@@ -308,3 +311,29 @@
 		g.settle(now, c, reply)
 	}
 }
+
+// crashes returns the number of crashes during which the request of the call was in flight.
+func (g *Guard) crashes(now time.Time, c *call) int {
+	crashes := 0
+	for _, f := range c.fingerprints {
+		crashes = max(crashes, g.suspects.Crashes(now, f))
+	}
+	return crashes
+}
+
+// wasSuspect reports whether the request of the call was in flight during a crash, even if a later run cleared it.
+func (g *Guard) wasSuspect(now time.Time, c *call) bool {
+	return slices.ContainsFunc(c.fingerprints, func(f uint64) bool { return g.suspects.Known(now, f) })
+}
+
+// clearSuspect records that a suspect ended without a crash. It need not have run alone: a request that crashes every
+// server that runs it never gets an answer, so a frequent request that happened to be in flight during a crash is
+// cleared by its next answer.
+func (g *Guard) clearSuspect(now time.Time, fingerprints []uint64) {
+	for _, f := range fingerprints {
+		g.suspects.Clear(now, f)
+	}
+	g.handle(now, g.controller.ClearSuspects(now, func(waiting *admit.Call) bool {
+		return g.crashes(now, waiting.Owner.(*call)) == 0
+	}))
+}
--- a/guard/crash_test.go
+++ b/guard/crash_test.go
@@ -70,7 +70,7 @@
 }
 
 func (b *crashHarness) crashes() int {
-	return b.table.Crashes(b.clock.Now(), core.Fingerprint("sheets", "GET", "/sheets/7", nil))
+	return b.table.Crashes(b.clock.Now(), core.SuspectFingerprints("sheets", "", "GET", "/sheets/7", nil)[0])
 }
 
 // TestCrashSigns guards against a request that crashes backend servers and is not recognized because the server had begun
@@ -115,6 +115,47 @@
 	}
 }
 
+// TestCrashFingerprint guards against a request that crashes backend servers and reaches them again because its query differs
+// each time or other queries are answered, and against the same request of another caller that is refused as well.
+func TestCrashFingerprint(t *testing.T) {
+	crashed := endings()["before the response"]
+	crashed.Written, crashed.ConnectionEnded = true, true
+	request := func(caller, uri string) *schema.ExecuteRequest {
+		r := lookup()
+		r.SetCaller(caller)
+		r.SetUri(uri)
+		return r
+	}
+	crash := func(b *crashHarness, uri string) {
+		b.backend.send = func(context.Context, *core.Request, int) *core.Result {
+			b.backend.setDown(syscall.ECONNREFUSED)
+			return &crashed
+		}
+		b.checkUnknown(b.Execute(b.Context(), request("mail", uri)), schema.Reason_REASON_CRASHED)
+		b.backend.setDown(nil)
+		time.Sleep(2 * time.Second)
+		b.backend.send = func(context.Context, *core.Request, int) *core.Result { return answered() }
+	}
+	t.Run("query differs", func(t *testing.T) {
+		runCrash(t, func(b *crashHarness) {
+			crash(b, "/sheets/7?n=1")
+			crash(b, "/sheets/7?n=2")
+			b.checkNotRun(b.Execute(b.Context(), request("mail", "/sheets/7?n=3")), schema.Reason_REASON_POISONED)
+			b.checkAnswered(b.Execute(b.Context(), request("files", "/sheets/7?n=3")))
+		})
+	})
+	t.Run("other queries are answered", func(t *testing.T) {
+		runCrash(t, func(b *crashHarness) {
+			for range poison.RefusalThreshold {
+				crash(b, "/sheets/7?n=1")
+				b.checkAnswered(b.Execute(b.Context(), request("mail", "/sheets/7?n=2")))
+			}
+			b.checkNotRun(b.Execute(b.Context(), request("mail", "/sheets/7?n=1")), schema.Reason_REASON_POISONED)
+			b.checkAnswered(b.Execute(b.Context(), request("mail", "/sheets/7?n=2")))
+		})
+	})
+}
+
 // TestCrashAssumed guards against a request that crashes more than two backend servers because each of them is back at once
 // and has not reported yet, and against a suspect that remains one after the server has reported that it lives.
 func TestCrashAssumed(t *testing.T) {
@@ -129,14 +170,14 @@
 			request.SetUri("/" + ending)
 			_ = b.Execute(b.Context(), request)
 			crashes := func() int {
-				return b.table.Crashes(b.clock.Now(), core.Fingerprint("sheets", "GET", request.GetUri(), nil))
+				return b.table.Crashes(b.clock.Now(), core.SuspectFingerprints("sheets", "", "GET", request.GetUri(), nil)[0])
 			}
 			b.Check(crashes(), qt.Equals, count)
 			request.SetSuspect(true)
 			b.checkUnknown(b.Execute(b.Context(), request), schema.Reason_REASON_CRASHED)
 			b.Check(crashes(), qt.Equals, count+1)
 		}
-		b.table.Clear(b.clock.Now(), core.Fingerprint("sheets", "GET", "/within the response", nil))
+		b.table.Clear(b.clock.Now(), core.SuspectFingerprints("sheets", "", "GET", "/within the response", nil)[0])
 		b.lose(endings()["before the response"], func() {})
 		b.Check(b.crashes(), qt.Equals, 1)
 		b.report(warmReport())
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -340,7 +340,7 @@
 		{"pause", long, func(b *harness, _ *poison.Table) { b.clock.pause(700 * time.Millisecond) }},
 		{"out of service", long, func(b *harness, _ *poison.Table) { b.snapshots.set(2, true) }},
 		{"suspect", long, func(b *harness, table *poison.Table) {
-			table.Record(b.clock.Now(), []uint64{core.Fingerprint("sheets", "GET", "/sheets/7", nil)}, true)
+			table.Record(b.clock.Now(), core.SuspectFingerprints("sheets", "", "GET", "/sheets/7", nil), true)
 		}},
 	}
 	for _, test := range tests {
@@ -538,7 +538,7 @@
 		b.checkAnswered(<-other)
 		b.checkAnswered(<-good)
 		b.Check(alone.Load(), qt.IsTrue)
-		b.Check(table.Crashes(b.clock.Now(), core.Fingerprint("sheets", "GET", "/good", nil)), qt.Equals, 0)
+		b.Check(table.Crashes(b.clock.Now(), core.SuspectFingerprints("sheets", "", "GET", "/good", nil)[0]), qt.Equals, 0)
 
 		began = b.clock.Now()
 		b.checkUnknown(b.Execute(b.Context(), uri("/bad")), schema.Reason_REASON_CRASHED)
--- a/guard/run.go
+++ b/guard/run.go
@@ -138,7 +138,7 @@
 	if c.ctx.Err() != nil {
 		return schema.Reason_REASON_CANCELLED
 	}
-	crashes := g.suspects.Crashes(now, c.fingerprint)
+	crashes := g.crashes(now, c)
 	if crashes >= poison.RefusalThreshold {
 		return schema.Reason_REASON_POISONED
 	}
@@ -271,8 +271,8 @@
 	if c.withdrawn && reply.GetStatus() == schema.Status_STATUS_UNKNOWN {
 		return
 	}
-	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && g.suspects.Crashes(now, c.fingerprint) > 0 {
-		g.clearSuspect(now, c.fingerprint)
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && g.crashes(now, c) > 0 {
+		g.clearSuspect(now, c.fingerprints)
 	}
 	started := c.admit.Started()
 	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && started.After(g.server.lastAnswered) {
@@ -287,16 +287,6 @@
 	g.limiter.Observe(now, core.Sample{Latency: latency, InFlight: c.admit.InFlight(), Failed: failed})
 }
 
-// clearSuspect records that a suspect ended without a crash. It need not have run alone: a request that crashes every
-// server that runs it never gets an answer, so a frequent request that happened to be in flight during a crash is
-// cleared by its next answer.
-func (g *Guard) clearSuspect(now time.Time, fingerprint uint64) {
-	g.suspects.Clear(now, fingerprint)
-	g.handle(now, g.controller.ClearSuspects(now, func(waiting *admit.Call) bool {
-		return waiting.Owner.(*call).fingerprint == fingerprint
-	}))
-}
-
 // measure updates the averages in the load report.
 func (s *server) measure(latency time.Duration, failed bool) {
 	if s.latency == 0 {
