guard: an unmarked refusal of an unsafe call is an unknown outcome

Cause: a complete response without the server's mark "not run" was an answer whatever its status, and 408, 421, 429 and 503 promise callers that the request did not run. The held result of a ticket repeated it.

Ruled out: passing on another status with the server's signature, which must not stand on what the server did not say; retrying elsewhere, since the request has run.

The guard now replies unknown (unmarked-refusal), which callers get as 502, before it stores the result of a ticket. The router checks replies of guards of older versions by the same function. An answer of this kind still clears a suspect and counts as one of the server.

--- a/core/outcome.go
+++ b/core/outcome.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"net/http"
 	"strings"
 
 	"verbenareel/schema"
@@ -38,3 +39,26 @@
 func newUnansweredReply(status schema.Status, reason schema.Reason) *schema.ExecuteReply {
 	return schema.ExecuteReply_builder{Status: status, Reason: reason}.Build()
 }
+
+// CheckRefusal returns the reply to a call that must not run twice. Callers take some status codes for a promise that the
+// request did not run. The response of a backend server that has run it keeps no such promise, so it becomes an unknown
+// outcome. A backend server that did not run the request marks its response, which is then not of status ANSWERED.
+func CheckRefusal(reply *schema.ExecuteReply) *schema.ExecuteReply {
+	if reply.GetStatus() != schema.Status_STATUS_ANSWERED || !promisesNotRun(int(reply.GetCode())) {
+		return reply
+	}
+	unknown := Unknown(schema.Reason_REASON_UNMARKED_REFUSAL)
+	unknown.SetRetried(reply.GetRetried())
+	unknown.SetLoad(reply.GetLoad())
+	unknown.SetNextTicket(reply.GetNextTicket())
+	return unknown
+}
+
+// promisesNotRun reports whether callers take an HTTP status code for a promise that the request did not run.
+func promisesNotRun(code int) bool {
+	switch code {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -702,3 +703,45 @@
 		})
 	}
 }
+
+// TestUnmarkedRefusal guards against a status that tells callers that their unsafe request did not run, although the backend
+// server has not said so: such an answer is an unknown outcome, also when the ticket is sent again.
+func TestUnmarkedRefusal(t *testing.T) {
+	once := func(*harness) *schema.ExecuteRequest {
+		request := lookup()
+		request.SetRepeatable(false)
+		request.SetOnce(true)
+		return request
+	}
+	requests := map[string]func(*harness) *schema.ExecuteRequest{
+		"once":   once,
+		"ticket": func(b *harness) *schema.ExecuteRequest { return b.order(nil) },
+	}
+	for kind, newRequest := range requests {
+		for _, code := range []int{408, 421, 429, 503} {
+			t.Run(kind+" "+strconv.Itoa(code), func(t *testing.T) {
+				run(t, nil, func(b *harness) {
+					b.backend.send = func(context.Context, *core.Request, int) *core.Result {
+						return &core.Result{Written: true, Code: code, Body: []byte("busy")}
+					}
+					request := newRequest(b)
+					b.checkUnknown(b.Execute(b.Context(), request), schema.Reason_REASON_UNMARKED_REFUSAL)
+					if request.HasTicket() {
+						b.checkUnknown(b.Execute(b.Context(), request), schema.Reason_REASON_UNMARKED_REFUSAL)
+					}
+					b.checkAnswered(b.Execute(b.Context(), lookup()))
+				})
+			})
+		}
+	}
+	run(t, nil, func(b *harness) {
+		for _, result := range []core.Result{{Code: 500}, {Code: 504}, {Code: 409}} {
+			b.backend.send = func(context.Context, *core.Request, int) *core.Result { return &result }
+			b.checkAnswered(b.Execute(b.Context(), once(b)))
+		}
+		b.backend.send = func(context.Context, *core.Request, int) *core.Result {
+			return &core.Result{Written: true, Code: 503, Reason: schema.Reason_REASON_SHED}
+		}
+		b.checkNotRun(b.Execute(b.Context(), once(b)), schema.Reason_REASON_SHED)
+	})
+}
--- a/guard/run.go
+++ b/guard/run.go
@@ -177,6 +177,9 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	reply := outcome(result)
+	if !c.request.GetRepeatable() {
+		reply = core.CheckRefusal(reply)
+	}
 	if c.abandoned && reply.GetStatus() == schema.Status_STATUS_UNKNOWN {
 		reply = core.Unknown(schema.Reason_REASON_SLOW)
 	}
@@ -271,11 +274,12 @@
 	if c.withdrawn && reply.GetStatus() == schema.Status_STATUS_UNKNOWN {
 		return
 	}
-	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && g.crashes(now, c) > 0 {
+	answered := result.Code != 0
+	if answered && g.crashes(now, c) > 0 {
 		g.clearSuspect(now, c.fingerprints)
 	}
 	started := c.admit.Started()
-	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && started.After(g.server.lastAnswered) {
+	if answered && started.After(g.server.lastAnswered) {
 		g.server.lastAnswered = started
 	}
 	latency := now.Sub(started)
--- a/router/call.go
+++ b/router/call.go
@@ -77,6 +77,10 @@
 	defer stop()
 	c.group.budgets.recordCall(start, c.rule.GetRepeatable())
 	reply := r.run(ctx, c)
+	if !c.rule.GetRepeatable() {
+		// A guard of an older version may not have checked it.
+		reply = core.CheckRefusal(reply)
+	}
 	took := r.clock.Now().Sub(start)
 	r.metrics.recordCall(c.service, reply, took)
 	r.logCall(c, reply, took)
--- a/router/once_test.go
+++ b/router/once_test.go
@@ -38,6 +38,7 @@
 		{"error of the server", answer(500), 1, schema.Status_STATUS_ANSWERED},
 		{"lost", core.Unknown(schema.Reason_REASON_CONNECTION_LOST), 1, schema.Status_STATUS_UNKNOWN},
 		{"garbled", core.Unknown(schema.Reason_REASON_GARBLED), 1, schema.Status_STATUS_UNKNOWN},
+		{"refusal of the server, by an older guard", answer(503), 1, schema.Status_STATUS_UNKNOWN},
 		{"shed", core.NotRun(schema.Reason_REASON_SHED), 2, schema.Status_STATUS_ANSWERED},
 		{"another instance", core.NotRun(schema.Reason_REASON_WRONG_INSTANCE), 2, schema.Status_STATUS_ANSWERED},
 		{"leaving", core.NotRun(schema.Reason_REASON_LEAVING), 2, schema.Status_STATUS_ANSWERED},
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -65,6 +65,7 @@
 	"slow":              "the backend server was temporarily slow",
 	"cancelled":         "the caller cancelled the request",
 	"garbled":           "the response did not belong to this request",
+	"unmarked-refusal":  "the backend server answered 408, 421, 429 or 503 without its mark that the request did not run",
 	"memory":            "the node had no memory left for large bodies",
 	"too-large":         "the request or its response exceeds a size limit of the service",
 	"depth":             "the chain of nested calls is too deep",
