peers: a new instance name gets no work until its service is known

Cause: the name in a health check was announced under the node's own service, and of the entry of that name only the state was used. Related paths: a new process announced the first name that it heard as serving, and other nodes used a record whose service the list contradicts.

Ruled out: taking a name that appears within reuse_after of the old server's last sign for one of the same service. It was built and reverted: a new name whose entry is missing counts as leaving anyway, and logs of both variants show the same decisions.

Now a name is out of service until its entry, the list or the record of an earlier process shows its service, and an instance whose record and entry name different services gets no work.

--- a/peers/members.go
+++ b/peers/members.go
@@ -50,7 +50,7 @@
 }
 
 // effective returns the record in force: the announced one if there is one, else the list entry, with the worse of both
-// states.
+// states. An instance whose node announces another service than the list names gets no calls.
 func (m *member) effective() *schema.Member {
 	if m.record == nil {
 		return m.listEntry
@@ -70,6 +70,9 @@
 
 func (m *member) state() schema.InstanceState {
 	state := max(m.record.GetState(), m.listEntry.GetState())
+	if m.record != nil && m.listEntry != nil && m.record.GetService() != m.listEntry.GetService() {
+		state = max(state, schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE)
+	}
 	if m.missingFromList {
 		return max(state, schema.InstanceState_INSTANCE_STATE_LEAVING)
 	}
--- a/peers/ownentry.go
+++ b/peers/ownentry.go
@@ -101,6 +101,9 @@
 	}
 	s.listedAt = began
 	s.table.applyOwn(s.self.GetInstance(), entry, now)
+	if s.provesService(entry) {
+		s.enterService(now)
+	}
 }
 
 // readEntry reads the entry of an instance in the platform's list; nil means that the list does not name it.
--- a/peers/ownentry_test.go
+++ b/peers/ownentry_test.go
@@ -22,7 +22,7 @@
 func TestOwnEntryDecides(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	s := ownEntryState(now)
-	s.SetInstanceName(now, ownName)
+	identify(s, now)
 	own := listed(ownName, "127.0.0.1:1", serving)
 	list := func(members ...*schema.Member) { s.MembersDone(now, ReadMembers{sentAt: now}, members, nil) }
 	entry := func(m *schema.Member) { s.OwnEntryDone(now, ReadOwnEntry{Instance: ownName, sentAt: now}, m, nil) }
@@ -85,7 +85,7 @@
 	lists, entries := stepReads(s, &now, 2500*time.Millisecond)
 	qt.Check(t, lists >= 2 && lists <= 3, qt.IsTrue, qt.Commentf("%d reads", lists))
 	qt.Check(t, entries, qt.Equals, 0, qt.Commentf("the instance is not known yet"))
-	s.SetInstanceName(now, ownName)
+	identify(s, now)
 	lists, entries = stepReads(s, &now, 8*time.Second, listedOthers()...)
 	qt.Check(t, lists, qt.Equals, 1)
 	qt.Check(t, entries, qt.Equals, 1)
@@ -101,7 +101,7 @@
 func TestOwnEntryRequested(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	s := ownEntryState(now)
-	s.SetInstanceName(now, ownName)
+	identify(s, now)
 	stepReads(s, &now, 2*time.Second, listedOthers()...)
 	s.RequestListRead(now)
 	lists, entries := stepReads(s, &now, time.Second, listedOthers()...)
@@ -141,7 +141,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_700_000_000, 0)
 			s := ownEntryState(now)
-			s.SetInstanceName(now, ownName)
+			identify(s, now)
 			for _, step := range c.steps {
 				read := ReadOwnEntry{Instance: ownName, sentAt: now.Add(10 * time.Millisecond)}
 				now = now.Add(50 * time.Millisecond)
@@ -169,7 +169,7 @@
 func TestMissingEntryReadAgain(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	s := ownEntryState(now)
-	s.SetInstanceName(now, ownName)
+	identify(s, now)
 	present, reads := false, 0
 	step := func(d time.Duration) {
 		for end := now.Add(d); now.Before(end); {
@@ -210,7 +210,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	s := ownEntryState(now)
 	s.reading.OwnEntryWait = 25 * time.Second
-	s.SetInstanceName(now, ownName)
+	identify(s, now)
 	serving, leaving := listed(ownName, "127.0.0.1:1", serving), listed(ownName, "127.0.0.1:1", leaving)
 	var watch *WatchOwnEntry
 	reads, watches := 0, 0
--- a/peers/read.go
+++ b/peers/read.go
@@ -308,6 +308,9 @@
 	s.table.applyOthers(others, now, s.self.GetInstance(), s.inGrace(now))
 	if s.reading.ReadOwnEntry {
 		s.countDiscovery(len(others))
+		if s.provesService(ownEntry) {
+			s.enterService(now)
+		}
 		return
 	}
 	s.applyOwnEntry(now, sent.sentAt, ownEntry)
--- a/peers/reading_test.go
+++ b/peers/reading_test.go
@@ -62,15 +62,29 @@
 	out     = schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
 )
 
+// identify sets the name of the node's backend server, whose service is known from a record of an earlier process.
+func identify(s *State, now time.Time) {
+	s.table.merge(earlierRecord(ownName, serving), now, false)
+	s.SetInstanceName(now, ownName)
+}
+
+// earlierRecord returns a record that an earlier process of the node announced.
+func earlierRecord(name string, state schema.InstanceState) *schema.Member {
+	return schema.Member_builder{
+		Instance: name, Service: "sheets", Domain: "domain-1", Address: "127.0.0.1:1", Incarnation: 9, Version: 9, State: state,
+	}.Build()
+}
+
 // TestIdentify guards against announcing an instance before its backend server is known, and against keeping the name
 // of a backend server that was replaced.
 func TestIdentify(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	s := readingState(now)
 	checkState(t, s, "node-1", out)
-	s.SetInstanceName(now, ownName)
+	identify(s, now)
 	checkState(t, s, ownName, serving)
 	checkState(t, s, "node-1", gone)
+	s.table.merge(earlierRecord("sheets-2", serving), now, false)
 	s.SetInstanceName(now, "sheets-2")
 	checkState(t, s, "sheets-2", serving)
 	checkState(t, s, ownName, gone)
@@ -82,12 +96,80 @@
 	checkState(t, s, "sheets-3", leaving)
 }
 
+// TestServiceUnproven guards against calls to a server of another service that took over the address of the node's server: a
+// name that may be of another service is out of service until something shows whose it is.
+func TestServiceUnproven(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	foreign := schema.Member_builder{Instance: ownName, Service: "cutting", Domain: "domain-1", Address: "127.0.0.1:1", State: serving}.Build()
+	entry := func(m *schema.Member) func(*State) {
+		return func(s *State) { s.OwnEntryDone(now, ReadOwnEntry{Instance: ownName, sentAt: now}, m, nil) }
+	}
+	sync := func(r *schema.Member) func(*State) {
+		return func(s *State) {
+			s.HandleSync(now, schema.SyncRequest_builder{From: "sheets-5", Members: []*schema.Member{r}}.Build())
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		shown func(*State)
+		want  schema.InstanceState
+	}{
+		{"nothing is known", func(*State) {}, out},
+		{"entry of the service", entry(listed(ownName, "127.0.0.1:1", serving)), serving},
+		{"entry of another service", entry(foreign), out},
+		{"no entry", entry(nil), leaving},
+		{"platform cannot be read", func(s *State) { s.OwnEntryDone(now, ReadOwnEntry{Instance: ownName, sentAt: now}, nil, errDown) }, out},
+		{"list names the service", func(s *State) {
+			s.MembersDone(now, ReadMembers{sentAt: now}, []*schema.Member{listed(ownName, "127.0.0.1:1", serving)}, nil)
+		}, serving},
+		{"record of an earlier process", sync(earlierRecord(ownName, serving)), serving},
+		{"record of an earlier process that did not know either", sync(earlierRecord(ownName, out)), out},
+		{"record of an earlier process that is gone", sync(earlierRecord(ownName, gone)), out},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, before := range []bool{false, true} {
+				s := ownEntryState(now)
+				if before {
+					s.SetInstanceName(now, "sheets-0")
+				}
+				s.SetInstanceName(now, ownName)
+				checkState(t, s, ownName, out)
+				c.shown(s)
+				checkState(t, s, ownName, c.want)
+			}
+		})
+	}
+	t.Run("record of an earlier process meets the new one", func(t *testing.T) {
+		peer := ownEntryState(now)
+		peer.table.merge(earlierRecord(ownName, serving), now, true)
+		s := ownEntryState(now)
+		s.SetInstanceName(now, ownName)
+		peer.HandleSync(now, schema.SyncRequest_builder{From: ownName, Members: []*schema.Member{s.self}}.Build())
+		checkState(t, peer, ownName, serving)
+		sync(peer.table.byName[ownName].record)(s)
+		checkState(t, s, ownName, serving)
+	})
+	t.Run("entry of another service comes later", func(t *testing.T) {
+		s := ownEntryState(now)
+		identify(s, now)
+		entry(foreign)(s)
+		checkState(t, s, ownName, out)
+		other := earlierRecord("sheets-7", serving)
+		s.table.merge(other, now, false)
+		checkState(t, s, "sheets-7", serving)
+		s.MembersDone(now, ReadMembers{sentAt: now}, []*schema.Member{schema.Member_builder{
+			Instance: "sheets-7", Service: "cutting", Domain: "domain-1", Address: "127.0.0.1:1", State: serving,
+		}.Build()}, nil)
+		checkState(t, s, "sheets-7", out)
+	})
+}
+
 // TestListDecides guards against an instance that keeps working although the platform's list no longer names it, and
 // against one that stops working because the platform could not be read.
 func TestListDecides(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	s := readingState(now)
-	s.SetInstanceName(now, ownName)
+	identify(s, now)
 	checkState(t, s, ownName, serving)
 	own := listed(ownName, "127.0.0.1:1", serving)
 	other := listed("sheets-9", "127.0.0.1:9", serving)
@@ -125,7 +207,7 @@
 func TestListedInGrace(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	s := readingState(now)
-	s.SetInstanceName(now, ownName)
+	identify(s, now)
 	own := listed(ownName, "127.0.0.1:1", serving)
 	read := func(members ...*schema.Member) {
 		now = now.Add(time.Second)
--- a/peers/state.go
+++ b/peers/state.go
@@ -315,28 +315,6 @@
 	s.announceRecords(now)
 }
 
-// SetInstanceName changes the instance name in the node's own record, because another backend server has replaced the previous
-// one. The previous record is announced as gone.
-func (s *State) SetInstanceName(now time.Time, instance string) {
-	s.detectPause(now)
-	if instance == "" || instance == s.self.GetInstance() {
-		return
-	}
-	state := min(s.self.GetState(), schema.InstanceState_INSTANCE_STATE_LEAVING)
-	if state == schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE {
-		state = schema.InstanceState_INSTANCE_STATE_SERVING
-	}
-	s.reannounceSelf(now, s.self.GetVersion()+1, schema.InstanceState_INSTANCE_STATE_GONE)
-	version := max(s.self.GetVersion()+1, uint64(now.UnixMilli()))
-	s.setSelf(now, schema.Member_builder{
-		Instance: instance, Service: s.self.GetService(), Domain: s.self.GetDomain(), Address: s.self.GetAddress(),
-		Incarnation: s.self.GetIncarnation(), Version: version, State: state,
-	}.Build())
-	s.ownSeenAt, s.ownMissingSince = time.Time{}, time.Time{}
-	s.announceRecords(now)
-	s.RequestListRead(now)
-}
-
 // RequestListRead requests a read of the platform's list as of now, or of the node's own entry in it.
 func (s *State) RequestListRead(now time.Time) { s.listRequestedAt = now }
 
