io: no request on a connection that refused the same request before

Cause: without request IDs the first complete response belongs to the waiting request; with IDs the same request that comes again has the same ID.

Ruled out: a check of the idle connection, as the copy comes after the request; IDs in the native format, which each server would have to learn.

A connection remembers the IDs that were refused on it and carries none of them again; without IDs a connection is not used after a refusal.

--- a/io/backend.go
+++ b/io/backend.go
@@ -38,6 +38,8 @@
 	// server may close a connection that has been idle for longer, or a middlebox may drop its state, just as the request
 	// is sent.
 	maxIdleForOnce = time.Second
+	// maxRefusals is the number of refused requests after which a connection is not used again.
+	maxRefusals = 16
 	// maxBufferedBody is the maximum size of a request body that fits into the buffers of a connection.
 	maxBufferedBody = 2 << 10
 	// maxSkippedResponses bounds the responses read for one request: interim responses and responses to other requests
@@ -198,7 +200,7 @@
 		return b.countFailure(&core.Result{Reason: contextReason(ctx)})
 	}
 	defer b.semaphore.release()
-	c, err := b.acquire(ctx, request.AtMostOnce)
+	c, err := b.acquire(ctx, request)
 	if c != nil && ctx.Err() != nil {
 		c.reusable = true
 		b.release(c)
@@ -211,6 +213,9 @@
 		return b.countFailure(&core.Result{Reason: schema.Reason_REASON_CONNECT})
 	}
 	result := c.roundTrip(ctx, request)
+	if result.Reason == schema.Reason_REASON_SHED || result.Reason == schema.Reason_REASON_WRONG_INSTANCE {
+		c.recordRefusal(request.ID)
+	}
 	b.release(c)
 	return b.countFailure(result)
 }
@@ -232,16 +237,15 @@
 	return result
 }
 
-// acquire returns an idle connection that is still open, or opens a new one. once reports that the request must not be sent
-// twice.
-func (b *Backend) acquire(ctx context.Context, once bool) (*backendConn, error) {
+// acquire returns an idle connection that is still open, or opens a new one.
+func (b *Backend) acquire(ctx context.Context, request *core.Request) (*backendConn, error) {
 	for {
-		c := b.popIdle()
+		c := b.popIdle(request.ID)
 		if c == nil {
 			break
 		}
 		idle := b.clock.Now().Sub(c.lastUsed)
-		if once && idle >= maxIdleForOnce {
+		if request.AtMostOnce && idle >= maxIdleForOnce {
 			b.pushIdle(c)
 			break
 		}
@@ -310,17 +314,17 @@
 	b.idle = nil
 }
 
-func (b *Backend) popIdle() *backendConn {
+// popIdle returns the idle connection that was used last and has not refused a request with the ID, or nil.
+func (b *Backend) popIdle(id string) *backendConn {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	last := len(b.idle) - 1
-	if last < 0 {
-		return nil
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		if c := b.idle[i]; !slices.Contains(c.refused, id) {
+			b.idle = slices.Delete(b.idle, i, i+1)
+			return c
+		}
 	}
-	c := b.idle[last]
-	b.idle[last] = nil
-	b.idle = b.idle[:last]
-	return c
+	return nil
 }
 
 // pushIdle adds a connection to the end of the idle list. The caller updates lastUsed if the connection was used.
--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -27,6 +27,9 @@
 	writer   *bufio.Writer
 	lastUsed time.Time
 	reusable bool
+	// refused are the IDs of the requests that the server refused on this connection. A faulty server may write such a
+	// refusal once more, so no request with the same ID is sent there again.
+	refused []string
 	// request is the current request.
 	request      *core.Request
 	stallTimer   *time.Timer
@@ -150,6 +153,15 @@
 	return c.newResult(request, response)
 }
 
+// recordRefusal records that the server refused a request. Without request IDs, a repeated refusal can't be told from the
+// response to the next request, so the connection is not used again.
+func (c *backendConn) recordRefusal(id string) {
+	c.refused = append(c.refused, id)
+	if c.backend.wire.RequestID == "" || len(c.refused) >= maxRefusals {
+		c.reusable = false
+	}
+}
+
 // sendAndReceive sends the request and receives the response. A server may respond before it has read a long body, and may
 // not read any further until its response has been read. A request with a long body is therefore written concurrently.
 func (c *backendConn) sendAndReceive(request *core.Request, response *fasthttp.Response) (sendErr, err error) {
