io: match rules with the path as it was sent

Cause: rules were matched with the path that the library decodes and normalizes, while the path is forwarded as it was sent. The decoded path may have the prefix of another rule, a repeatable one or one of another service. A target with scheme and host was forwarded normalized.

--- a/io/parse.go
+++ b/io/parse.go
@@ -180,16 +180,14 @@
 
 // newCall copies a request into a call, because the buffers of the request are reused.
 func newCall(w *core.WireFormat, request *fasthttp.Request) (*core.Call, error) {
+	uri := originForm(string(request.Header.RequestURI()))
 	call := &core.Call{
 		Method: string(request.Header.Method()),
-		URI:    string(request.Header.RequestURI()),
-		Path:   string(request.URI().Path()),
+		URI:    uri,
+		Path:   pathOf(uri),
 		Host:   hostName(string(request.Header.Host())),
 		Body:   append([]byte(nil), request.Body()...),
 	}
-	if !strings.HasPrefix(call.URI, "/") {
-		call.URI = string(request.URI().RequestURI())
-	}
 	headers := newHeaderCopier()
 	var fields callFields
 	for name, value := range request.Header.All() {
@@ -207,6 +205,34 @@
 	return call, nil
 }
 
+// originForm returns a request target without scheme and authority (RFC 9112, section 3.2).
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, found := strings.Cut(target, "://")
+	if !found {
+		return target
+	}
+	i := strings.IndexAny(rest, "/?#")
+	switch {
+	case i < 0:
+		return "/"
+	case rest[i] != '/':
+		return "/" + rest[i:]
+	}
+	return rest[i:]
+}
+
+// pathOf returns the path of a request target as it was sent. Rules match it unchanged, because it is forwarded unchanged:
+// the decoded path may match another rule, such as one that allows the request to run twice.
+func pathOf(uri string) string {
+	if i := strings.IndexAny(uri, "?#"); i >= 0 {
+		return uri[:i]
+	}
+	return uri
+}
+
 // hostName returns the host in lower case and without the port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
