guard: a new process waits at a cold server unless no other node knew an earlier one

Cause: a new process leaves out its first wait if the server turned cold less than 250 ms before it began, on the assumption that no restart is that quick.

Other nodes know whether the instance had an earlier process. The wait is left out only after member records were synchronized with one of them, and if none knows the instance. The first record of a process has the lowest version, so that it doesn't replace what it has to hear of; it is raised after 5 s.

--- a/guard/cold.go
+++ b/guard/cold.go
@@ -101,9 +101,10 @@
 }
 
 // releaseHold ends the hold of holdAfterRestart if the backend server turned cold so late that an earlier process
-// cannot have sent it calls since.
+// cannot have sent it calls since: after this one began, or shortly before and there was no earlier process.
 func (g *Guard) releaseHold(now time.Time, report *core.ServerReport) {
-	if since, ok := g.coldSince(now, report); ok && since.After(g.epoch.Add(-minRestartTime)) {
+	since, ok := g.coldSince(now, report)
+	if ok && (since.After(g.epoch) || since.After(g.epoch.Add(-minRestartTime)) && g.firstProcess(g.member().GetInstance())) {
 		g.controller.HoldUntil(time.Time{})
 	}
 }
--- a/guard/cold_test.go
+++ b/guard/cold_test.go
@@ -124,10 +124,10 @@
 	group  conc.WaitGroup
 }
 
-func startProcess(random *rand.Rand, server *coldServer, known *snapshots) *process {
+func startProcess(random *rand.Rand, server *coldServer, known *snapshots, opts ...guard.Option) *process {
 	p := &process{}
 	clock := clockwork.NewRealClock()
-	g := guard.New(member(), known, server, ticket.New("sheets-1", 7, clock.Now()), clock)
+	g := guard.New(member(), known, server, ticket.New("sheets-1", 7, clock.Now()), clock, opts...)
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
 	p.group.Go(func() { _ = g.Run(ctx) })
@@ -185,6 +185,25 @@
 	checkRestarts(t, 20*time.Millisecond)
 }
 
+// TestHoldOfFirstProcess guards against a second without calls after a machine got its power back: its server begins shortly before
+// its node, which no process came before.
+func TestHoldOfFirstProcess(t *testing.T) {
+	for _, first := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			known := &snapshots{}
+			known.setReporting(time.Time{}, schema.InstanceState_INSTANCE_STATE_UNSPECIFIED)
+			server := &coldServer{dial: func() time.Duration { return 0 }, service: 50 * time.Millisecond}
+			server.turnCold(coldTime)
+			time.Sleep(100 * time.Millisecond)
+			isFirst := guard.WithFirstProcess(func(instance string) bool { return first && instance == "sheets-1" })
+			p := startProcess(rand.New(rand.NewPCG(1, 1)), server, known, isFirst)
+			time.Sleep(500 * time.Millisecond)
+			p.kill()
+			qt.Check(t, server.peak() > 0, qt.Equals, first)
+		})
+	}
+}
+
 // checkRestarts checks the calls to a cold server whose node is killed and is back after shortest or later.
 func checkRestarts(t *testing.T, shortest time.Duration) {
 	t.Helper()
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -27,6 +27,7 @@
 	onInstanceChange func(instance string)
 	refreshList      func()
 	receiveWait      func() time.Duration
+	firstProcess     func(instance string) bool
 	snapshots        core.Snapshots
 	backend          core.Backend
 	clock            core.Clock
@@ -120,6 +121,12 @@
 // decides.
 func WithListRefresh(check func()) Option { return func(g *Guard) { g.refreshList = check } }
 
+// WithFirstProcess sets the function that reports whether certainly no earlier process sent calls to the backend server of the
+// instance. By default an earlier process may have.
+func WithFirstProcess(firstProcess func(instance string) bool) Option {
+	return func(g *Guard) { g.firstProcess = firstProcess }
+}
+
 // WithReceiveWait sets the function that returns the time until the bodies on their way to the node have arrived, for load
 // reports.
 func WithReceiveWait(wait func() time.Duration) Option {
@@ -135,6 +142,7 @@
 		snapshots:        snapshots,
 		onInstanceChange: func(string) {},
 		receiveWait:      func() time.Duration { return 0 },
+		firstProcess:     func(string) bool { return false },
 		backend:          backend,
 		clock:            clock,
 		store:            store,
--- a/node/node.go
+++ b/node/node.go
@@ -165,6 +165,7 @@
 	store := ticket.New(n.settings.GetInstance(), n.self.GetIncarnation(), n.clock.Now())
 	n.guard = guard.New(n.self, n.exchange, n.backend, store, n.clock, guard.WithLogger(n.logger),
 		guard.WithRegisterer(n.registry), guard.WithSuspects(suspects), guard.WithRecheck(n.waitUntilFresh), guard.WithInstanceChange(n.exchange.SetInstanceName), guard.WithListRefresh(n.listRefresher()),
+		guard.WithFirstProcess(n.exchange.FirstProcess),
 		guard.WithReceiveWait(n.receiveWait),
 		guard.WithSuspectPush(func(ctx context.Context, _ []uint64) {
 			records := suspects.Records(n.clock.Now(), maxPushedSuspects)
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -64,6 +64,8 @@
 	// digest is a copy of the state's digest for readers outside the control loop.
 	digest     atomic.Pointer[digest]
 	lastStatus atomic.Pointer[Status]
+	// firstProcess is the name of the instance if State.FirstProcess holds for it.
+	firstProcess atomic.Pointer[string]
 	// published identifies the state that the published snapshot was built from.
 	published   publishedVersion
 	publishedAt time.Time
@@ -285,6 +287,13 @@
 	e.enqueue(func(now time.Time) { e.state.SetInstanceName(now, instance) })
 }
 
+// FirstProcess reports whether no earlier process of the node announced the instance, as far as other nodes know. It is false
+// if the instance is not the current one.
+func (e *Exchange) FirstProcess(instance string) bool {
+	first := e.firstProcess.Load()
+	return first != nil && *first == instance
+}
+
 // Digest returns the digest of the node's document, like State.Digest. It is safe for concurrent use.
 func (e *Exchange) Digest() (revision, manifest uint64, confirmed uint32) {
 	s := e.digest.Load()
--- a/peers/identity.go
+++ b/peers/identity.go
@@ -6,9 +6,13 @@
 	"verbenareel/schema"
 )
 
-// unprovenVersion is the version of a record whose service is not known yet. It is below the version of each record that an
-// earlier process announced for the instance, so that the other nodes keep that record and send it back.
-const unprovenVersion = 1
+// firstVersion is the version of the record of an instance of which no earlier record is known. It is below the version of each
+// record that an earlier process announced for the instance, so that the other nodes keep that record and send it back.
+const firstVersion = 1
+
+// versionRaiseDelay is how long a new record keeps its low version. Afterwards the record has to replace those that nodes
+// behind a partition still have.
+const versionRaiseDelay = 5 * time.Second
 
 // SetInstanceName changes the instance name in the node's own record, because the backend server has reported its name for the
 // first time, or another one has replaced it. The previous record is announced as gone.
@@ -22,13 +26,17 @@
 		return
 	}
 	state := min(s.self.GetState(), schema.InstanceState_INSTANCE_STATE_LEAVING)
-	version := s.nextVersion(now)
 	switch {
 	case state == schema.InstanceState_INSTANCE_STATE_LEAVING:
 	case s.knownService(instance):
 		state = schema.InstanceState_INSTANCE_STATE_SERVING
 	default:
-		state, version = schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE, unprovenVersion
+		state = schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
+	}
+	version := uint64(firstVersion)
+	announced := s.table.byName[instance] != nil && s.table.byName[instance].record != nil
+	if announced {
+		version = max(s.table.byName[instance].record.GetVersion()+1, uint64(now.UnixMilli()))
 	}
 	s.reannounceSelf(now, s.self.GetVersion()+1, schema.InstanceState_INSTANCE_STATE_GONE)
 	s.setSelf(now, schema.Member_builder{
@@ -36,15 +44,11 @@
 		Incarnation: s.self.GetIncarnation(), Version: version, State: state,
 	}.Build())
 	s.ownSeenAt, s.ownMissingSince = time.Time{}, time.Time{}
+	s.earlierProcess, s.namedAt = announced, now
 	s.announceRecords(now)
 	s.RequestListRead(now)
 }
 
-// nextVersion returns a version for the node's own record that is above its current one and those of earlier processes.
-func (s *State) nextVersion(now time.Time) uint64 {
-	return max(s.self.GetVersion()+2, uint64(now.UnixMilli()))
-}
-
 // knownService reports whether the table already shows that an instance belongs to the node's service: by its entry in the
 // platform's list, or by the record of an earlier process of the node. An instance name is never used again.
 func (s *State) knownService(instance string) bool {
@@ -66,11 +70,25 @@
 	return state == schema.InstanceState_INSTANCE_STATE_SERVING || state == schema.InstanceState_INSTANCE_STATE_COLD
 }
 
+// FirstProcess reports whether no earlier process of the node announced the instance, as far as other nodes know.
+func (s *State) FirstProcess() bool { return s.fullSyncDone && !s.earlierProcess }
+
+// raiseVersion raises the version of the node's own record to that of the time, once its service is known and the other nodes had
+// time to send back the record of an earlier process.
+func (s *State) raiseVersion(now time.Time) {
+	proven := s.self.GetState() != schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
+	low := s.self.GetVersion() < uint64(s.namedAt.UnixMilli())
+	if s.namedAt.IsZero() || !proven || !low || now.Sub(s.namedAt) < versionRaiseDelay {
+		return
+	}
+	s.reannounceSelf(now, uint64(now.UnixMilli()), s.self.GetState())
+}
+
 // enterService announces the node's own instance as serving once it is known to belong to the node's service.
 func (s *State) enterService(now time.Time) {
 	if s.self.GetState() != schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE {
 		return
 	}
-	s.reannounceSelf(now, s.nextVersion(now), schema.InstanceState_INSTANCE_STATE_SERVING)
+	s.reannounceSelf(now, s.self.GetVersion()+1, schema.InstanceState_INSTANCE_STATE_SERVING)
 	s.announceRecords(now)
 }
--- a/peers/publish.go
+++ b/peers/publish.go
@@ -33,6 +33,11 @@
 	e.logRejection()
 	e.logPlatform()
 	e.logExpired()
+	first := ""
+	if e.state.FirstProcess() {
+		first = e.state.self.GetInstance()
+	}
+	e.firstProcess.Store(&first)
 	seen := publishedVersion{
 		revision: e.state.Revision(),
 		changes:  e.state.table.changes,
--- a/peers/reading_test.go
+++ b/peers/reading_test.go
@@ -164,6 +164,43 @@
 	})
 }
 
+// TestFirstProcess guards against a process that takes itself for the first of its instance, and gives a cold server its share
+// once more, because its record has replaced that of the earlier process; and against a record whose version stays so low that a
+// node behind a partition never accepts it.
+func TestFirstProcess(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	meet := func(s, peer *State) {
+		hashes := append([]uint64{}, peer.table.bucketHashes[:]...)
+		s.repairBuckets("127.0.0.1:9", hashes)
+		for _, sent := range taken[SendBuckets](s) {
+			s.BucketsDone(now, sent, peer.HandleBuckets(now, sent.Request), nil)
+		}
+	}
+	for _, earlier := range []bool{false, true} {
+		peer, s := ownEntryState(now), ownEntryState(now)
+		if earlier {
+			peer.table.merge(earlierRecord(ownName, serving), now, true)
+		}
+		s.SetInstanceName(now, ownName)
+		s.OwnEntryDone(now, ReadOwnEntry{Instance: ownName, sentAt: now}, listed(ownName, "127.0.0.1:1", serving), nil)
+		checkState(t, s, ownName, serving)
+		qt.Check(t, s.FirstProcess(), qt.IsFalse, qt.Commentf("no other node was asked"))
+		peer.HandleSync(now, schema.SyncRequest_builder{From: ownName, Members: []*schema.Member{s.self}}.Build())
+		meet(s, peer)
+		qt.Check(t, s.FirstProcess(), qt.Equals, !earlier)
+		checkState(t, s, ownName, serving)
+
+		parted := ownEntryState(now)
+		stale := earlierRecord(ownName, leaving)
+		stale.SetVersion(uint64(now.UnixMilli()) - 1)
+		parted.table.merge(stale, now, true)
+		later := now.Add(versionRaiseDelay)
+		s.Tick(later)
+		parted.HandleSync(later, schema.SyncRequest_builder{From: ownName, Members: []*schema.Member{s.self}}.Build())
+		checkState(t, parted, ownName, serving)
+	}
+}
+
 // TestListDecides guards against an instance that keeps working although the platform's list no longer names it, and
 // against one that stops working because the platform could not be read.
 func TestListDecides(t *testing.T) {
--- a/peers/state.go
+++ b/peers/state.go
@@ -142,6 +142,10 @@
 	lastReannounce time.Time
 	// fullSyncDone is set once member records were fully synchronized with a peer.
 	fullSyncDone bool
+	// earlierProcess is set once a record shows that an earlier process of the node announced the current instance.
+	earlierProcess bool
+	// namedAt is when the backend server reported its current name.
+	namedAt time.Time
 	// pendingRecords holds the records to announce on the next tick.
 	pendingRecords []*schema.Member
 
@@ -330,6 +334,7 @@
 	s.detectPause(now)
 	s.lastTick = now
 	s.recentFailures *= failureDecayPerTick
+	s.raiseVersion(now)
 	s.announceRecords(now)
 	s.startSync(now)
 	s.startDueReads(now)
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -249,6 +249,9 @@
 // mergeOwnRecord raises the version of the node's own record above that of a record from an earlier process of the
 // instance. Such a record also shows the service of the instance.
 func (s *State) mergeOwnRecord(now time.Time, r *schema.Member) {
+	if r.GetIncarnation() != s.self.GetIncarnation() {
+		s.earlierProcess = true
+	}
 	if s.announcesService(r) {
 		s.enterService(now)
 	}
