io: announce the close of a connection behind the last request that was passed on

Cause: each answer carried the header once keep-alives were disabled, whatever came behind it.

Ruled out: not passing on what is read after the header, because callers that overlook it would lose those requests.

--- a/io/front.go
+++ b/io/front.go
@@ -30,7 +30,7 @@
 	stop    context.CancelFunc
 	done    chan struct{}
 	once    sync.Once
-	// keepAlivesDisabled adds "Connection: close" to all responses.
+	// keepAlivesDisabled adds "Connection: close" to each response behind which no request has been passed on.
 	keepAlivesDisabled atomic.Bool
 	limits             atomic.Pointer[frontLimits]
 
--- a/io/session.go
+++ b/io/session.go
@@ -297,7 +297,7 @@
 		}
 		_ = s.conn.SetWriteDeadline(time.Now().Add(s.front.writeTimeout))
 		last := a.response.close
-		a.response.close = last || s.front.keepAlivesDisabled.Load()
+		a.response.close = last || s.front.keepAlivesDisabled.Load() && !s.hasMoreRequests()
 		a.response.write(w)
 		err := w.Flush()
 		a.holding.release()
@@ -309,6 +309,10 @@
 	}
 }
 
+// hasMoreRequests reports whether requests behind the one that is answered have been passed on or are being read. A caller that
+// respects "Connection: close" would discard their responses.
+func (s *session) hasMoreRequests() bool { return s.inFlight.Load() > 0 || s.reading.Load() }
+
 // stopReading stops reading requests after the last response, or after a response that could not be written.
 func (s *session) stopReading(err error) {
 	if err != nil {
--- a/io/session_test.go
+++ b/io/session_test.go
@@ -98,6 +98,30 @@
 	}
 }
 
+// TestCloseBehindPipeline guards against requests that are run while their caller discards the answers: in a planned stop, an
+// answer with "Connection: close" must not come before those to requests that were passed on already.
+func TestCloseBehindPipeline(t *testing.T) {
+	started, release := make(chan struct{}, 3), make(chan struct{})
+	front, err := io.NewFront("127.0.0.1:0", contextHandlerFunc(func(_ context.Context, call *core.Call) *schema.ExecuteReply {
+		started <- struct{}{}
+		<-release
+		return answeredReply(nil, []byte(call.Path))
+	}))
+	serveInBackground(t, front, err)
+	c := dial(t, front)
+	c.send(t, getRequest("/1")+getRequest("/2")+getRequest("/3"))
+	for range 3 {
+		<-started
+	}
+	front.DisableKeepAlives()
+	close(release)
+	for _, path := range []string{"/1", "/2", "/3"} {
+		response, body := c.receive(t)
+		qt.Check(t, body, qt.Equals, path)
+		qt.Check(t, response.close, qt.Equals, path == "/3")
+	}
+}
+
 // TestCallerGone checks that the contexts of calls are cancelled when the caller closes its connection, so that no further
 // work is done for it.
 func TestCallerGone(t *testing.T) {
