--- a/guard/crash.go
+++ b/guard/crash.go
@@ -55,16 +55,18 @@
 
 // suspicion is a call whose connection ended, with what was known of the backend server at that time.
 type suspicion struct {
-	fingerprints   []uint64
+	fingerprints []uint64
+	// started is when the call was started, ended when its connection ended. alone reports that no other call was running.
 	started, ended time.Time
 	alone          bool
-	instance       string
-	incarnation    uint64
-	warm           bool
+	// instance and incarnation are those of the last report; warm reports that the server was warm by it.
+	instance    string
+	incarnation uint64
+	warm        bool
 }
 
-// suspect records that the connection of a call ended.
-func (g *Guard) suspect(now time.Time, c *call) {
+// raiseSuspicion records that the connection of a call ended.
+func (g *Guard) raiseSuspicion(now time.Time, c *call) {
 	g.crash.suspicions = slices.DeleteFunc(g.crash.suspicions, func(s suspicion) bool { return s.expired(now) })
 	if len(g.crash.suspicions) == maxSuspicions {
 		g.crash.suspicions = slices.Delete(g.crash.suspicions, 0, 1)
--- a/guard/run.go
+++ b/guard/run.go
@@ -189,7 +189,7 @@
 	}
 	ended := result.ConnectionEnded && reply.GetStatus() == schema.Status_STATUS_UNKNOWN
 	if ended {
-		g.suspect(now, c)
+		g.raiseSuspicion(now, c)
 	}
 	g.recordResult(now, c, result, reply)
 	g.checkPause(now)
--- a/peers/identity.go
+++ b/peers/identity.go
@@ -25,18 +25,11 @@
 	if instance == "" || instance == s.self.GetInstance() {
 		return
 	}
-	state := min(s.self.GetState(), schema.InstanceState_INSTANCE_STATE_LEAVING)
-	switch {
-	case state == schema.InstanceState_INSTANCE_STATE_LEAVING:
-	case s.knownService(instance):
-		state = schema.InstanceState_INSTANCE_STATE_SERVING
-	default:
-		state = schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
-	}
-	version := uint64(firstVersion)
-	announced := s.table.byName[instance] != nil && s.table.byName[instance].record != nil
+	known := s.table.byName[instance]
+	state, version := s.initialState(known), uint64(firstVersion)
+	announced := known != nil && known.record != nil
 	if announced {
-		version = max(s.table.byName[instance].record.GetVersion()+1, uint64(now.UnixMilli()))
+		version = max(known.record.GetVersion()+1, uint64(now.UnixMilli()))
 	}
 	s.reannounceSelf(now, s.self.GetVersion()+1, schema.InstanceState_INSTANCE_STATE_GONE)
 	s.setSelf(now, schema.Member_builder{
@@ -49,10 +42,20 @@
 	s.RequestListRead(now)
 }
 
+// initialState returns the state in which the node announces another instance, given what the table holds of it.
+func (s *State) initialState(known *member) schema.InstanceState {
+	switch {
+	case s.self.GetState() >= schema.InstanceState_INSTANCE_STATE_LEAVING:
+		return schema.InstanceState_INSTANCE_STATE_LEAVING
+	case s.knownService(known):
+		return schema.InstanceState_INSTANCE_STATE_SERVING
+	}
+	return schema.InstanceState_INSTANCE_STATE_OUT_OF_SERVICE
+}
+
 // knownService reports whether the table already shows that an instance belongs to the node's service: by its entry in the
 // platform's list, or by the record of an earlier process of the node. An instance name is never used again.
-func (s *State) knownService(instance string) bool {
-	m := s.table.byName[instance]
+func (s *State) knownService(m *member) bool {
 	return m != nil && (s.provesService(m.listEntry) || s.announcesService(m.record))
 }
 
