schema, core: customers with API keys and quotas, as interfaces

The document can list customers, but nothing decides by them yet. The fields, reasons and the Quota interface come first, so that keys and quotas can be built side by side. A full hash was ruled out since it would double the size of the list without making a second key with the same hash any likelier in practice.

--- a/core/core.go
+++ b/core/core.go
@@ -122,9 +122,11 @@
 	// Deadline is the time at which the call expires. The backend server receives the remaining time.
 	Deadline time.Time
 	// Instance is the name of the instance that must run the call. Caller is the service of the node that received the
-	// call first. ID is the ID of the caller's request. Each of them may be empty.
+	// call first. Customer is the customer whose API key the call carried. ID is the ID of the caller's request. Each of
+	// them may be empty.
 	Instance string
 	Caller   string
+	Customer string
 	ID       string
 	// AtMostOnce reports that the call must not be sent a second time.
 	AtMostOnce bool
@@ -280,4 +282,15 @@
 	Host string
 	// ID is the request ID, or empty.
 	ID string
+	// KeyHash is the HashKey of the caller's API key, or empty if the call carries none.
+	KeyHash string
+}
+
+// Quota limits the calls of each customer, summed over all nodes. It is safe for concurrent use.
+type Quota interface {
+	// Take charges one call to the customer and reports whether the quota allows it. It may wait a few milliseconds for
+	// another node. If the call is refused, retryAfter is the time until the quota is expected to allow one.
+	Take(ctx context.Context, customer string) (allowed bool, retryAfter time.Duration)
+	// Refund returns the charge for a call that did not run.
+	Refund(customer string)
 }
--- /dev/null
+++ b/core/customer.go
@@ -0,0 +1,42 @@
+package core
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"verbenareel/schema"
+)
+
+// keyHashBytes is the number of bytes of the SHA-256 hash of an API key that identify the key.
+const keyHashBytes = 16
+
+// HashKey returns the hash by which documents and nodes identify an API key: the first 16 bytes of its SHA-256 hash, in
+// lower-case hexadecimal. The key cannot be derived from it.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:keyHashBytes])
+}
+
+// Customer returns the settings of a customer, or nil if the document does not list it.
+func (s *Snapshot) Customer(name string) *schema.Customer {
+	return s.Document().GetCustomers()[name]
+}
+
+// NeedsKey reports whether the calls of a rule need the API key of a customer.
+func (s *Snapshot) NeedsKey(rule *schema.Rule) bool {
+	return len(s.Document().GetCustomers()) > 0 && !rule.GetKeyExempt()
+}
+
+// CustomerByKey returns the name of the customer that an API key with the HashKey belongs to, or an empty string.
+func (s *Snapshot) CustomerByKey(keyHash string) string { return s.customers[keyHash] }
+
+// customersByKey returns the names of the customers by the hashes of their API keys.
+func customersByKey(document *schema.Document) map[string]string {
+	customers := make(map[string]string)
+	for name, c := range document.GetCustomers() {
+		for _, hash := range c.GetKeyHashes() {
+			customers[hash] = name
+		}
+	}
+	return customers
+}
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -86,6 +86,8 @@
 	instances map[string]*Instance
 	services  map[string][]*Instance
 	rules     map[string][]*schema.Rule
+	// customers holds the names of the customers by the hashes of their API keys.
+	customers map[string]string
 	listTime  time.Time
 }
 
@@ -98,6 +100,7 @@
 		revision:  revision,
 		document:  document,
 		rules:     rulesByHost(document),
+		customers: customersByKey(document),
 		instances: make(map[string]*Instance, len(members)),
 		services:  make(map[string][]*Instance),
 	}
--- a/core/wire.go
+++ b/core/wire.go
@@ -24,6 +24,10 @@
 	HeaderNotRun = "Verbenareel-Not-Run"
 	// HeaderLoad is the load report of a backend server.
 	HeaderLoad = "Verbenareel-Load"
+	// HeaderKey is the API key of a caller.
+	HeaderKey = "Verbenareel-Key"
+	// HeaderCustomer is the customer that the API key belongs to. Nodes set it for backend servers.
+	HeaderCustomer = "Verbenareel-Customer"
 )
 
 // ProbePath is the path at which a backend server answers probes.
@@ -49,6 +53,10 @@
 	Target string
 	// Caller is the service of the node that received a call first.
 	Caller string
+	// Key is the API key of a call. It is not forwarded. Customer is the name of the customer that the key belongs to, for
+	// the backend server; a value from the caller is not forwarded.
+	Key      string
+	Customer string
 	// NotRun marks the response of a backend server that did not run the request.
 	NotRun string
 	// ResponseSignature is present on every response that a backend server creates. A response without it comes from another source.
@@ -80,6 +88,8 @@
 		Retried:    HeaderRetried,
 		NotRun:     HeaderNotRun,
 		Load:       HeaderLoad,
+		Key:        HeaderKey,
+		Customer:   HeaderCustomer,
 		ProbePath:  ProbePath,
 		ParseLoad:  ParseLoad,
 	}
@@ -88,7 +98,7 @@
 // IsCallField reports whether a header field is one that the node consumes from a call and sets itself when forwarding.
 func (w *WireFormat) IsCallField(name string) bool {
 	return isField(name, w.Timeout) || isField(name, w.Depth) || isField(name, w.Ticket) || isField(name, w.Target) ||
-		isField(name, w.Caller)
+		isField(name, w.Caller) || isField(name, w.Key) || isField(name, w.Customer)
 }
 
 // IsOutcomeField reports whether a header field is one that a node uses to report the outcome of a call.
