router, io: calls authenticate with the API key of a customer

The document can list customers, but nothing decided by them. The HTTP front now hashes a key while it parses the request, so that a call, a log line or another node never has the key itself. The router answers 401 (unknown-key) to a call whose rule needs a key and whose key is missing or not listed, after the checks for a configuration and a rule. It passes the customer's name to the guard, which sets the field for its backend server. The customer's priority replaces that of the rule. `call.customer` is the customer whose quota counts, empty for an exempt rule; `call.customerName` keeps the name for exempt calls.

An empty key and more than one key field have no hash, so they are unknown whatever the document lists. A refusal of a call with a ticket keeps the outcome unknown, since an earlier attempt may have run, but has status 401 too. The parser of fasthttp quotes the request in some errors; they reached the debug log and the response. A faulty trailer did so with a key in it (two cases of TestKeyInFaultyRequest fail without the change of io/session.go).

--- a/core/customer.go
+++ b/core/customer.go
@@ -30,12 +30,20 @@
 // CustomerByKey returns the name of the customer that an API key with the HashKey belongs to, or an empty string.
 func (s *Snapshot) CustomerByKey(keyHash string) string { return s.customers[keyHash] }
 
+// shortHashDigits is the number of digits by which an operator tells keys apart.
+const shortHashDigits = 8
+
+// ShortKeyHash returns the form of a HashKey that logs and status pages show.
+func ShortKeyHash(keyHash string) string { return keyHash[:min(len(keyHash), shortHashDigits)] }
+
 // customersByKey returns the names of the customers by the hashes of their API keys.
 func customersByKey(document *schema.Document) map[string]string {
 	customers := make(map[string]string)
 	for name, c := range document.GetCustomers() {
 		for _, hash := range c.GetKeyHashes() {
-			customers[hash] = name
+			if hash != "" {
+				customers[hash] = name
+			}
 		}
 	}
 	return customers
--- a/guard/run.go
+++ b/guard/run.go
@@ -117,6 +117,7 @@
 		Deadline:   c.admit.Deadline,
 		Instance:   r.GetInstance(),
 		Caller:     r.GetCaller(),
+		Customer:   r.GetCustomer(),
 		ID:         r.GetRequestId(),
 		AtMostOnce: r.GetOnce(),
 		BeforeSend: func() schema.Reason { return g.checkPauseBeforeSend(c) },
--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -251,6 +251,7 @@
 		{w.Depth, strconv.FormatUint(uint64(request.Depth), 10)},
 		{w.Target, request.Instance},
 		{w.Caller, request.Caller},
+		{w.Customer, request.Customer},
 	} {
 		if f.name != "" && f.value != "" {
 			h.Set(f.name, f.value)
--- a/io/parse.go
+++ b/io/parse.go
@@ -41,6 +41,8 @@
 	errFieldValue     = errors.New("field value has a control character")
 	errHostCount      = errors.New("request has not exactly one Host field")
 	errFraming        = errors.New("length of the body is ambiguous")
+	errHeaderSyntax   = errors.New("header cannot be parsed")
+	errBodySyntax     = errors.New("body or its trailer is malformed or incomplete")
 )
 
 // readHeader returns the request line and header fields without consuming them from the reader.
@@ -245,7 +247,7 @@
 
 // callFields parses the header fields of the wire format, and records which of them are present to detect duplicates.
 type callFields struct {
-	timeout, depth, ticket bool
+	timeout, depth, ticket, key bool
 }
 
 func (c *callFields) set(w *core.WireFormat, call *core.Call, name, value string) error {
@@ -262,6 +264,9 @@
 	case strings.EqualFold(name, w.Ticket):
 		reason = schema.Reason_REASON_TICKET_INVALID
 		call.Ticket, err = ticket.Decode(value)
+	case strings.EqualFold(name, w.Key):
+		c.setKey(call, value)
+		return nil
 	default:
 		// The node sets the remaining fields itself and ignores values from the caller.
 		return nil
@@ -276,6 +281,16 @@
 	return nil
 }
 
+// setKey records the hash of an API key. The call never holds the key itself. A call with an empty key or with more than one
+// counts as one without a key.
+func (c *callFields) setKey(call *core.Call, value string) {
+	call.KeyHash = ""
+	if !c.key && value != "" {
+		call.KeyHash = core.HashKey(value)
+	}
+	c.key = true
+}
+
 func parseTimeout(value string) (time.Duration, error) {
 	number, err := strconv.ParseUint(value, 10, 31)
 	if err != nil || number == 0 {
@@ -317,6 +332,16 @@
 	return newRejection(f.wire, reason, code, err)
 }
 
+// concealContent replaces an error of the body parser that may quote the request, since a trailer may hold an API key.
+func concealContent(err error) error {
+	switch {
+	case err == nil, errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errMemoryFull), errors.Is(err, os.ErrDeadlineExceeded),
+		isNetError(err):
+		return err
+	}
+	return errBodySyntax
+}
+
 // isNetError reports whether err means that the connection failed while a request was read.
 func isNetError(err error) bool {
 	var network *net.OpError
--- a/io/response.go
+++ b/io/response.go
@@ -18,6 +18,9 @@
 	// defaultRetryAfter is the Retry-After value of a call refused for lack of capacity if the router sets none.
 	defaultRetryAfter = time.Second
 	textPlain         = "text/plain; charset=utf-8"
+	// authenticationScheme is the challenge that a response of status 401 must have (RFC 9110, section 15.5.2). No registered
+	// scheme stands for an API key in a field of its own.
+	authenticationScheme = "Key"
 )
 
 // response is an HTTP response that a session writes to its caller.
@@ -109,6 +112,9 @@
 	r.code = outcomeCode(status, reason)
 	r.addHeader(w.Outcome, core.StatusName(status)+"; reason="+name)
 	r.addHeader(fasthttp.HeaderContentType, textPlain)
+	if r.code == fasthttp.StatusUnauthorized {
+		r.addHeader(fasthttp.HeaderWWWAuthenticate, authenticationScheme)
+	}
 	if after := retryAfter(reply); after > 0 {
 		r.addHeader(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
@@ -144,6 +150,7 @@
 	schema.Reason_REASON_MALFORMED:       fasthttp.StatusBadRequest,
 	schema.Reason_REASON_DEPTH:           fasthttp.StatusBadRequest,
 	schema.Reason_REASON_NO_RULE:         fasthttp.StatusNotFound,
+	schema.Reason_REASON_UNKNOWN_KEY:     fasthttp.StatusUnauthorized,
 	schema.Reason_REASON_TOO_LARGE:       fasthttp.StatusRequestEntityTooLarge,
 }
 
@@ -155,6 +162,10 @@
 		}
 		return fasthttp.StatusServiceUnavailable
 	}
+	if reason == schema.Reason_REASON_UNKNOWN_KEY {
+		// An earlier attempt with the ticket of the call may have run, but this one was not authenticated either.
+		return fasthttp.StatusUnauthorized
+	}
 	if reason == schema.Reason_REASON_DEADLINE || reason == schema.Reason_REASON_CONNECTION_SILENT {
 		return fasthttp.StatusGatewayTimeout
 	}
--- a/io/session.go
+++ b/io/session.go
@@ -220,7 +220,8 @@
 	request.Header.DisableNormalizing()
 	request.Header.SetNoDefaultContentType(true)
 	if err := request.Header.Read(s.reader); err != nil {
-		return &headerError{err: err}
+		// The error of the parser quotes the header, which may hold an API key.
+		return &headerError{err: errHeaderSyntax}
 	}
 	_ = s.conn.SetReadDeadline(time.Now().Add(s.front.readTimeout))
 	if request.MayContinue() && s.inFlight.Load() == 0 {
@@ -233,7 +234,7 @@
 			return err
 		}
 	}
-	return request.ContinueReadBody(s.reader, limits.maxBody, false)
+	return concealContent(request.ContinueReadBody(s.reader, limits.maxBody, false))
 }
 
 // startCall passes a request to the handler in a new goroutine.
--- a/router/call.go
+++ b/router/call.go
@@ -27,9 +27,14 @@
 	input *core.Call
 	rule  *schema.Rule
 	// service is the service of the rule, or the one that the rule's traffic split selected for this call.
-	service  string
-	group    *group
-	deadline time.Time
+	service string
+	group   *group
+	// customer is the customer whose quota the call counts toward, or empty.
+	customer string
+	// customerName is the customer that the API key of the call belongs to, also if the rule is exempt; empty without one.
+	customerName string
+	priority     schema.Priority
+	deadline     time.Time
 	// target is the time at which the rule's target latency ends, or zero if it has none.
 	target      time.Time
 	fingerprint uint64
@@ -108,6 +113,10 @@
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_DEPTH))
 	}
 	rule := t.snapshot.Route(input.Method, input.Host, input.Path)
+	identity, refusal := authenticate(t.snapshot, rule, input)
+	if refusal != nil {
+		return nil, refusal
+	}
 	service := r.splits.nextService(rule)
 	g := t.groups[service]
 	if g == nil {
@@ -124,6 +133,7 @@
 		timeout = min(timeout, input.Timeout)
 	}
 	c := &call{input: input, rule: rule, service: service, group: g, deadline: now.Add(timeout)}
+	c.customer, c.customerName, c.priority = identity.charged, identity.name, identity.priority
 	if !r.endsInTime(input, c.deadline) {
 		return nil, c.finalReply(core.NotRun(schema.Reason_REASON_LEAVING))
 	}
--- a/router/log.go
+++ b/router/log.go
@@ -82,6 +82,7 @@
 		zap.String("request", c.input.ID),
 		zap.String("path", c.input.Path),
 		zap.String("service", c.service),
+		zap.String("customer", c.customerName),
 		zap.String("outcome", core.StatusName(reply.GetStatus())),
 		zap.String("reason", core.ReasonName(reply.GetReason())),
 		zap.Uint32("code", reply.GetCode()),
@@ -113,6 +114,7 @@
 		zap.String("request", input.ID),
 		zap.String("host", input.Host),
 		zap.String("path", input.Path),
+		zap.String("key", core.ShortKeyHash(input.KeyHash)),
 		zap.String("reason", core.ReasonName(reply.GetReason())),
 		zap.Uint64("revision", r.revision()))
 }
