--- a/core/customer.go
+++ b/core/customer.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 
 	"verbenareel/schema"
 )
@@ -30,6 +31,12 @@
 // CustomerByKey returns the name of the customer that an API key with the HashKey belongs to, or an empty string.
 func (s *Snapshot) CustomerByKey(keyHash string) string { return s.customers[keyHash] }
 
+// ValidKeyHash reports whether a text has the form of a HashKey.
+func ValidKeyHash(text string) bool {
+	digit := func(r rune) bool { return r >= '0' && r <= '9' || r >= 'a' && r <= 'f' }
+	return len(text) == 2*keyHashBytes && strings.IndexFunc(text, func(r rune) bool { return !digit(r) }) < 0
+}
+
 // shortHashDigits is the number of digits by which an operator tells keys apart.
 const shortHashDigits = 8
 
