peers: a new process holds back a document with customers until other nodes have answered

A new process published the first document that it got. If that was an old copy, from a platform that serves stale data or from a node that was cut off, a key that was revoked meanwhile worked on this node until a later revision arrived. TestRevokedKeyAtStart shows it in all four cases without the change: the nodes with the latest document answer 300 ms late, and the process uses the old one. Now a document that lists customers is held back until three other nodes with a document, or all that the list names, have told their revision and no transfer is pending, for at most 1 s after the start; until then the node has no configuration and answers 503. Trusting a read of the platform was ruled out, since a store that was restored from a backup has an old document too.

--- a/peers/publish.go
+++ b/peers/publish.go
@@ -45,7 +45,7 @@
 		own:      hashRecord(e.state.table.byName[e.state.self.GetInstance()].effective()),
 	}
 	now := e.clock.Now()
-	if seen == e.published || e.mayWait(now, seen) {
+	if seen == e.published || e.mayWait(now, seen) || e.state.heldBack(now) {
 		return
 	}
 	e.published, e.publishedAt = seen, now
@@ -53,6 +53,7 @@
 	if snapshot == nil {
 		return
 	}
+	e.state.published = true
 	e.state.counters.Published++
 	before := e.snapshot.Swap(snapshot)
 	e.logChanges(before, snapshot)
--- a/peers/state.go
+++ b/peers/state.go
@@ -182,6 +182,11 @@
 
 	role     readerRole
 	partners partners
+	// startSources holds the addresses of the first nodes with a document that answered since the process started. published
+	// is set once a snapshot was published.
+	startSources []string
+	published    bool
+
 	counters Counters
 	effects  []Effect
 }
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -305,6 +305,7 @@
 		s.lastReannounce = now
 		s.reannounceSelf(now, s.self.GetVersion()+1, s.self.GetState())
 	}
+	s.recordStartAnswer(sent.To, reply.GetRevision())
 	s.handleRevision(sent.To, reply.GetRevision(), reply.GetManifest(), confirmedAt)
 	if len(sent.Request.GetBuckets()) > 0 {
 		s.repairBuckets(sent.To, reply.GetBuckets())
