admit, guard: share the slots of an instance among customers

The order of calls knew priority and expected time only, so a customer that pushed ten times its rate got the slots of all others in proportion to its calls. The controller now keeps the slot time that each customer used within about 5 s. Where the order has decided on a call of a customer, the call of equal priority whose customer used least in relation to its weight starts in its place, and the call of the one that used most is refused in its place. Calls without a customer keep their turns, so choosing among the calls of customers comes second. A customer whose share of served calls falls below 0.3 of that of all customers comes first, since no share may fall below a quarter.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -46,6 +46,8 @@
 	Target time.Time
 	// Expected is the expected service time; 0 means the average of all calls.
 	Expected time.Duration
+	// Customer is the name of the customer that the call belongs to, or empty.
+	Customer string
 	// Owner is an arbitrary value of the owner.
 	Owner any
 
@@ -55,6 +57,9 @@
 	inFlight   int
 	prev, next *Call
 	queue      *list
+	// share is the recent use by the customer, or nil; charged is the slot time that the start of the call added to it.
+	share   *share
+	charged time.Duration
 }
 
 // Started returns the time at which the call started.
@@ -119,6 +124,8 @@
 	warmConfirmed bool
 	// gate reports whether the backend server is in a phase in which starting calls is worthwhile.
 	gate func(now time.Time) bool
+	// shares is the recent use of the slots by each customer.
+	shares shares
 }
 
 // New returns a controller whose queue holds at most capacity calls and, in addition, as many suspects.
@@ -223,6 +230,7 @@
 // Offer starts, queues or refuses a new call, after starting queued calls that could have started before it.
 func (c *Controller) Offer(now time.Time, call *Call) []Event {
 	c.events = c.events[:0]
+	c.shares.recordOffer(now, call)
 	c.expire(now)
 	c.start(now)
 	if reason := c.enqueueOrRefuse(now, call); reason != schema.Reason_REASON_NONE {
@@ -244,6 +252,7 @@
 		c.unsent--
 	}
 	c.recordSlotTime(now.Sub(call.started))
+	c.shares.recordEnd(now, call)
 	if call.Alone {
 		c.exclusive = false
 		c.yieldTurn(now)
@@ -369,11 +378,11 @@
 		return nil
 	}
 	if call := c.mostValuable(now); call != nil {
-		return call
+		return c.fairest(now, call)
 	}
 	for i := ranks - 1; i >= 0; i-- {
 		if call := c.queues[i].first; call != nil {
-			return call
+			return c.fairest(now, call)
 		}
 	}
 	return nil
@@ -384,6 +393,7 @@
 	call.started = now
 	c.unsent++
 	c.inFlight++
+	c.shares.recordStart(now, call, c.expected(call))
 	call.inFlight = c.inFlight
 	c.exclusive = call.Alone
 	c.barrierSince = time.Time{}
--- a/admit/order.go
+++ b/admit/order.go
@@ -49,12 +49,12 @@
 // these are the calls that precede it and all calls without a target, otherwise the calls of at least its rank.
 func (c *Controller) workAhead(now time.Time, call *Call) time.Duration {
 	if call.Target.IsZero() {
-		return c.avgSlotTime * time.Duration(c.waitingAhead(call.rank()))
+		return c.avgSlotTime * time.Duration(c.waitingAhead(call.rank())-c.waitingOver(now, call))
 	}
 	var sum time.Duration
 	for i := range c.queues {
 		for waiting := c.queues[i].first; waiting != nil; waiting = waiting.next {
-			if waiting.Target.IsZero() || !c.precedes(now, call, waiting) {
+			if waiting.Target.IsZero() || !c.startsBefore(now, call, waiting) {
 				sum += c.expected(waiting)
 			}
 		}
@@ -65,7 +65,7 @@
 // makeRoom refuses a queued call of lower value than a new one, and reports whether there was one.
 func (c *Controller) makeRoom(now time.Time, call *Call) bool {
 	if call.Target.IsZero() {
-		return c.preempt(call.rank())
+		return c.preempt(now, call.rank()) || c.preemptMostOver(now, call)
 	}
 	var least *Call
 	for i := range c.queues {
@@ -75,26 +75,33 @@
 			}
 		}
 	}
-	if least == nil || !c.precedes(now, call, least) {
+	if least != nil && least.Priority >= call.Priority && c.preemptMostOver(now, call) {
+		return true
+	}
+	if least == nil || !c.startsBefore(now, call, least) {
 		return false
 	}
-	c.dequeue(least)
-	c.refuse(least, schema.Reason_REASON_PREEMPTED)
+	c.preemptCall(c.unfairest(now, least))
 	return true
 }
 
 // preempt refuses the newest call of the lowest rank below rank, and reports whether there was one.
-func (c *Controller) preempt(rank int) bool {
+func (c *Controller) preempt(now time.Time, rank int) bool {
 	for i := range rank {
 		if call := c.queues[i].last; call != nil {
-			c.dequeue(call)
-			c.refuse(call, schema.Reason_REASON_PREEMPTED)
+			c.preemptCall(c.unfairest(now, call))
 			return true
 		}
 	}
 	return false
 }
 
+// preemptCall refuses a queued call.
+func (c *Controller) preemptCall(call *Call) {
+	c.dequeue(call)
+	c.refuse(call, schema.Reason_REASON_PREEMPTED)
+}
+
 // mostValuable returns the queued call with a target that has the highest value per time in its slot, or nil. Among
 // calls of equal value, the one with the earliest target comes first.
 func (c *Controller) mostValuable(now time.Time) *Call {
--- a/core/customer.go
+++ b/core/customer.go
@@ -23,6 +23,15 @@
 	return s.Document().GetCustomers()[name]
 }
 
+// CustomerRates returns the quotas of all customers in calls per second, by name; 0 stands for a customer without a limit.
+func (s *Snapshot) CustomerRates() map[string]float64 {
+	rates := make(map[string]float64, len(s.Document().GetCustomers()))
+	for name, c := range s.Document().GetCustomers() {
+		rates[name] = c.GetRate()
+	}
+	return rates
+}
+
 // NeedsKey reports whether the calls of a rule need the API key of a customer.
 func (s *Snapshot) NeedsKey(rule *schema.Rule) bool {
 	return len(s.Document().GetCustomers()) > 0 && !rule.GetKeyExempt()
--- a/guard/call.go
+++ b/guard/call.go
@@ -56,6 +56,7 @@
 		Repeatable: request.GetRepeatable() && !request.HasTicket(),
 		Eager:      request.GetEager(),
 		Deadline:   now.Add(timeout),
+		Customer:   request.GetCustomer(),
 		Owner:      c,
 	}
 	if left := request.GetTargetUs(); left > 0 {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -309,6 +309,7 @@
 		return
 	}
 	g.controller.SetCapacity(int(service.GetQueue()))
+	g.controller.SetWeights(snapshot.CustomerRates())
 	g.probes.configure(service.GetProbesPerSecond(), float64(service.GetProbeBurst()), snapshot.ReportInterval(service.GetReportAge().AsDuration()))
 	g.coldRate, g.coldBound, g.warmTime = coldRate(service), coldBound(service), service.GetWarmTime().AsDuration()
 	if service.GetConnections() > 0 && service.GetMaxBody() > 0 {
