quota: quotas over all nodes by leased shares, as state machines

Each customer has one quota over all nodes, and nodes may be killed, paused or cut off at any moment. So each node owns one part of each quota and leases it to a coordinator; a lease begins at a stamp that the coordinator made earlier and the node repeats, so a request that arrives late extends nothing. Leases from the arrival of a request were ruled out: a coordinator that wakes from a pause would count requests that waited in its sockets.

--- /dev/null
+++ b/quota/coordinator.go
@@ -0,0 +1,234 @@
+package quota
+
+import (
+	"time"
+
+	"verbenareel/schema"
+)
+
+const (
+	// maxWait bounds the time that a refused node is told to wait.
+	maxWait = 2 * time.Second
+	// stepInterval is the longest time between two steps of a Coordinator with leases.
+	stepInterval = 25 * time.Millisecond
+)
+
+// Coordinator hands out tokens for the shares that nodes lease to it. It is not safe for concurrent use.
+type Coordinator struct {
+	random func() uint64
+	phase  func() float64
+	pause  pauseDetector
+	// epoch identifies the leases since begin. It changes when all are dropped.
+	epoch     uint64
+	begin     time.Time
+	stepped   time.Time
+	members   int
+	leases    map[uint64]*lease
+	fractions [slotCount]float64
+	customers map[uint64]customer
+	pools     map[uint64]*pool
+}
+
+// lease holds the shares of one node.
+type lease struct {
+	process  uint64
+	sequence uint64
+	slots    slotSet
+	members  int
+	end      time.Time
+}
+
+// pool holds the tokens of one customer.
+type pool struct {
+	bucket
+	// next is the time until which the tokens to come are already promised to refused nodes.
+	next time.Time
+}
+
+// NewCoordinator returns a Coordinator without leases. random provides its epochs, and phase numbers from 0 to 1.
+func NewCoordinator(random func() uint64, phase func() float64) *Coordinator {
+	c := &Coordinator{random: random, phase: phase}
+	c.reset(time.Time{})
+	return c
+}
+
+// Update applies the customers of a view. Tokens beyond a lowered quota are dropped.
+func (c *Coordinator) Update(now time.Time, v *View) {
+	c.Step(now)
+	c.accrue(now)
+	c.customers = make(map[uint64]customer, len(v.customers))
+	c.members = v.members
+	for _, x := range v.customers {
+		c.customers[x.hash] = x
+	}
+	for hash := range c.pools {
+		if _, ok := c.customers[hash]; !ok {
+			delete(c.pools, hash)
+		}
+	}
+	c.addPools(now)
+	c.accrue(now)
+}
+
+// reset drops all leases and tokens.
+func (c *Coordinator) reset(now time.Time) {
+	c.epoch = c.random() | 1
+	c.begin = now
+	c.leases = make(map[uint64]*lease)
+	c.pools = make(map[uint64]*pool)
+	c.fractions = [slotCount]float64{}
+}
+
+// Step ends leases and adds tokens. It drops everything after a pause: the nodes may have given their shares elsewhere. It
+// reports whether it did.
+func (c *Coordinator) Step(now time.Time) bool {
+	paused := c.pause.step(now)
+	if paused || c.begin.IsZero() {
+		c.reset(now)
+		c.stepped = now
+		return paused
+	}
+	if now.Sub(c.stepped) >= stepInterval {
+		c.expire(now)
+	}
+	return false
+}
+
+// expire removes the leases that have ended.
+func (c *Coordinator) expire(now time.Time) {
+	c.stepped = now
+	c.accrue(now)
+	for from, l := range c.leases {
+		if !now.Before(l.end) {
+			delete(c.leases, from)
+		}
+	}
+	c.sumFractions(now)
+}
+
+// accrue adds the tokens that the shares held so far have yielded.
+func (c *Coordinator) accrue(now time.Time) {
+	for hash, p := range c.pools {
+		x := c.customers[hash]
+		share := c.fractions[x.slot]
+		p.accrue(now, share*x.rate, capacityOf(x.rate, x.burst, share))
+	}
+}
+
+// sumFractions adds up the leased shares of each slot, and reduces the tokens of slots whose sum fell.
+func (c *Coordinator) sumFractions(now time.Time) {
+	before := c.fractions
+	c.fractions = [slotCount]float64{}
+	for _, l := range c.leases {
+		for slot := range c.fractions {
+			if l.slots.has(slot) {
+				c.fractions[slot] = min(1, c.fractions[slot]+1/float64(l.members))
+			}
+		}
+	}
+	for hash, p := range c.pools {
+		slot := c.customers[hash].slot
+		p.scale(before[slot], c.fractions[slot])
+	}
+	c.addPools(now)
+}
+
+// addPools begins to collect tokens for each customer with a leased share.
+func (c *Coordinator) addPools(now time.Time) {
+	for hash, x := range c.customers {
+		share := c.fractions[x.slot]
+		if c.pools[hash] == nil && share > 0 {
+			c.pools[hash] = &pool{bucket: *newBucket(now, capacityOf(x.rate, x.burst, share), c.phase())}
+		}
+	}
+}
+
+// Serve handles the request of a node.
+func (c *Coordinator) Serve(now time.Time, r *schema.QuotaRequest) *schema.QuotaReply {
+	c.Step(now)
+	current := r.GetEpoch() == c.epoch
+	if current && r.GetLease() {
+		c.renew(now, r)
+	}
+	var grants []*schema.QuotaGrant
+	for _, ask := range r.GetAsks() {
+		if current {
+			grants = append(grants, c.grant(now, ask))
+		}
+	}
+	reply := schema.QuotaReply_builder{Grants: grants}
+	if !current || r.GetFrom() != 0 {
+		reply.Epoch = c.epoch
+		reply.Stamp = uint64(now.Sub(c.begin).Microseconds()) + 1
+		reply.Members = uint32(c.knownMembers())
+	}
+	return reply.Build()
+}
+
+// renew replaces the leases of a node. They begin at the stamp of an earlier reply, which the node has received since, so a
+// request that arrives late extends nothing that the node has given up. Requests may overtake each other.
+func (c *Coordinator) renew(now time.Time, r *schema.QuotaRequest) {
+	old := c.leases[r.GetFrom()]
+	if old != nil && old.process == r.GetProcess() && old.sequence >= r.GetSequence() {
+		return
+	}
+	l := &lease{process: r.GetProcess(), sequence: r.GetSequence(), slots: slotSet(r.GetSlots()), members: int(max(1, r.GetMembers()))}
+	l.end = c.begin.Add(time.Duration(r.GetStamp()-1) * time.Microsecond).Add(leaseTime(l.members))
+	if !now.Before(l.end) {
+		return
+	}
+	if old == nil || old.slots != l.slots || old.members != l.members {
+		c.accrue(now)
+		c.leases[r.GetFrom()] = l
+		c.sumFractions(now)
+		return
+	}
+	c.leases[r.GetFrom()] = l
+}
+
+// grant returns as many of the wanted tokens as there are.
+func (c *Coordinator) grant(now time.Time, ask *schema.QuotaAsk) *schema.QuotaGrant {
+	x := c.customers[ask.GetCustomer()]
+	share := c.fractions[x.slot]
+	p := c.pools[x.hash]
+	if p == nil || share <= 0 {
+		return schema.QuotaGrant_builder{WaitUs: uint32(retryTime.Microseconds())}.Build()
+	}
+	p.level += float64(ask.GetReturned())
+	p.accrue(now, share*x.rate, capacityOf(x.rate, x.burst, share))
+	tokens := p.take(int(ask.GetWant()))
+	if tokens > 0 || ask.GetWant() == 0 {
+		return schema.QuotaGrant_builder{Tokens: uint32(tokens)}.Build()
+	}
+	wait := p.promise(now, share*x.rate, float64(ask.GetWant()))
+	return schema.QuotaGrant_builder{WaitUs: uint32(wait.Microseconds())}.Build()
+}
+
+// promise returns the time after which a node that was refused should ask again. Nodes are told successive times, at which
+// the tokens that each of them wants will have come.
+func (p *pool) promise(now time.Time, rate, want float64) time.Duration {
+	first := now.Add(p.wait(rate))
+	if p.next.Before(first) {
+		p.next = first
+	}
+	seconds := min(want/rate, maxWait.Seconds())
+	promised := p.next
+	p.next = p.next.Add(time.Duration(seconds * float64(time.Second)))
+	limit := now.Add(maxWait)
+	if p.next.After(limit) {
+		p.next = limit
+	}
+	return min(promised.Sub(now), maxWait)
+}
+
+// knownMembers returns the highest number of members that the coordinator or a node with a lease knows.
+func (c *Coordinator) knownMembers() int {
+	known := c.members
+	for _, l := range c.leases {
+		known = max(known, l.members)
+	}
+	return known
+}
+
+// Leases returns the number of nodes that lease shares to the coordinator.
+func (c *Coordinator) Leases() int { return len(c.leases) }
