quota, io, node, config, router: the quota service and its wiring

The state machines need a process around them: a service that steps them, sends their messages over the connections for calls, and implements core.Quota. The periodic interval is 25 ms; a goroutine for each customer was ruled out, since its cost grows with the customers. slack becomes a double: a platform's bound with a fraction would otherwise keep a node from starting. The tests of quota, config and router pass, those of the service 10 times with the race detector.

--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -185,6 +185,9 @@
 	if r.Lost != "" {
 		_, _ = fmt.Fprintf(w, "platform cannot be read: %s\n", r.Lost)
 	}
+	if r.Quota != "" {
+		_, _ = fmt.Fprintf(w, "quotas: %s\n", r.Quota)
+	}
 	if r.Rejected != "" {
 		_, _ = fmt.Fprintf(w, "rejected document: %s\n", r.Rejected)
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -41,7 +41,9 @@
 	settings := &schema.Settings{}
 	err := parse(text, settings, func(c *checker) {
 		applySettingsDefaults(settings)
+		applyQuotaDefaults(settings, c.present)
 		checkSettings(c, settings)
+		checkQuotaTolerance(c, settings.GetQuotaTolerance())
 	})
 	if err != nil {
 		return nil, fmt.Errorf("parse settings: %w", err)
--- a/io/response.go
+++ b/io/response.go
@@ -137,6 +137,7 @@
 // notRunCodes maps the reasons of calls that did not run to HTTP status codes. All other reasons map to 503.
 var notRunCodes = map[schema.Reason]int{
 	schema.Reason_REASON_RETRY_BUDGET:    fasthttp.StatusTooManyRequests,
+	schema.Reason_REASON_QUOTA:           fasthttp.StatusTooManyRequests,
 	schema.Reason_REASON_TICKET_REQUIRED: fasthttp.StatusPreconditionRequired,
 	schema.Reason_REASON_TICKET_INVALID:  fasthttp.StatusBadRequest,
 	schema.Reason_REASON_TICKET_MISMATCH: fasthttp.StatusUnprocessableEntity,
--- a/node/listen.go
+++ b/node/listen.go
@@ -28,7 +28,8 @@
 		open          func(address string) error
 	}{
 		{"RPC", settings.GetRpcAddress(), func(address string) (err error) {
-			n.server, err = io.NewServer(address, n.guard, n.exchange, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+			n.server, err = io.NewServer(address, n.guard, n.exchange, io.WithLogger(n.logger), io.WithRegisterer(n.registry),
+				io.WithQuotaPeer(n.quota))
 			return err
 		}},
 		{"HTTP", settings.GetHttpAddress(), func(address string) (err error) {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"verbenareel/peers"
 	"verbenareel/picker"
 	"verbenareel/poison"
+	"verbenareel/quota"
 	"verbenareel/router"
 	"verbenareel/schema"
 	"verbenareel/ticket"
@@ -80,6 +81,7 @@
 	status          *statusServer
 	ready           *readinessServer
 	beacon          *beacon.Beacon
+	quota           *quota.Service
 	chooser         core.Chooser
 	adapter         core.Adapter
 	shuttingDown    atomic.Bool
@@ -171,7 +173,9 @@
 			records := suspects.Records(n.clock.Now(), maxPushedSuspects)
 			n.exchange.PushSuspects(ctx, n.settings.GetService(), records)
 		}))
-	routerOptions := []router.Option{router.WithLogger(n.logger), router.WithRegisterer(n.registry)}
+	n.quota = quota.New(n.self, n.settings.GetQuotaTolerance(), n.exchange, n.transport, n.clock, quota.WithLogger(n.logger),
+		quota.WithRegisterer(n.registry))
+	routerOptions := []router.Option{router.WithLogger(n.logger), router.WithRegisterer(n.registry), router.WithQuota(n.quota)}
 	if n.chooser == nil && n.adapter != nil {
 		n.chooser = picker.NewEarliestFinish(n.settings.GetDomain(), n.settings.GetRemoteCost(), nil)
 	}
@@ -286,6 +290,7 @@
 	start("status server", n.status.Serve)
 	start("load reports", n.beacon.Run)
 	start("caller limits", n.watchLimits)
+	start("quotas", n.quota.Run)
 	if n.ready != nil {
 		start("readiness server", n.ready.Serve)
 	}
--- a/node/status.go
+++ b/node/status.go
@@ -98,6 +98,8 @@
 	Queued    int              `json:"queued"`
 	Limit     int              `json:"limit"`
 	Instances []InstanceReport `json:"instances"`
+	// Quota describes the node's part in the quotas of customers, if there are any.
+	Quota string `json:"quota,omitempty"`
 }
 
 // InstanceReport is the status of one instance as seen by the reporting node.
@@ -124,6 +126,7 @@
 		InFlight: load.InFlight,
 		Queued:   load.Queued,
 		Limit:    load.Limit,
+		Quota:    n.quota.Status(),
 	}
 	exchange := n.exchange.Status()
 	r.Revision = exchange.Revision
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -27,6 +27,7 @@
 	fractions [slotCount]float64
 	customers map[uint64]customer
 	pools     map[uint64]*pool
+	counts    Counts
 }
 
 // lease holds the shares of one node.
@@ -188,6 +189,7 @@
 
 // grant returns as many of the wanted tokens as there are.
 func (c *Coordinator) grant(now time.Time, ask *schema.QuotaAsk) *schema.QuotaGrant {
+	c.counts.Asked++
 	x := c.customers[ask.GetCustomer()]
 	share := c.fractions[x.slot]
 	p := c.pools[x.hash]
@@ -197,9 +199,11 @@
 	p.level += float64(ask.GetReturned())
 	p.accrue(now, share*x.rate, capacityOf(x.rate, x.burst, share))
 	tokens := p.take(int(ask.GetWant()))
+	c.counts.Granted += uint64(tokens)
 	if tokens > 0 || ask.GetWant() == 0 {
 		return schema.QuotaGrant_builder{Tokens: uint32(tokens)}.Build()
 	}
+	c.counts.Refused++
 	wait := p.promise(now, share*x.rate, float64(ask.GetWant()))
 	return schema.QuotaGrant_builder{WaitUs: uint32(wait.Microseconds())}.Build()
 }
@@ -230,5 +234,8 @@
 	return known
 }
 
+// Counts returns the decisions so far.
+func (c *Coordinator) Counts() Counts { return c.counts }
+
 // Leases returns the number of nodes that lease shares to the coordinator.
 func (c *Coordinator) Leases() int { return len(c.leases) }
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	testWindow = 5 * time.Second
-	testExcess = 0.25
-	testSlack  = 20
+	testWindow = DefaultWindow
+	testExcess = DefaultExcess
+	testSlack  = DefaultSlack
 	// testTimeout and testWait are the times that Service uses.
-	testTimeout = 100 * time.Millisecond
-	testWait    = 25 * time.Millisecond
+	testTimeout = requestTimeout
+	testWait    = takeWait
 	// frameBytes is what the connection adds to each message.
 	frameBytes = 24
 )
@@ -36,7 +36,7 @@
 	side        int
 	// behind is the time that the clock of the machine did not count.
 	behind time.Duration
-	bytes       int
+	bytes  int
 }
 
 // waiter is a call that waits for tokens.
@@ -104,7 +104,7 @@
 
 // restart gives a machine a new process.
 func (f *fleet) restart(m *machine) {
-	m.node = NewNode(m.name, f.random.Uint64(), testWindow, f.random.Float64)
+	m.node = NewNode(m.name, f.random.Uint64(), NewTolerance(nil), f.random.Float64)
 	m.coordinator = NewCoordinator(f.random.Uint64, f.random.Float64)
 	m.inbox, m.waiting, m.dead = nil, nil, false
 	f.update(f.view(f.machines), m)
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -82,6 +82,14 @@
 	return n.preferred(slot)
 }
 
+// pruneLinks removes the state about members that coordinate nothing any more.
+func (n *Node) pruneLinks() {
+	maps.DeleteFunc(n.links, func(name string, l *link) bool {
+		held := slices.ContainsFunc(n.slots[:], func(s slot) bool { return s.holder == l })
+		return !held && !slices.Contains(n.view.ranking[0], name)
+	})
+}
+
 // endLeases frees the slots whose lease has ended.
 func (n *Node) endLeases(now time.Time) {
 	for i := range n.slots {
@@ -286,9 +294,12 @@
 // coordinator that is only cut off hands out the shares until then.
 func (n *Node) releaseEarly(now time.Time, l *link) {
 	l.sent = 0
+	if !n.tolerance.allowsEarlyUse(n.Members()) {
+		return
+	}
 	for i := range n.slots {
 		s := &n.slots[i]
-		if s.holder == l && (s.early.IsZero() || now.Sub(s.early) >= n.window) {
+		if s.holder == l && (s.early.IsZero() || now.Sub(s.early) >= n.tolerance.window) {
 			s.early = now
 			n.counts.Early++
 			n.freeSlot(now, i)
--- a/quota/node.go
+++ b/quota/node.go
@@ -22,18 +22,20 @@
 // Node decides about the calls of one process. It holds tokens, measures the demand and leases the node's shares. It is not
 // safe for concurrent use.
 type Node struct {
-	from     uint64
-	process  uint64
-	phase    func() float64
-	window   time.Duration
-	view     *View
-	accounts map[string]*account
-	queue    []*account
-	links    map[string]*link
-	slots    [slotCount]slot
-	pause    pauseDetector
-	stepped  time.Time
-	started  bool
+	from      uint64
+	process   uint64
+	phase     func() float64
+	tolerance Tolerance
+	view      *View
+	accounts  map[string]*account
+	queue     []*account
+	links     map[string]*link
+	slots     [slotCount]slot
+	pause     pauseDetector
+	stepped   time.Time
+	// born is the time of the first step, and started is set once the members are known.
+	born    time.Time
+	started bool
 	// known is the number of members in the node's own snapshots, and heard the one that coordinators report.
 	known, heard memberCount
 	// generation changes when tokens that are on their way must not be used.
@@ -44,22 +46,23 @@
 }
 
 // Counts counts what a Node decided: the calls that granted tokens and the own share allowed, the refused ones, the requests
-// for tokens, and the leases given up before their end.
+// for tokens, and the slots used before the end of their lease. Of a Coordinator it counts the granted tokens, the requests,
+// and those refused.
 type Counts struct {
 	Granted, Own, Refused, Asked, Early uint64
 }
 
-// NewNode returns the Node of a process. process is a random number, phase provides numbers from 0 to 1, and window is the
-// time within which the tolerance covers one early use of a share.
-func NewNode(instance string, process uint64, window time.Duration, phase func() float64) *Node {
+// NewNode returns the Node of a process. process is a random number, phase provides numbers from 0 to 1, and tolerance
+// says whether shares may be used before the end of a lease.
+func NewNode(instance string, process uint64, tolerance Tolerance, phase func() float64) *Node {
 	return &Node{
-		from:     core.InstanceHash(instance),
-		process:  process,
-		phase:    phase,
-		window:   window,
-		view:     &View{},
-		accounts: make(map[string]*account),
-		links:    make(map[string]*link),
+		from:      core.InstanceHash(instance),
+		process:   process,
+		phase:     phase,
+		tolerance: tolerance,
+		view:      &View{},
+		accounts:  make(map[string]*account),
+		links:     make(map[string]*link),
 	}
 }
 
@@ -69,6 +72,7 @@
 	n.view = v
 	n.known.note(now, v.members, memberHold)
 	n.start(now)
+	n.pruneLinks()
 	before := n.accounts
 	n.accounts = make(map[string]*account, len(v.customers))
 	for _, x := range v.customers {
@@ -86,12 +90,15 @@
 
 // start lets all slots count as leased for one lease time. The process before this one may have leased them.
 func (n *Node) start(now time.Time) {
+	if n.born.IsZero() {
+		n.born = now
+	}
 	if n.started || n.view.members == 0 {
 		return
 	}
 	n.started = true
 	for i := range n.slots {
-		n.slots[i].end = now.Add(leaseTime(n.Members()) + leaseMargin)
+		n.slots[i].end = n.born.Add(leaseTime(n.Members()) + leaseMargin)
 	}
 }
 
@@ -101,6 +108,12 @@
 // Counts returns the decisions so far.
 func (n *Node) Counts() Counts { return n.counts }
 
+// Active reports whether any customer has a quota.
+func (n *Node) Active() bool { return len(n.accounts) > 0 }
+
+// Asked reports whether a request for tokens of the customer is on its way.
+func (n *Node) Asked(name string) bool { return n.accounts[name] != nil && n.accounts[name].asked }
+
 // Limits reports whether the customer has a quota.
 func (n *Node) Limits(name string) bool { return n.accounts[name] != nil }
 
@@ -141,6 +154,17 @@
 	return a.own.take(1) == 1
 }
 
+// GiveUp refuses a call for which Take returned Pending, and returns the time until there may be a token.
+func (n *Node) GiveUp(now time.Time, name string) time.Duration {
+	n.counts.Refused++
+	a := n.accounts[name]
+	if a == nil {
+		return retryTime
+	}
+	a.waiting = max(0, a.waiting-1)
+	return n.refusalWait(now, a)
+}
+
 func (n *Node) refusalWait(now time.Time, a *account) time.Duration {
 	wait := n.slots[a.slot].end.Sub(now)
 	if a.own != nil {
@@ -184,6 +208,7 @@
 	paused := n.checkPause(now)
 	elapsed := now.Sub(n.stepped)
 	n.stepped = now
+	n.start(now)
 	n.endLeases(now)
 	n.accrueOwn(now)
 	for _, a := range n.accounts {
--- a/router/router.go
+++ b/router/router.go
@@ -33,6 +33,7 @@
 	transport core.Transport
 	clock     core.Clock
 	chooser   core.Chooser
+	quota     core.Quota
 	logger    *zap.Logger
 	metrics   *metrics
 	done      chan struct{}
@@ -63,6 +64,7 @@
 	logger     *zap.Logger
 	registerer prometheus.Registerer
 	chooser    core.Chooser
+	quota      core.Quota
 }
 
 // WithLogger sets the logger; the default discards.
@@ -93,6 +95,7 @@
 		transport:   transport,
 		clock:       clock,
 		chooser:     o.chooser,
+		quota:       o.quota,
 		logger:      o.logger,
 		metrics:     newMetrics(),
 		done:        make(chan struct{}),
