quota: comparison with two other ways; shorter replies; lost messages

Replies leave out what the request already says, and shares are parts by the highest number of members that any node reports: a number that nodes had only heard would have been passed around forever.

--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -116,14 +116,16 @@
 	}
 }
 
-// sumFractions adds up the leased shares of each slot, and reduces the tokens of slots whose sum fell.
+// sumFractions adds up the leased shares of each slot, and reduces the tokens of slots whose sum fell. Nodes may know different
+// numbers of members; each share is the part by the highest of these.
 func (c *Coordinator) sumFractions(now time.Time) {
 	before := c.fractions
+	part := 1 / float64(max(1, c.knownMembers()))
 	c.fractions = [slotCount]float64{}
 	for _, l := range c.leases {
 		for slot := range c.fractions {
 			if l.slots.has(slot) {
-				c.fractions[slot] = min(1, c.fractions[slot]+1/float64(l.members))
+				c.fractions[slot] = min(1, c.fractions[slot]+part)
 			}
 		}
 	}
@@ -158,10 +160,14 @@
 		}
 	}
 	reply := schema.QuotaReply_builder{Grants: grants}
-	if !current || r.GetFrom() != 0 {
+	if !current {
 		reply.Epoch = c.epoch
+	}
+	if !current || r.GetFrom() != 0 {
 		reply.Stamp = uint64(now.Sub(c.begin).Microseconds()) + 1
-		reply.Members = uint32(c.knownMembers())
+	}
+	if known := uint32(c.knownMembers()); known > r.GetMembers() && r.GetFrom() != 0 {
+		reply.Members = known
 	}
 	return reply.Build()
 }
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
@@ -20,8 +21,8 @@
 	// testTimeout and testWait are the times that Service uses.
 	testTimeout = requestTimeout
 	testWait    = takeWait
-	// frameBytes is what the connection adds to each message.
-	frameBytes = 24
+	// frameBytes is what the connection adds to each message: method name, sequence number and two sizes.
+	frameBytes = 18
 )
 
 // machine is one node of a fleet.
@@ -63,12 +64,19 @@
 	machines []*machine
 	loads    []*load
 	events   map[int][]func()
+	// spread is the number of nodes that the calls of one customer come from at a time, for 300 ms; 0 for all.
+	spread int
+	// decideOther replaces the leases by another way of dividing quotas.
+	decideOther func(m *machine, l *load) bool
+	// loss is the share of the messages that are lost.
+	loss float64
 	// first is the step from which refusals count: leases begin after one lease time.
 	first int
 }
 
 func newFleet(nodes, delay int, loads ...*load) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(7, 11)), now: time.Unix(1000, 0), delay: delay, loads: loads, events: make(map[int][]func()), first: 4000}
+	f := &fleet{random: rand.New(rand.NewPCG(7, 11)), now: time.Unix(1000, 0), delay: delay, loads: loads, events: make(map[int][]func())}
+	f.first = int((leaseTime(nodes) + 3*time.Second) / time.Millisecond)
 	for i := range nodes {
 		f.machines = append(f.machines, &machine{name: fmt.Sprintf("node-%d", i)})
 	}
@@ -144,7 +152,7 @@
 		delete(f.events, f.step)
 		f.arrive()
 		for i, m := range f.machines {
-			if !m.dead && !m.paused {
+			if !m.dead && !m.paused && f.decideOther == nil {
 				f.drive(i, m)
 			}
 		}
@@ -156,7 +164,7 @@
 	for _, l := range f.loads {
 		l.runs = append(l.runs, 0)
 		for n := l.rate / 1000; n > 0; n-- {
-			m := f.machines[f.random.IntN(len(f.machines))]
+			m := f.choose(l)
 			if m.dead || m.paused || f.random.Float64() >= n {
 				continue
 			}
@@ -166,8 +174,23 @@
 	}
 }
 
+// choose returns the node that a call comes to.
+func (f *fleet) choose(l *load) *machine {
+	if f.spread == 0 {
+		return f.machines[f.random.IntN(len(f.machines))]
+	}
+	place := xxhash.Sum64String(fmt.Sprint(l.name, f.step/300, f.random.IntN(f.spread)))
+	return f.machines[place%uint64(len(f.machines))]
+}
+
 func (f *fleet) decide(m *machine, w *waiter, again bool) {
-	verdict, _ := m.node.Take(f.clock(m), w.load.name, again)
+	verdict := Refused
+	switch {
+	case f.decideOther == nil:
+		verdict, _ = m.node.Take(f.clock(m), w.load.name, again)
+	case f.decideOther(m, w.load):
+		verdict = Allowed
+	}
 	switch {
 	case verdict == Allowed:
 		w.load.ran++
@@ -230,7 +253,7 @@
 	} else {
 		from.bytes += proto.Size(message.Request) + frameBytes
 	}
-	if from.side != to.side {
+	if from.side != to.side || f.random.Float64() < f.loss {
 		return
 	}
 	f.later(to, delay+1, func(now time.Time) {
@@ -238,7 +261,7 @@
 		if to != from {
 			to.bytes += proto.Size(reply) + frameBytes
 		}
-		if from.side != to.side {
+		if from.side != to.side || f.random.Float64() < f.loss {
 			return
 		}
 		f.later(from, delay+1, func(now time.Time) {
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -184,11 +185,11 @@
 	request.Process = n.process
 	request.Sequence = n.sequence
 	request.Stamp = l.stamp
-	request.Members = uint32(n.Members())
+	request.Members = uint32(n.known.count)
 	if l.epoch == 0 || l.down {
 		return
 	}
-	length := leaseTime(n.Members())
+	length := n.leaseTime()
 	if now.Sub(l.echoAt) > length/2 {
 		l.sent = 0
 		return
@@ -203,14 +204,17 @@
 	if l.down {
 		return helloInterval
 	}
-	return time.Duration(float64(leaseTime(n.Members())) / renewals)
+	return time.Duration(float64(n.leaseTime()) / renewals)
 }
 
+// leaseTime returns the length of the node's leases. The coordinator derives it from the number of members in the request.
+func (n *Node) leaseTime() time.Duration { return leaseTime(n.known.count) }
+
 // recordLease records that the coordinator may count the shares from now on, whether or not a reply comes. The lease begins at
 // the stamp that the request repeats, which the coordinator made before echoAt.
 func (n *Node) recordLease(now time.Time, l *link, wanted slotSet) {
 	l.sent = wanted
-	end := l.echoAt.Add(leaseTime(n.Members()) + leaseMargin)
+	end := l.echoAt.Add(n.leaseTime() + leaseMargin)
 	for i := range n.slots {
 		if !wanted.has(i) {
 			continue
@@ -236,7 +240,7 @@
 	if r.GetStamp() != 0 && m.sequence > l.replied {
 		l.replied = m.sequence
 		n.heard.note(now, int(r.GetMembers()), heardHold)
-		n.recordReply(now, l, m, r)
+		n.recordReply(now, l, m, cmp.Or(r.GetEpoch(), m.Request.GetEpoch()), r.GetStamp())
 	}
 	for i, a := range m.accounts {
 		a.asked = false
@@ -253,14 +257,14 @@
 
 // recordReply applies the part of a reply that concerns leases. A slot is free once the coordinator has handled a later request
 // that does not lease it, or has dropped all leases.
-func (n *Node) recordReply(now time.Time, l *link, m *Message, r *schema.QuotaReply) {
-	dropped := l.epoch != 0 && r.GetEpoch() != l.epoch
+func (n *Node) recordReply(now time.Time, l *link, m *Message, epoch, stamp uint64) {
+	dropped := l.epoch != 0 && epoch != l.epoch
 	if dropped || l.epoch == 0 {
 		l.sent = 0
 		l.next = now
 	}
 	l.pending = false
-	l.epoch, l.stamp, l.echoAt = r.GetEpoch(), r.GetStamp(), now
+	l.epoch, l.stamp, l.echoAt = epoch, stamp, now
 	for i := range n.slots {
 		s := &n.slots[i]
 		released := m.Request.GetLease() && !m.slots.has(i) && s.sequence < m.sequence
@@ -294,7 +298,7 @@
 // coordinator that is only cut off hands out the shares until then.
 func (n *Node) releaseEarly(now time.Time, l *link) {
 	l.sent = 0
-	if !n.tolerance.allowsEarlyUse(n.Members()) {
+	if !n.tolerance.allowsEarlyUse(n.known.count) {
 		return
 	}
 	for i := range n.slots {
--- a/quota/node.go
+++ b/quota/node.go
@@ -98,7 +98,7 @@
 	}
 	n.started = true
 	for i := range n.slots {
-		n.slots[i].end = n.born.Add(leaseTime(n.Members()) + leaseMargin)
+		n.slots[i].end = n.born.Add(n.leaseTime() + leaseMargin)
 	}
 }
 
