router: calls are charged to the quota of their customer

Joins authentication with the quota service: an accepted call is charged before its first attempt and refunded if it did not run. A refusal does not count for the retry budget. go test -race of router, quota, config and node pass.

--- a/router/call.go
+++ b/router/call.go
@@ -80,8 +80,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, c.deadline.Sub(start))
 	defer stop()
-	c.group.budgets.recordCall(start, c.rule.GetRepeatable())
-	reply := r.run(ctx, c)
+	reply := r.runWithinQuota(ctx, c, start)
 	if !c.rule.GetRepeatable() {
 		// A guard of an older version may not have checked it.
 		reply = core.CheckRefusal(reply)
@@ -92,6 +91,18 @@
 	return reply
 }
 
+// runWithinQuota executes an accepted call if the quota of its customer allows it.
+func (r *Router) runWithinQuota(ctx context.Context, c *call, start time.Time) *schema.ExecuteReply {
+	snapshot := r.snapshots.Snapshot()
+	if refusal := r.chargeQuota(ctx, snapshot, c.customer); refusal != nil {
+		return refusal
+	}
+	c.group.budgets.recordCall(start, c.rule.GetRepeatable())
+	reply := r.run(ctx, c)
+	r.refundQuota(snapshot, c.customer, reply)
+	return reply
+}
+
 // run executes an accepted call.
 func (r *Router) run(ctx context.Context, c *call) *schema.ExecuteReply {
 	switch {
