--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -19,10 +19,13 @@
 	phase  func() float64
 	pause  pauseDetector
 	// epoch identifies the leases since begin. It changes when all are dropped.
-	epoch     uint64
-	begin     time.Time
-	stepped   time.Time
+	epoch   uint64
+	begin   time.Time
+	stepped time.Time
+	// members is the number of members in the coordinator's own snapshot, and known the highest that it or a node with a
+	// lease knows.
 	members   int
+	known     int
 	leases    map[uint64]*lease
 	fractions [slotCount]float64
 	customers map[uint64]customer
@@ -67,7 +70,7 @@
 			delete(c.pools, hash)
 		}
 	}
-	c.addPools(now)
+	c.sumFractions(now)
 	c.accrue(now)
 }
 
@@ -120,7 +123,11 @@
 // numbers of members; each share is the part by the highest of these.
 func (c *Coordinator) sumFractions(now time.Time) {
 	before := c.fractions
-	part := 1 / float64(max(1, c.knownMembers()))
+	c.known = c.members
+	for _, l := range c.leases {
+		c.known = max(c.known, l.members)
+	}
+	part := 1 / float64(max(1, c.known))
 	c.fractions = [slotCount]float64{}
 	for _, l := range c.leases {
 		for slot := range c.fractions {
@@ -166,7 +173,7 @@
 	if !current || r.GetFrom() != 0 {
 		reply.Stamp = uint64(now.Sub(c.begin).Microseconds()) + 1
 	}
-	if known := uint32(c.knownMembers()); known > r.GetMembers() && r.GetFrom() != 0 {
+	if known := uint32(c.known); known > r.GetMembers() && r.GetFrom() != 0 {
 		reply.Members = known
 	}
 	return reply.Build()
@@ -231,15 +238,6 @@
 	return min(promised.Sub(now), maxWait)
 }
 
-// knownMembers returns the highest number of members that the coordinator or a node with a lease knows.
-func (c *Coordinator) knownMembers() int {
-	known := c.members
-	for _, l := range c.leases {
-		known = max(known, l.members)
-	}
-	return known
-}
-
 // Counts returns the decisions so far.
 func (c *Coordinator) Counts() Counts { return c.counts }
 
