--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -101,6 +101,9 @@
 // expire removes the leases that have ended.
 func (c *Coordinator) expire(now time.Time) {
 	c.stepped = now
+	if len(c.leases) == 0 && len(c.pools) == 0 {
+		return
+	}
 	c.accrue(now)
 	for from, l := range c.leases {
 		if !now.Before(l.end) {
@@ -139,6 +142,9 @@
 	for hash, p := range c.pools {
 		slot := c.customers[hash].slot
 		p.scale(before[slot], c.fractions[slot])
+		if c.fractions[slot] == 0 {
+			delete(c.pools, hash)
+		}
 	}
 	c.addPools(now)
 }
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -108,7 +108,7 @@
 }
 
 func (n *Node) syncSlot(now time.Time, index int) {
-	for _, a := range n.accounts {
+	for _, a := range n.list {
 		if a.slot == index {
 			n.syncOwn(now, a)
 		}
@@ -132,10 +132,9 @@
 
 // wantedSlots returns the slots to lease to each coordinator. A slot that another coordinator still holds is first released.
 func (n *Node) wantedSlots() map[string]slotSet {
-	used := n.usedSlots()
 	wanted := make(map[string]slotSet)
 	for i := range n.slots {
-		if !used.has(i) {
+		if !n.view.used.has(i) {
 			continue
 		}
 		s := &n.slots[i]
@@ -146,15 +145,6 @@
 	return wanted
 }
 
-// usedSlots returns the slots that contain a customer with a quota.
-func (n *Node) usedSlots() slotSet {
-	var used slotSet
-	for _, x := range n.view.customers {
-		used |= 1 << x.slot
-	}
-	return used
-}
-
 // compose returns the message that is due to a coordinator, or nil.
 func (n *Node) compose(now time.Time, l *link, wanted slotSet) *Message {
 	n.sequence++
--- a/quota/node.go
+++ b/quota/node.go
@@ -28,11 +28,13 @@
 	tolerance Tolerance
 	view      *View
 	accounts  map[string]*account
-	queue     []*account
-	links     map[string]*link
-	slots     [slotCount]slot
-	pause     pauseDetector
-	stepped   time.Time
+	// list holds the accounts in a slice, for the periodic work.
+	list    []*account
+	queue   []*account
+	links   map[string]*link
+	slots   [slotCount]slot
+	pause   pauseDetector
+	stepped time.Time
 	// born is the time of the first step, and started is set once the members are known.
 	born    time.Time
 	started bool
@@ -74,6 +76,7 @@
 	n.start(now)
 	n.pruneLinks()
 	before := n.accounts
+	n.list = nil
 	n.accounts = make(map[string]*account, len(v.customers))
 	for _, x := range v.customers {
 		a := before[x.name]
@@ -82,8 +85,9 @@
 		}
 		a.customer = x
 		n.accounts[x.name] = a
+		n.list = append(n.list, a)
 	}
-	for _, a := range n.accounts {
+	for _, a := range n.list {
 		n.syncOwn(now, a)
 	}
 }
@@ -196,7 +200,7 @@
 	}
 	n.generation++
 	n.stepped = now
-	for _, a := range n.accounts {
+	for _, a := range n.list {
 		n.accrueAccount(now, a)
 		a.clear()
 	}
@@ -211,7 +215,7 @@
 	n.start(now)
 	n.endLeases(now)
 	n.accrueOwn(now)
-	for _, a := range n.accounts {
+	for _, a := range n.list {
 		a.expire(now)
 		a.measure(elapsed)
 		if a.missing(now) > 0 && n.askable(a.slot) != nil {
@@ -231,7 +235,7 @@
 
 // accrueOwn adds tokens to the own shares in use.
 func (n *Node) accrueOwn(now time.Time) {
-	for _, a := range n.accounts {
+	for _, a := range n.list {
 		n.accrueAccount(now, a)
 	}
 }
--- a/quota/rank.go
+++ b/quota/rank.go
@@ -44,7 +44,9 @@
 // View is what a Node and a Coordinator know of a snapshot.
 type View struct {
 	customers []customer
-	members   int
+	// used is the set of slots that contain a customer.
+	used    slotSet
+	members int
 	// ranking holds, for each slot, the coordinators in the order of preference.
 	ranking [slotCount][]string
 }
@@ -54,7 +56,9 @@
 	v := &View{}
 	for name, settings := range snapshot.Document().GetCustomers() {
 		if settings.GetRate() > 0 {
-			v.customers = append(v.customers, newCustomer(name, settings))
+			x := newCustomer(name, settings)
+			v.customers = append(v.customers, x)
+			v.used |= 1 << x.slot
 		}
 	}
 	if len(v.customers) == 0 {
