router, node: calls by customer in metrics, status and logs

An operator could not see whose calls were refused. The router counts calls by customer, outcome and reason. The 16 customers with the most recent calls have a label value of their own, the rest is `(other)`. A call is counted under the label that its customer has at that time: moving counts between labels was ruled out, since a counter would decrease and be taken for a restart. The status page and `verbenareel status` show the same customers with the first digits of their key hashes, calls per second at this node, quota and refusals by reason.

--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -196,7 +196,7 @@
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write status: %w", err)
 	}
-	return nil
+	return writeCustomers(w, r.Customers)
 }
 
 // formatAge formats an age in seconds for display. A negative age means never.
--- a/node/status.go
+++ b/node/status.go
@@ -98,6 +98,22 @@
 	Queued    int              `json:"queued"`
 	Limit     int              `json:"limit"`
 	Instances []InstanceReport `json:"instances"`
+	// Customers is empty if there were no calls of customers.
+	Customers []CustomerReport `json:"customers,omitempty"`
+}
+
+// CustomerReport is the status of one customer at the reporting node. The customers with the most calls are named, the others are
+// reported together.
+type CustomerReport struct {
+	Customer string `json:"customer"`
+	// Keys holds the first digits of the hashes of the customer's API keys.
+	Keys []string `json:"keys,omitempty"`
+	// Rate is the recent number of calls per second at the node, and Quota the limit over all nodes; 0 stands for no limit.
+	Rate  float64 `json:"rate"`
+	Quota float64 `json:"quota"`
+	// Calls is the number of calls at the node, and Refused the number of those that did not run, by reason.
+	Calls   uint64            `json:"calls"`
+	Refused map[string]uint64 `json:"refused,omitempty"`
 }
 
 // InstanceReport is the status of one instance as seen by the reporting node.
@@ -145,6 +161,11 @@
 			Why:      n.router.Explain(v.Instance),
 		})
 	}
+	for _, c := range n.router.CustomerStatuses() {
+		r.Customers = append(r.Customers, CustomerReport{
+			Customer: c.Customer, Keys: c.KeyHashes, Rate: c.Rate, Quota: c.Quota, Calls: c.Calls, Refused: c.Refused,
+		})
+	}
 	return r
 }
 
--- a/router/call.go
+++ b/router/call.go
@@ -88,6 +88,7 @@
 	}
 	took := r.clock.Now().Sub(start)
 	r.metrics.recordCall(c.service, reply, took)
+	r.customers.record(start.Add(took), c.customerName, reply)
 	r.logCall(c, reply, took)
 	return reply
 }
--- a/router/metric.go
+++ b/router/metric.go
@@ -47,11 +47,11 @@
 
 // register registers the metrics; registerer may be nil. A metric that cannot be registered is logged and does not stop
 // the router.
-func (m *metrics) register(registerer prometheus.Registerer, logger *zap.Logger) {
+func (m *metrics) register(registerer prometheus.Registerer, logger *zap.Logger, customers *customerMetrics) {
 	if registerer == nil {
 		return
 	}
-	for _, c := range []prometheus.Collector{m.calls, m.latency, m.retries, m.denied, m.hedges} {
+	for _, c := range []prometheus.Collector{m.calls, m.latency, m.retries, m.denied, m.hedges, customers} {
 		if err := registerer.Register(c); err != nil {
 			logger.Error("cannot register router metric", zap.Error(err))
 		}
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,7 @@
 	chooser   core.Chooser
 	logger    *zap.Logger
 	metrics   *metrics
+	customers *customerMetrics
 	done      chan struct{}
 
 	// successes counts the successful calls without any irregularity, for log sampling.
@@ -95,11 +96,12 @@
 		chooser:     o.chooser,
 		logger:      o.logger,
 		metrics:     newMetrics(),
+		customers:   newCustomerMetrics(),
 		done:        make(chan struct{}),
 		viewsByName: make(map[string]*picker.View),
 		budgets:     make(map[string]*budgets),
 	}
-	r.metrics.register(o.registerer, o.logger)
+	r.metrics.register(o.registerer, o.logger, r.customers)
 	return r
 }
 
