--- a/fakes/server.go
+++ b/fakes/server.go
@@ -48,6 +48,7 @@
 	inFlight    int
 	stats       Stats
 	runs        map[string]int
+	customers   customerCounts
 	loadHistory []loadSnapshot
 	// coldStarts holds the start times of the runs that started during the last second while the server was cold.
 	coldStarts []time.Time
@@ -197,6 +198,7 @@
 	mux.HandleFunc("/fake/control", b.handleControl)
 	mux.HandleFunc("/fake/stats", b.handleStats)
 	mux.HandleFunc("/fake/runs", b.handleRuns)
+	mux.HandleFunc("/fake/customers", b.handleCustomers)
 	mux.HandleFunc("/fake/cold", func(w http.ResponseWriter, _ *http.Request) {
 		b.restart()
 		w.WriteHeader(http.StatusNoContent)
@@ -324,6 +326,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	b.customers.record(r.Header)
 	duration := b.startRun(r.Header.Get(HeaderRequestID), control)
 	crashes := control.CrashOn != "" && bytes.Contains(body, []byte(control.CrashOn))
 	if crashes {
--- a/peers/startup.go
+++ b/peers/startup.go
@@ -24,13 +24,20 @@
 	return len(s.startSources) < s.startAnswersNeeded()
 }
 
-// startAnswersNeeded returns the number of other nodes that must have told their revision: initialPeers, or all if the list
-// names fewer.
+// startAnswersNeeded returns the number of other nodes that must have told their revision: initialPeers, or all if there are
+// fewer according to the list or to another node.
 func (s *State) startAnswersNeeded() int {
-	if s.membersRead.endedAt.IsZero() || s.membersRead.failures > 0 || len(s.seeds) > 0 {
+	listed := !s.membersRead.endedAt.IsZero() && s.membersRead.failures == 0
+	if !listed && !s.fullSyncDone {
 		return initialPeers
 	}
-	return min(initialPeers, len(s.table.sorted)-1)
+	others := len(s.table.sorted) - 1
+	for _, seed := range s.seeds {
+		if s.table.byAddress[seed] == nil {
+			others++
+		}
+	}
+	return min(initialPeers, others)
 }
 
 // recordStartAnswer records that the node at an address told its revision, if it has any.
