--- a/admit/share.go
+++ b/admit/share.go
@@ -48,6 +48,14 @@
 	// all sums the slot time and calls of all customers; its weight is that of the customers with recent calls.
 	all         share
 	refreshedAt time.Time
+	// starts and refusals count the calls that started or were refused in place of another customer's.
+	starts, refusals uint64
+}
+
+// FairDecisions returns how many queued calls started, and how many were refused, in place of a call of another customer because
+// of what the customers had used.
+func (c *Controller) FairDecisions() (starts, refusals uint64) {
+	return c.shares.starts, c.shares.refusals
 }
 
 // SetWeights sets the weights of the customers. A customer that is not listed, or whose weight is not positive, has the mean
@@ -197,6 +205,9 @@
 			}
 		}
 	}
+	if best.share != next.share {
+		c.shares.starts++
+	}
 	return best
 }
 
@@ -241,6 +252,7 @@
 // are refused in their turn.
 func (c *Controller) unfairest(now time.Time, last *Call) *Call {
 	if most := c.mostOver(now, last); most != nil {
+		c.shares.refusals++
 		return most
 	}
 	return last
@@ -253,6 +265,7 @@
 	if most == nil {
 		return false
 	}
+	c.shares.refusals++
 	c.preemptCall(most)
 	return true
 }
--- a/guard/metrics.go
+++ b/guard/metrics.go
@@ -46,6 +46,10 @@
 		gauge("verbenareel_guard_pace_percent", "Last reported pace of the backend server; 0 if it is not known.", g.pacePercent),
 		gauge("verbenareel_guard_in_flight", "Calls that occupy the backend server.", func() int { return g.Load().InFlight }),
 		gauge("verbenareel_guard_queued", "Calls that wait for admission.", func() int { return g.Load().Queued }),
+		counterFunc("verbenareel_guard_fair_starts_total", "Queued calls that started in place of another customer's call.",
+			func() uint64 { starts, _ := g.fairDecisions(); return starts }),
+		counterFunc("verbenareel_guard_fair_refusals_total", "Queued calls that were refused in place of another customer's call.",
+			func() uint64 { _, refusals := g.fairDecisions(); return refusals }),
 		gauge("verbenareel_guard_limit", "Concurrency limit.", func() int { return g.Load().Limit }),
 	)
 	return m
@@ -59,6 +63,17 @@
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) })
 }
 
+func counterFunc(name, help string, value func() uint64) prometheus.CounterFunc {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) })
+}
+
+// fairDecisions returns the counts of the controller.
+func (g *Guard) fairDecisions() (starts, refusals uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.controller.FairDecisions()
+}
+
 // count increments the counter for the outcome and reason of a reply.
 func (m *metrics) count(reply *schema.ExecuteReply) {
 	if reply.GetStatus() == schema.Status_STATUS_ANSWERED && reply.GetReason() == schema.Reason_REASON_NONE {
