--- a/quota/rank.go
+++ b/quota/rank.go
@@ -65,15 +65,18 @@
 		return v
 	}
 	var serving []string
+	nodes := make(map[string]bool)
 	for _, name := range snapshot.Names() {
 		instance := snapshot.Instance(name)
 		if instance.State() != schema.InstanceState_INSTANCE_STATE_GONE {
-			v.members++
+			nodes[instance.Address()] = true
 		}
 		if instance.Eligible() {
 			serving = append(serving, name)
 		}
 	}
+	// A node may have several names in the snapshot: its first one, and those of the servers that it stood for.
+	v.members = len(nodes)
 	v.rank(serving)
 	return v
 }
