--- a/trace/cause.go
+++ b/trace/cause.go
@@ -51,6 +51,7 @@
 	"no-configuration":  "the node had no configuration yet",
 	"no-rule":           "no rule of the configuration matches its host, method and path",
 	"no-instance":       "no instance of the service could accept work",
+	"quota":             "the customer had used up its quota over all nodes",
 	"retry-budget":      "every instance that was tried refused it, and the retry budget of the service was exhausted",
 	"connect":           "no connection to the backend server could be opened",
 	"connection-lost":   "the connection ended before the response: the backend server or its node stopped, or reset it",
