quota: the order of coordinators is kept in place of being derived for each message

Each message looked up the preferred coordinator of 64 slots by name. The links are now kept in order of preference, and a spare coordinator gets no message before it is needed.

--- a/quota/lease.go
+++ b/quota/lease.go
@@ -37,8 +37,9 @@
 	failures  int
 	down      bool
 	next      time.Time
-	sent      slotSet
-	pending   bool
+	// sent is the set of slots in the last lease, and wanted the one to lease now.
+	sent, wanted slotSet
+	pending      bool
 }
 
 // Message is a request to a coordinator. It is passed to Receive or Fail exactly once.
@@ -61,14 +62,15 @@
 	if l == nil {
 		l = &link{name: name, lastReply: now}
 		n.links[name] = l
+		n.sortLinks()
 	}
 	return l
 }
 
 // preferred returns the first coordinator of a slot that has not failed, or nil.
 func (n *Node) preferred(slot int) *link {
-	for _, name := range n.view.ranking[slot] {
-		if l := n.link(n.stepped, name); !l.down {
+	for _, l := range n.ranked[slot] {
+		if !l.down {
 			return l
 		}
 	}
@@ -83,12 +85,23 @@
 	return n.preferred(slot)
 }
 
-// pruneLinks removes the state about members that coordinate nothing any more.
-func (n *Node) pruneLinks() {
-	maps.DeleteFunc(n.links, func(name string, l *link) bool {
+// rankLinks applies the ranking of the view, and removes the state about members that coordinate nothing any more.
+func (n *Node) rankLinks(now time.Time) {
+	for i, names := range n.view.ranking {
+		n.ranked[i] = nil
+		for _, name := range names {
+			n.ranked[i] = append(n.ranked[i], n.link(now, name))
+		}
+	}
+	maps.DeleteFunc(n.links, func(_ string, l *link) bool {
 		held := slices.ContainsFunc(n.slots[:], func(s slot) bool { return s.holder == l })
-		return !held && !slices.Contains(n.view.ranking[0], name)
+		return !held && !slices.Contains(n.ranked[0], l)
 	})
+	n.sortLinks()
+}
+
+func (n *Node) sortLinks() {
+	n.order = slices.SortedFunc(maps.Values(n.links), func(a, b *link) int { return cmp.Compare(a.name, b.name) })
 }
 
 // endLeases frees the slots whose lease has ended.
@@ -120,44 +133,47 @@
 	if len(n.view.customers) == 0 {
 		return nil
 	}
-	wanted := n.wantedSlots()
+	n.planSlots()
 	var messages []*Message
-	for _, name := range slices.Sorted(maps.Keys(n.links)) {
-		if m := n.compose(now, n.links[name], wanted[name]); m != nil {
+	for _, l := range n.order {
+		if m := n.compose(now, l, l.wanted); m != nil {
 			messages = append(messages, m)
 		}
 	}
 	return messages
 }
 
-// wantedSlots returns the slots to lease to each coordinator. A slot that another coordinator still holds is first released.
-func (n *Node) wantedSlots() map[string]slotSet {
-	wanted := make(map[string]slotSet)
+// planSlots determines the slots to lease to each coordinator. A slot that another coordinator still holds is first released.
+func (n *Node) planSlots() {
+	for _, l := range n.order {
+		l.wanted = 0
+	}
 	for i := range n.slots {
 		if !n.view.used.has(i) {
 			continue
 		}
 		s := &n.slots[i]
 		if l := n.preferred(i); l != nil && (s.free || s.holder == l) {
-			wanted[l.name] |= 1 << i
+			l.wanted |= 1 << i
 		}
 	}
-	return wanted
 }
 
 // compose returns the message that is due to a coordinator, or nil.
 func (n *Node) compose(now time.Time, l *link, wanted slotSet) *Message {
-	n.sequence++
-	m := &Message{To: l.name, sentAt: now, sequence: n.sequence, generation: n.generation}
-	asks := n.asks(l, m)
 	changed := wanted != l.sent && l.epoch != 0 && !l.pending
 	due := !now.Before(l.next)
-	if len(asks) == 0 && !changed && !due {
+	needed := wanted != 0 || l.sent != 0 || l.down
+	if len(n.queue) == 0 && !changed && (!due || !needed) {
 		return nil
 	}
-	if due && !changed && len(asks) == 0 && wanted == 0 && l.sent == 0 && l.epoch != 0 && !l.down {
+	m := &Message{To: l.name, sentAt: now, generation: n.generation}
+	asks := n.asks(l, m)
+	if len(asks) == 0 && !changed && (!due || !needed) {
 		return nil
 	}
+	n.sequence++
+	m.sequence = n.sequence
 	request := schema.QuotaRequest_builder{Epoch: l.epoch, Asks: asks}
 	if due || changed || l.epoch == 0 {
 		l.next = now.Add(n.renewalInterval(l))
--- a/quota/node.go
+++ b/quota/node.go
@@ -29,9 +29,13 @@
 	view      *View
 	accounts  map[string]*account
 	// list holds the accounts in a slice, for the periodic work.
-	list    []*account
-	queue   []*account
+	list  []*account
+	queue []*account
+	// links holds the coordinators by name, order the same sorted by name, and ranked those of each slot in the order of
+	// preference.
 	links   map[string]*link
+	order   []*link
+	ranked  [slotCount][]*link
 	slots   [slotCount]slot
 	pause   pauseDetector
 	stepped time.Time
@@ -74,7 +78,7 @@
 	n.view = v
 	n.known.note(now, v.members, memberHold)
 	n.start(now)
-	n.pruneLinks()
+	n.rankLinks(now)
 	before := n.accounts
 	n.list = nil
 	n.accounts = make(map[string]*account, len(v.customers))
