--- a/trace/cause.go
+++ b/trace/cause.go
@@ -50,6 +50,7 @@
 	"suspect":           "the request is suspected of crashing a backend server and could not run in isolation in time",
 	"no-configuration":  "the node had no configuration yet",
 	"no-rule":           "no rule of the configuration matches its host, method and path",
+	"unknown-key":       "its rule needs the API key of a customer, and it carried none that the configuration lists",
 	"no-instance":       "no instance of the service could accept work",
 	"retry-budget":      "every instance that was tried refused it, and the retry budget of the service was exhausted",
 	"connect":           "no connection to the backend server could be opened",
