quota: a new process leases its shares at once

A new process used nothing of its shares for one lease time, since the process before it may have leased them. The coordinator that held the lease replaces it by that of the new process, and a coordinator that is gone hands out nothing, so only a node whose coordinator changed in this moment counts twice, for one lease time. The node's own use still waits. go test ./quota passes, its herd of kills included.

A second suspicion was ruled out: that new processes hold the document back for a second when all restart. They don't, since each reads the platform and answers the others with it (a test of five processes that start together passed before the change, which was dropped).

--- a/quota/lease.go
+++ b/quota/lease.go
@@ -143,7 +143,9 @@
 	return messages
 }
 
-// planSlots determines the slots to lease to each coordinator. A slot that another coordinator still holds is first released.
+// planSlots determines the slots to lease to each coordinator. A slot that another coordinator still holds is first released. A
+// slot that the process before this one may have leased has no holder and is leased at once: the coordinator replaces the lease
+// of that process, and it has ended if the coordinator did.
 func (n *Node) planSlots() {
 	for _, l := range n.order {
 		l.wanted = 0
@@ -153,7 +155,7 @@
 			continue
 		}
 		s := &n.slots[i]
-		if l := n.preferred(i); l != nil && (s.free || s.holder == l) {
+		if l := n.preferred(i); l != nil && (s.holder == nil || s.holder == l) {
 			l.wanted |= 1 << i
 		}
 	}
