budget, router: a retry budget over all nodes without communication

The retry budget of a node was a share of its calls with an exponential memory, at half of the permitted ratio. A higher ratio exceeded the bound once in a trial, since calls that had left the window still paid for arrivals in it.

budget.Window holds the bound for windows at any position: it keeps the highest balance of earned minus spent budget in each hundredth of the window, reserves an arrival until its reply comes, and relies on a quarter of the lowest recent call rate for the rest of a window. Calls that a guard aborted, hedges, moved tickets and the nested calls of repeated runs count.

Ruled out: a plain token bucket of the part of the slack used 70% of the bound while arrivals took up to 0.3 s. A plain sum over the last window exceeds the bound after a burst of calls.

Without it the present scheme stays. A change needs a restart.

--- a/guard/call.go
+++ b/guard/call.go
@@ -85,6 +85,7 @@
 		reply.SetNextTicket(ticket)
 	}
 	g.metrics.count(reply)
+	g.repeats.record(now, request, reply)
 	return reply
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -78,6 +78,7 @@
 	pace         pace
 	serviceTimes serviceTimes
 	knee         knee
+	repeats      repeats
 	// slots is the concurrency limit that the backend server last reported.
 	slots int
 	// pacePolling is true while pollPace runs.
--- a/node/node.go
+++ b/node/node.go
@@ -178,6 +178,12 @@
 	if n.chooser != nil {
 		routerOptions = append(routerOptions, router.WithChooser(n.chooser))
 	}
+	if budget := n.settings.GetRetryBudget(); budget != nil {
+		routerOptions = append(routerOptions, router.WithRetryBudget(budget, n.guard.RepeatShare))
+	}
+	if n.adapter != nil {
+		routerOptions = append(routerOptions, router.WithoutDepth())
+	}
 	n.router = router.New(n.self, n.exchange, n.guard, n.transport, n.clock, routerOptions...)
 }
 
--- a/router/budget_test.go
+++ b/router/budget_test.go
@@ -51,7 +51,7 @@
 func (f *fleet) call(service int, again bool) {
 	const nested = 0.7
 	b := f.budgets[f.random.IntN(fleetNodes)][service]
-	b.recordCall(f.now, true)
+	b.recordCall(f.now, true, 0)
 	for attempt := range maxAttempts {
 		if attempt > 0 && !b.takeRetry(f.now) {
 			return
--- a/router/budgets.go
+++ b/router/budgets.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -34,7 +35,10 @@
 	hedgeRatio float64
 	retries    *budget.Ratio
 	hedges     *budget.Ratio
-	lastShed   time.Time
+	// window is this node's part of the retry budget of all nodes, or nil if the settings contain none. It then replaces
+	// retries.
+	window   *budget.Window
+	lastShed time.Time
 	// latencies is nil if hedging is disabled.
 	latencies    *hdrhistogram.WindowedHistogram
 	lastRotation time.Time
@@ -62,20 +66,27 @@
 	}
 }
 
-// recordCall adds the share of a new call to the budgets.
-func (b *budgets) recordCall(now time.Time, repeatable bool) {
+// recordCall adds the share of a new call to the budgets. repeated is the probability that a repeated run made the call.
+func (b *budgets) recordCall(now time.Time, repeatable bool, repeated float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.window != nil {
+		b.window.Deposit(now, repeated)
+	}
 	b.retries.Deposit(now)
 	if repeatable {
 		b.hedges.Deposit(now)
 	}
 }
 
-// takeRetry takes one retry from the budget and reports whether there was one.
+// takeRetry takes one retry from the budget and reports whether there was one. A retry from the budget of all nodes is
+// only reserved.
 func (b *budgets) takeRetry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.window != nil {
+		return b.window.Reserve(now, 0)
+	}
 	return b.retries.Take(now)
 }
 
@@ -83,6 +94,9 @@
 func (b *budgets) hasRetry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.window != nil {
+		return b.window.Available(now) >= 1
+	}
 	return b.retries.Available(now)
 }
 
@@ -90,6 +104,10 @@
 func (b *budgets) chargeAbandoned(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.window != nil {
+		b.window.Reserve(now, math.Inf(-1))
+		return
+	}
 	b.retries.TakeOnCredit(now)
 }
 
@@ -101,7 +119,7 @@
 	if !b.lastShed.IsZero() && now.Sub(b.lastShed) < shedWindow {
 		return false
 	}
-	return b.hedges.Take(now)
+	return (b.window == nil || b.window.Available(now) >= 1) && b.hedges.Take(now)
 }
 
 // recordRefusal records a refusal. If the instance lacked capacity, the service counts as shedding load.
--- a/router/call.go
+++ b/router/call.go
@@ -45,6 +45,8 @@
 	// retryCharged is set when a guard aborted the call and the retry was charged to the budget, until an attempt
 	// reaches a backend server again.
 	retryCharged bool
+	// reservation is the budget of all nodes in which a retry is reserved for the next attempt that reaches a server.
+	reservation *budgets
 	// eager asks the guard of the next attempt to refuse the call unless it can start at once.
 	eager bool
 	// abandonSlow allows the guard of the next attempt to abort the call if its backend server was slow when the call
@@ -75,7 +77,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, c.deadline.Sub(start))
 	defer stop()
-	c.group.budgets.recordCall(start, c.rule.GetRepeatable())
+	c.group.budgets.recordCall(start, c.rule.GetRepeatable(), r.nestedRepeat(start, c))
 	reply := r.run(ctx, c)
 	if !c.rule.GetRepeatable() {
 		// A guard of an older version may not have checked it.
@@ -146,6 +148,7 @@
 // runWithoutTicket sends a call that needs no ticket until it is answered or may not be retried.
 func (r *Router) runWithoutTicket(ctx context.Context, c *call) *schema.ExecuteReply {
 	last := core.NotRun(schema.Reason_REASON_NO_INSTANCE)
+	defer func() { c.releaseRetry(r.clock.Now()) }()
 	for attempt := range maxAttempts {
 		view := r.choose(c)
 		if view == nil && len(c.declined) > 0 {
@@ -173,6 +176,7 @@
 			last = r.attempt(ctx, c, view)
 		}
 		now := r.clock.Now()
+		c.settleRetry(now, last)
 		if succeeded(last) {
 			c.group.budgets.recordLatency(now.Sub(begin))
 		}
@@ -190,10 +194,11 @@
 func (r *Router) mayRetry(c *call, last *schema.ExecuteReply) bool {
 	if isAbandoned(last) {
 		c.group.budgets.chargeAbandoned(r.clock.Now())
+		c.holdRetry(c.group.budgets)
 		c.retryCharged = true
 		return true
 	}
-	if c.retryCharged && !mayHaveReachedServer(last) {
+	if (c.retryCharged || c.reservation != nil) && !mayHaveReachedServer(last) {
 		return true
 	}
 	if limit := int(c.rule.GetMaxAttempts()); limit > 0 && c.reachedSends >= limit {
@@ -202,7 +207,7 @@
 	if c.reachedSends == 0 && c.refusedSends <= int(c.group.settings.GetFreeResends()) {
 		return true
 	}
-	if !c.group.budgets.takeRetry(r.clock.Now()) {
+	if !c.reserveRetry(r.clock.Now()) {
 		r.metrics.recordDeniedRetry(c.service)
 		return false
 	}
--- a/router/hedge.go
+++ b/router/hedge.go
@@ -42,6 +42,7 @@
 	if view == nil || !c.group.budgets.takeHedge(now) {
 		return nil, nil
 	}
+	c.group.budgets.chargeArrival(now)
 	return view, r.startAttempt(ctx, c, view)
 }
 
--- a/router/log.go
+++ b/router/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -88,9 +89,19 @@
 		zap.Duration("took", took),
 		zap.Duration("target", c.rule.GetTargetLatency().AsDuration()),
 		zap.String("hops", strings.Join(hops, " ")),
+		r.budgetField(c),
 		zap.Uint64("revision", r.revision()))
 }
 
+// budgetField shows what was available of the retry budget of all nodes when the call ended, if there is one.
+func (r *Router) budgetField(c *call) zap.Field {
+	state, shared := c.group.budgets.state(r.clock.Now())
+	if !shared {
+		return zap.Skip()
+	}
+	return zap.Float64("retry_budget", math.Round(10*state.available)/10)
+}
+
 func callMessage(reply *schema.ExecuteReply, sends int, late bool) string {
 	switch {
 	case succeeded(reply) && late:
--- a/router/metric.go
+++ b/router/metric.go
@@ -17,6 +17,7 @@
 	retries *prometheus.CounterVec
 	denied  *prometheus.CounterVec
 	hedges  *prometheus.CounterVec
+	budget  *prometheus.GaugeVec
 }
 
 func newMetrics() *metrics {
@@ -42,6 +43,11 @@
 			Name: "verbenareel_router_hedges_total",
 			Help: "Hedges by service and by the attempt whose reply was used.",
 		}, []string{"service", "winner"}),
+		budget: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "verbenareel_router_retry_budget",
+			Help: "This node's part of the retry budget of all nodes: the arrivals that are available now, and the calls and " +
+				"arrivals beyond the first within the last window.",
+		}, []string{"service", "kind"}),
 	}
 }
 
@@ -51,7 +57,7 @@
 	if registerer == nil {
 		return
 	}
-	for _, c := range []prometheus.Collector{m.calls, m.latency, m.retries, m.denied, m.hedges} {
+	for _, c := range []prometheus.Collector{m.calls, m.latency, m.retries, m.denied, m.hedges, m.budget} {
 		if err := registerer.Register(c); err != nil {
 			logger.Error("cannot register router metric", zap.Error(err))
 		}
@@ -76,3 +82,9 @@
 func (m *metrics) recordDeniedRetry(service string) {
 	m.denied.WithLabelValues(service).Inc()
 }
+
+func (m *metrics) recordBudget(service string, s budgetState) {
+	m.budget.WithLabelValues(service, "available").Set(s.available)
+	m.budget.WithLabelValues(service, "calls").Set(s.calls)
+	m.budget.WithLabelValues(service, "repeats").Set(s.repeats)
+}
--- a/router/once_test.go
+++ b/router/once_test.go
@@ -56,7 +56,7 @@
 			})
 			withRules(snapshots, 3, func(s *schema.Service) { s.SetRetryRatio(1); s.SetFreeResends(2) }, rule)
 			now := r.clock.Now()
-			r.current(now).groups["sheets"].budgets.recordCall(now, false)
+			r.current(now).groups["sheets"].budgets.recordCall(now, false, 0)
 			reply := order(r)
 			qt.Check(t, reply.GetStatus(), qt.Equals, c.status)
 			qt.Check(t, sends, qt.Equals, c.sends)
--- a/router/router.go
+++ b/router/router.go
@@ -54,6 +54,10 @@
 	mu          sync.Mutex
 	viewsByName map[string]*picker.View
 	budgets     map[string]*budgets
+	retryBudget *schema.RetryBudget
+	repeatShare func(now time.Time) float64
+	// withoutDepth reports that the wire format does not carry the nesting depth of calls.
+	withoutDepth bool
 }
 
 // Option configures a Router.
@@ -63,6 +67,10 @@
 	logger     *zap.Logger
 	registerer prometheus.Registerer
 	chooser    core.Chooser
+
+	retryBudget  *schema.RetryBudget
+	repeatShare  func(now time.Time) float64
+	withoutDepth bool
 }
 
 // WithLogger sets the logger; the default discards.
@@ -98,6 +106,10 @@
 		done:        make(chan struct{}),
 		viewsByName: make(map[string]*picker.View),
 		budgets:     make(map[string]*budgets),
+		retryBudget: o.retryBudget,
+		repeatShare: o.repeatShare,
+
+		withoutDepth: o.withoutDepth,
 	}
 	r.metrics.register(o.registerer, o.logger)
 	return r
@@ -154,8 +166,11 @@
 		r.logger.Warn("process was paused; discarding load reports", zap.Duration("gap", gap))
 		t.resetViews()
 	}
-	for _, g := range t.groups {
+	for service, g := range t.groups {
 		g.refresh(now)
+		if state, shared := g.budgets.state(now); shared {
+			r.metrics.recordBudget(service, state)
+		}
 	}
 }
 
@@ -174,6 +189,8 @@
 	candidates []core.Candidate
 	views      []*picker.View
 	budgets    *budgets
+	// meanTarget is the mean target latency of the rules that lead to the service, or 0 if none has a target.
+	meanTarget time.Duration
 }
 
 // resetViews discards the load reports and failure rates of all instances.
@@ -223,7 +240,7 @@
 }
 
 func (r *Router) buildGroup(now time.Time, snapshot *core.Snapshot, name string, settings *schema.Service) *group {
-	g := &group{settings: settings}
+	g := &group{settings: settings, meanTarget: meanTarget(snapshot.Document().GetRules(), name)}
 	for _, instance := range snapshot.Instances(name) {
 		v := r.viewOf(now, snapshot, instance)
 		g.views = append(g.views, v)
@@ -235,6 +252,7 @@
 		r.budgets[name] = g.budgets
 	}
 	g.budgets.configure(settings)
+	g.budgets.share(now, r.retryBudget, countMembers(snapshot))
 	g.refresh(now)
 	return g
 }
--- a/router/send.go
+++ b/router/send.go
@@ -55,6 +55,8 @@
 		Eager:       c.eager,
 		Rule:        c.rule.GetName(),
 		AbandonSlow: c.abandonSlow,
+
+		EarlierArrivals: uint32(c.reachedSends),
 	}.Build()
 }
 
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -237,6 +237,7 @@
 		t.Stop(schema.Reason_REASON_RETRY_BUDGET)
 	default:
 		r.metrics.recordRetry(c.service, c.ticketRefusal)
+		c.group.budgets.spendReserved(now)
 		c.tried = append(c.tried, view)
 		t.OnIssue(r.issueAt(ctx, c.service, view))
 	}
