worth, router, model: retries by worth, and admission at entry

Servers that shed at random made all kinds of calls compete for the retry budget by arrival, so nested calls failed and destroyed the work of their parents, and refused callers returned after a random 0.1 to 0.5 s, often too late for a short target.

The model gains the patterns long-burst and random-shed and the policies budget, order and entry.

Switched on by retry_order = "worth" (needs [retry_budget]) and entry_admission = true in [service_defaults] or [services.NAME]; both are off by default and not set in deploy/settings.toml.

--- a/budget/window.go
+++ b/budget/window.go
@@ -128,6 +128,9 @@
 	return available - float64(w.reserved)
 }
 
+// Capacity returns the most that may be available at present.
+func (w *Window) Capacity(now time.Time) float64 { return w.Share(now) + w.ratio*w.callsAhead() }
+
 // callsAhead returns the calls that are expected within the next window at least: futureShare of the lowest rate in any
 // part of the last one.
 func (w *Window) callsAhead() float64 {
--- a/config/check.go
+++ b/config/check.go
@@ -414,9 +414,7 @@
 	if s.HasServiceDefaults() {
 		checkServiceDefaults(c, "service_defaults", s.GetServiceDefaults())
 	}
-	if s.HasRetryBudget() {
-		checkRetryBudget(c, s.GetRetryBudget())
-	}
+	checkRetryBudget(c, s)
 	for _, name := range sortedKeys(s.GetDomains()) {
 		if s.GetDomains()[name].GetRegion() == "" {
 			c.reportMissing("domains."+name, "region", "expected the name of a region")
--- a/config/decode.go
+++ b/config/decode.go
@@ -466,6 +466,8 @@
 var enumPrefixes = map[protoreflect.FullName]string{
 	schema.Priority(0).Descriptor().FullName(): "PRIORITY_",
 	schema.Once(0).Descriptor().FullName():     "ONCE_",
+
+	schema.RetryOrder(0).Descriptor().FullName(): "RETRY_ORDER_",
 }
 
 // enumNames returns the TOML names of the values of an enumeration, without the unspecified value 0.
--- a/config/retry_budget.go
+++ b/config/retry_budget.go
@@ -13,9 +13,17 @@
 	minBudgetWindow = 100 * time.Millisecond
 )
 
-// checkRetryBudget checks the bound on retries over all nodes, whose keys are all required.
-func checkRetryBudget(c *checker, b *schema.RetryBudget) {
+// checkRetryBudget checks the bound on retries over all nodes, whose keys are all required, and that there is one if the
+// service defaults order its use.
+func checkRetryBudget(c *checker, s *schema.Settings) {
 	const section = "retry_budget"
+	b := s.GetRetryBudget()
+	if b == nil {
+		if s.GetServiceDefaults().GetRetryOrder() == schema.RetryOrder_RETRY_ORDER_WORTH {
+			c.report("service_defaults", "retry_order", "needs the section [%s]", section)
+		}
+		return
+	}
 	c.checkRate(section, "ratio", b.GetRatio(), 1)
 	c.checkRate(section, "slack", b.GetSlack(), maxRetrySlack)
 	c.checkDuration(section, "window", b.GetWindow(), minBudgetWindow, maxInterval)
--- a/config/retry_budget_test.go
+++ b/config/retry_budget_test.go
@@ -35,4 +35,9 @@
 		c.Check(wrong[i].Key, qt.Equals, key)
 		c.Check(wrong[i].Line, qt.Equals, i+2)
 	}
+
+	_, err := ParseSettings([]byte("[service_defaults]\nretry_order = \"worth\"\n"))
+	c.Check(err, qt.ErrorMatches, `(?s).*retry_order.*needs the section \[retry_budget\].*`)
+	_, err = ParseSettings([]byte("[service_defaults]\nretry_order = \"first\"\n"))
+	c.Check(err, qt.ErrorMatches, `(?s).*retry_order.*one of arrival, worth.*`)
 }
--- a/model/pattern.go
+++ b/model/pattern.go
@@ -28,6 +28,8 @@
 	Repeatable bool
 	// Worth is the worth of an answer within the target, and LateWorth the worth of a later one.
 	Worth, LateWorth float64
+	// RateFactor returns a further factor of the arrival rate of this kind at a time since the start; nil means 1.
+	RateFactor func(at time.Duration) float64
 	// Calls is the kind of the nested call, and CallShare the share of runs that make it. A run waits for the answer to
 	// its nested call.
 	Calls     string
@@ -61,6 +63,8 @@
 	// then on.
 	Down, Up      bool
 	RunTimeFactor float64
+	// Shed, if not nil, sets the share of the calls that the servers refuse at random from then on, full or not.
+	Shed *float64
 }
 
 // Pattern describes the load on the services and the faults that occur during it.
@@ -78,6 +82,9 @@
 	// random delay.
 	Retries          int
 	RetryImmediately bool
+	// SharedDeadline makes a retry of a caller end when its first request would have. The caller then waits for at most a
+	// third of the remaining time.
+	SharedDeadline bool
 }
 
 // services returns three services. Runs of each of the first two make nested calls to the next one.
@@ -152,7 +159,7 @@
 			Change{At: 5 * time.Second, Service: service.Name, Share: 1, Down: true},
 			Change{At: 6300 * time.Millisecond, Service: service.Name, Share: 1, Up: true})
 	}
-	return []Pattern{calm, overload, burst, storm, half, slow, cold}
+	return append([]Pattern{calm, overload, burst, storm, half, slow, cold}, contendedPatterns()...)
 }
 
 // UnknownPatternError reports a pattern name that does not exist.
--- a/model/policy.go
+++ b/model/policy.go
@@ -20,12 +20,21 @@
 	useTargets, usePriorities bool
 	// eagerFirst makes a call try other servers that may start it immediately before it is queued.
 	eagerFirst bool
+	// sharedBudget bounds retries as a budget of all nodes does, byWorth spends it by worth, and entryAdmission refuses calls
+	// of low worth where they enter and spreads the returns of callers.
+	sharedBudget, byWorth, entryAdmission bool
 }
 
 // Policies returns the policy that nodes use and the policies it is compared with.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "worth", Description: "highest worth per slot time first; the policy used by nodes", queuePerSlot: 1, useTargets: true, usePriorities: true, eagerFirst: true},
+		{Name: "budget", Description: "worth, with the retry budget of all nodes", queuePerSlot: 1, useTargets: true, usePriorities: true,
+			eagerFirst: true, sharedBudget: true},
+		{Name: "order", Description: "budget, spent by worth", queuePerSlot: 1, useTargets: true, usePriorities: true,
+			eagerFirst: true, sharedBudget: true, byWorth: true},
+		{Name: "entry", Description: "order, with entry admission", queuePerSlot: 1, useTargets: true, usePriorities: true,
+			eagerFirst: true, sharedBudget: true, byWorth: true, entryAdmission: true},
 		{Name: "rank", Description: "by priority, then by arrival; rejected at the deadline; the previous policy", queuePerSlot: 1, usePriorities: true},
 		{Name: "arrival", Description: "first come, first served (FIFO)", queuePerSlot: 1},
 	}
--- a/model/run.go
+++ b/model/run.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"verbenareel/admit"
-	"verbenareel/budget"
 	"verbenareel/schema"
 )
 
@@ -28,17 +27,17 @@
 
 // Simulation is a discrete-event simulation of one pattern under one policy.
 type Simulation struct {
-	pattern  Pattern
-	policy   Policy
-	random   *rand.Rand
-	start    time.Time
-	now      time.Time
-	queue    eventQueue
-	sequence int
-	kinds    map[string]*Kind
-	servers  map[string][]*server
-	retries  map[string]*budget.Ratio
-	result   *Result
+	pattern   Pattern
+	policy    Policy
+	random    *rand.Rand
+	start     time.Time
+	now       time.Time
+	queue     eventQueue
+	sequence  int
+	kinds     map[string]*Kind
+	servers   map[string][]*server
+	entrances map[string]*entrance
+	result    *Result
 }
 
 // Simulate runs the pattern under the policy. The result depends only on the arguments.
@@ -46,7 +45,7 @@
 	start := time.Unix(0, 0)
 	r := &Simulation{
 		pattern: pattern, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), start: start, now: start,
-		kinds: make(map[string]*Kind), servers: make(map[string][]*server), retries: make(map[string]*budget.Ratio),
+		kinds: make(map[string]*Kind), servers: make(map[string][]*server), entrances: make(map[string]*entrance),
 		result: newResult(pattern, policy),
 	}
 	for i := range pattern.Services {
@@ -56,7 +55,7 @@
 			server := newServer(r, service, rand.New(rand.NewPCG(seed, uint64(r.sequence))))
 			r.servers[service.Name] = append(r.servers[service.Name], server)
 		}
-		r.retries[service.Name] = budget.NewRatio(retryRatio, retryFloor, budget.RetryDecayTime)
+		r.entrances[service.Name] = newEntrance(&r.policy)
 	}
 	for i := range pattern.Kinds {
 		k := &r.pattern.Kinds[i]
@@ -102,6 +101,9 @@
 	if r.pattern.RateFactor != nil {
 		factor = r.pattern.RateFactor(r.elapsed())
 	}
+	if k.RateFactor != nil {
+		factor *= k.RateFactor(r.elapsed())
+	}
 	r.submit(k, drawSize(random), r.pattern.Retries, r.now)
 	mean := float64(time.Second) / (k.ArrivalRate * factor)
 	r.schedule(time.Duration(random.ExpFloat64()*mean), func() { r.arrive(k, random) })
@@ -121,7 +123,7 @@
 	var q *request
 	q = r.newRequest(k, size, func(answered bool) {
 		if !answered && retries > 0 && q.notRun {
-			wait := minRetryDelay + time.Duration(r.random.Int64N(int64(maxRetryDelay-minRetryDelay)))
+			wait := r.entrances[k.Service].returnDelay(r, k, max(first.Add(k.Timeout).Sub(r.now), 0), r.random)
 			if r.pattern.RetryImmediately {
 				wait = time.Millisecond
 			}
@@ -130,6 +132,14 @@
 		}
 		r.result.record(r.start, k, first, r.now, answered, q.notRun)
 	})
+	if r.pattern.SharedDeadline && first.Before(r.now) {
+		q.deadline = first.Add(k.Timeout)
+		r.schedule(q.deadline.Sub(r.now), func() { q.end(false) })
+	}
+	if !r.entrances[k.Service].admits(r, q) {
+		r.schedule(networkDelay, func() { q.end(false) })
+		return
+	}
 	q.send(r)
 }
 
@@ -144,6 +154,8 @@
 			s.restart()
 		case c.RunTimeFactor > 0:
 			s.runTimeFactor = c.RunTimeFactor
+		case c.Shed != nil:
+			s.shed = *c.Shed
 		}
 	}
 }
@@ -187,7 +199,10 @@
 	deadline  time.Time
 	tried     []*server
 	sends     int
-	ended     bool
+	// arrivals counts the attempts that reached a server, and reserved is set while a retry is reserved for the request.
+	arrivals int
+	reserved bool
+	ended    bool
 	// notRun reports whether no server ran the request.
 	notRun bool
 	done   func(answered bool)
@@ -195,7 +210,7 @@
 
 func (r *Simulation) newRequest(k *Kind, size requestSize, done func(answered bool)) *request {
 	q := &request{kind: k, size: size, createdAt: r.now, deadline: r.now.Add(k.Timeout), notRun: true, done: done}
-	r.retries[k.Service].Deposit(r.now)
+	r.entrances[k.Service].deposit(r.now)
 	r.schedule(k.Timeout, func() { q.end(false) })
 	return q
 }
@@ -234,30 +249,46 @@
 // end handles the outcome of the attempt and retries the request if that is allowed. REASON_NONE means that it was
 // answered.
 func (a *attempt) end(r *Simulation, reason schema.Reason) {
-	q := a.request
+	q, e := a.request, r.entrances[a.request.kind.Service]
+	arrived := reachedServer(reason)
+	if arrived {
+		q.arrivals++
+	}
+	e.record(r.now, a, reason)
+	e.settle(r.now, q, arrived)
 	if q.ended {
 		return
 	}
-	switch reason {
-	case schema.Reason_REASON_NONE:
+	if reason == schema.Reason_REASON_NONE || reason == schema.Reason_REASON_CONNECTION_LOST {
 		q.notRun = false
-		q.end(true)
+	}
+	if q.sends < maxSends && q.mayRetry(r, e, reason) {
+		r.schedule(networkDelay, func() { q.send(r) })
+		return
+	}
+	q.end(reason == schema.Reason_REASON_NONE)
+	e.settle(r.now, q, false)
+}
+
+// mayRetry reports whether the request is sent again after the outcome of an attempt. A refusal of one of the first
+// attempts by a guard costs no retry.
+func (q *request) mayRetry(r *Simulation, e *entrance, reason schema.Reason) bool {
+	switch reason {
+	case schema.Reason_REASON_NONE, schema.Reason_REASON_DEADLINE:
+		return false
 	case schema.Reason_REASON_CONNECTION_LOST:
-		q.notRun = false
-		if q.kind.Repeatable && r.retries[q.kind.Service].Take(r.now) {
-			r.schedule(networkDelay, func() { q.send(r) })
-			return
-		}
-		q.end(false)
-	case schema.Reason_REASON_DEADLINE:
-		q.end(false)
-	default:
-		if q.sends <= maxEagerSends || r.retries[q.kind.Service].Take(r.now) {
-			r.schedule(networkDelay, func() { q.send(r) })
-			return
-		}
-		q.end(false)
+		return q.kind.Repeatable && e.takeRetry(r.now, q)
+	}
+	return q.arrivals == 0 && q.sends <= maxEagerSends || e.takeRetry(r.now, q)
+}
+
+// reachedServer reports whether an attempt with the outcome was an arrival at a server.
+func reachedServer(reason schema.Reason) bool {
+	switch reason {
+	case schema.Reason_REASON_NONE, schema.Reason_REASON_CONNECTION_LOST, schema.Reason_REASON_SHED:
+		return true
 	}
+	return false
 }
 
 // event is a function that is scheduled for a time. Events of the same time run in order of sequence.
--- a/model/server.go
+++ b/model/server.go
@@ -44,8 +44,10 @@
 	down       bool
 	// runTimeFactor multiplies all run times. phaseFactor multiplies those of runs that start in the current phase.
 	runTimeFactor, phaseFactor float64
-	coldUntil                  time.Time
-	tickScheduled              bool
+	// shed is the share of the calls that the server refuses at random.
+	shed          float64
+	coldUntil     time.Time
+	tickScheduled bool
 }
 
 func newServer(r *Simulation, service *Service, random *rand.Rand) *server {
@@ -132,6 +134,10 @@
 func (s *server) begin(a *attempt) {
 	s.running[a] = struct{}{}
 	s.controller.MarkSent(s.run.now, &a.Call)
+	if s.shed > 0 && s.random.Float64() < s.shed {
+		s.run.schedule(networkDelay, func() { s.finish(a, schema.Reason_REASON_SHED) })
+		return
+	}
 	k := a.request.kind
 	work := time.Duration(float64(k.Work) * a.request.size.workFactor * s.currentFactor(a.InFlight()))
 	if k.Calls == "" || a.request.size.callDraw >= k.CallShare {
--- a/router/budget_test.go
+++ b/router/budget_test.go
@@ -53,7 +53,7 @@
 	b := f.budgets[f.random.IntN(fleetNodes)][service]
 	b.recordCall(f.now, true, 0)
 	for attempt := range maxAttempts {
-		if attempt > 0 && !b.takeRetry(f.now) {
+		if attempt > 0 && !b.takeRetry(f.now, 1) {
 			return
 		}
 		repeated := again || attempt > 0
--- a/router/budgets.go
+++ b/router/budgets.go
@@ -9,6 +9,7 @@
 
 	"verbenareel/budget"
 	"verbenareel/schema"
+	"verbenareel/worth"
 )
 
 const (
@@ -37,7 +38,12 @@
 	hedges     *budget.Ratio
 	// window is this node's part of the retry budget of all nodes, or nil if the settings contain none. It then replaces
 	// retries.
-	window   *budget.Window
+	window *budget.Window
+	// order decides whose retries use the window while it is short; byWorth switches it on.
+	order   worth.Order
+	byWorth bool
+	// entry decides which new calls are sent to an instance.
+	entry    worth.Entry
 	lastShed time.Time
 	// latencies is nil if hedging is disabled.
 	latencies    *hdrhistogram.WindowedHistogram
@@ -49,6 +55,7 @@
 func (b *budgets) configure(settings *schema.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.byWorth = settings.GetRetryOrder() == schema.RetryOrder_RETRY_ORDER_WORTH
 	ratio, floor := settings.GetRetryRatio(), settings.GetRetryFloor()
 	if b.retries == nil || b.retryRatio != ratio || b.retryFloor != floor {
 		b.retryRatio, b.retryFloor = ratio, floor
@@ -80,22 +87,22 @@
 }
 
 // takeRetry takes one retry from the budget and reports whether there was one. A retry from the budget of all nodes is
-// only reserved.
-func (b *budgets) takeRetry(now time.Time) bool {
+// only reserved. value is the worth of the call.
+func (b *budgets) takeRetry(now time.Time, value float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.window != nil {
-		return b.window.Reserve(now, 0)
+		return b.reserve(now, value)
 	}
 	return b.retries.Take(now)
 }
 
 // hasRetry reports whether the budget holds a retry that was earned by calls, without taking it.
-func (b *budgets) hasRetry(now time.Time) bool {
+func (b *budgets) hasRetry(now time.Time, value float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.window != nil {
-		return b.window.Available(now) >= 1
+		return b.window.Available(now) >= 1+b.keep(now, value)
 	}
 	return b.retries.Available(now)
 }
--- a/router/call.go
+++ b/router/call.go
@@ -127,7 +127,7 @@
 	}
 	c := &call{input: input, rule: rule, service: service, group: g, deadline: now.Add(timeout)}
 	if !r.endsInTime(input, c.deadline) {
-		return nil, c.finalReply(core.NotRun(schema.Reason_REASON_LEAVING))
+		return nil, r.finalReply(c, core.NotRun(schema.Reason_REASON_LEAVING))
 	}
 	if rule.HasTargetLatency() {
 		c.target = now.Add(rule.GetTargetLatency().AsDuration())
@@ -148,6 +148,9 @@
 // runWithoutTicket sends a call that needs no ticket until it is answered or may not be retried.
 func (r *Router) runWithoutTicket(ctx context.Context, c *call) *schema.ExecuteReply {
 	last := core.NotRun(schema.Reason_REASON_NO_INSTANCE)
+	if !r.admits(r.clock.Now(), c) {
+		return r.finalReply(c, core.NotRun(schema.Reason_REASON_ENTRY))
+	}
 	defer func() { c.releaseRetry(r.clock.Now()) }()
 	for attempt := range maxAttempts {
 		view := r.choose(c)
@@ -181,11 +184,12 @@
 			c.group.budgets.recordLatency(now.Sub(begin))
 		}
 		c.group.budgets.recordRefusal(now, last.GetReason())
+		c.group.budgets.recordAttempt(now, last, c.eager)
 		if ctx.Err() != nil || c.crashes >= maxCrashesPerCall || !c.retryable(last) {
 			break
 		}
 	}
-	return c.finalReply(last)
+	return r.finalReply(c, last)
 }
 
 // mayRetry reports whether the rule and the retry budget allow another attempt. Attempts that reached no backend server
@@ -249,7 +253,7 @@
 }
 
 // finalReply returns the reply for the caller; last is the reply of the last attempt.
-func (c *call) finalReply(last *schema.ExecuteReply) *schema.ExecuteReply {
+func (r *Router) finalReply(c *call, last *schema.ExecuteReply) *schema.ExecuteReply {
 	if succeeded(last) {
 		return last
 	}
@@ -257,7 +261,7 @@
 		return withoutFurtherRetry(c.executionReply)
 	}
 	last = withoutFurtherRetry(last)
-	if wait := retryAfter(last.GetReason()); wait > 0 {
+	if wait := r.retryAfter(c, last.GetReason()); wait > 0 {
 		last.SetRetryAfterUs(wait.Microseconds())
 	}
 	return last
@@ -292,7 +296,7 @@
 	if r.retiring.Load() || !c.rule.GetRepeatable() || c.reachedSends+1 >= max(1, int(c.rule.GetMaxAttempts())) {
 		return false
 	}
-	return c.group.budgets.hasRetry(now)
+	return c.group.budgets.hasRetry(now, c.value())
 }
 
 // isAbandoned reports whether a guard aborted the call because its backend server was slow when the call started.
--- a/router/metric.go
+++ b/router/metric.go
@@ -18,6 +18,7 @@
 	denied  *prometheus.CounterVec
 	hedges  *prometheus.CounterVec
 	budget  *prometheus.GaugeVec
+	shares  *prometheus.GaugeVec
 }
 
 func newMetrics() *metrics {
@@ -48,6 +49,10 @@
 			Help: "This node's part of the retry budget of all nodes: the arrivals that are available now, and the calls and " +
 				"arrivals beyond the first within the last window.",
 		}, []string{"service", "kind"}),
+		shares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "verbenareel_router_refused_attempt_share",
+			Help: "Share of this node's attempts of about the last second that servers shed, or that found them full.",
+		}, []string{"service", "kind"}),
 	}
 }
 
@@ -57,7 +62,7 @@
 	if registerer == nil {
 		return
 	}
-	for _, c := range []prometheus.Collector{m.calls, m.latency, m.retries, m.denied, m.hedges, m.budget} {
+	for _, c := range []prometheus.Collector{m.calls, m.latency, m.retries, m.denied, m.hedges, m.budget, m.shares} {
 		if err := registerer.Register(c); err != nil {
 			logger.Error("cannot register router metric", zap.Error(err))
 		}
@@ -88,3 +93,8 @@
 	m.budget.WithLabelValues(service, "calls").Set(s.calls)
 	m.budget.WithLabelValues(service, "repeats").Set(s.repeats)
 }
+
+func (m *metrics) recordShares(service string, shed, full float64) {
+	m.shares.WithLabelValues(service, "shed").Set(shed)
+	m.shares.WithLabelValues(service, "full").Set(full)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -171,6 +171,10 @@
 		if state, shared := g.budgets.state(now); shared {
 			r.metrics.recordBudget(service, state)
 		}
+		if g.settings.GetEntryAdmission() {
+			shed, full := g.budgets.refusedShares(now)
+			r.metrics.recordShares(service, shed, full)
+		}
 	}
 }
 
--- a/router/shared_budget.go
+++ b/router/shared_budget.go
@@ -6,6 +6,7 @@
 	"verbenareel/budget"
 	"verbenareel/core"
 	"verbenareel/schema"
+	"verbenareel/worth"
 )
 
 // shortFactor is how many times shorter than the mean target of its service the target of a short call is at least.
@@ -66,6 +67,22 @@
 	return budgetState{b.window.Available(now), b.window.Calls(now), b.window.Repeats(now)}, true
 }
 
+// reserve reserves a retry of a call of the given value. It is called with mu held.
+func (b *budgets) reserve(now time.Time, value float64) bool {
+	if !b.byWorth {
+		return b.window.Reserve(now, 0)
+	}
+	return b.order.Retry(now, value, b.window.Capacity(now), func(keep float64) bool { return b.window.Reserve(now, keep) })
+}
+
+// keep returns what a call of the given value must leave of the budget of all nodes. It is called with mu held.
+func (b *budgets) keep(now time.Time, value float64) float64 {
+	if !b.byWorth {
+		return 0
+	}
+	return b.order.Keep(value) * b.window.Capacity(now)
+}
+
 // settle ends the reservation of a retry, which counts as spent if it arrived at a server beyond the first arrival.
 func (b *budgets) settle(now time.Time, spent bool) {
 	b.mu.Lock()
@@ -96,7 +113,7 @@
 // reserveRetry takes one retry from the budget and reports whether there was one.
 func (c *call) reserveRetry(now time.Time) bool {
 	b := c.group.budgets
-	if !b.takeRetry(now) {
+	if !b.takeRetry(now, c.value()) {
 		return false
 	}
 	c.holdRetry(b)
@@ -137,6 +154,15 @@
 	return r.repeatShare(now)
 }
 
+// value returns the worth of the call per second.
+func (c *call) value() float64 {
+	w := worth.Call{Priority: c.rule.GetPriority(), Time: c.rule.GetTargetLatency().AsDuration(), Nested: c.input.Depth > 0}
+	if w.Time <= 0 {
+		w.Time = c.group.settings.GetTimeout().AsDuration()
+	}
+	return w.Value()
+}
+
 // isLikelyNested reports whether a backend server probably made the call.
 func (r *Router) isLikelyNested(c *call) bool {
 	return c.input.Depth > 0 || r.withoutDepth && c.isShort()
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -232,7 +232,7 @@
 	switch {
 	case view == nil || ctx.Err() != nil:
 		t.Stop(c.ticketRefusal)
-	case !c.group.budgets.takeRetry(now):
+	case !c.group.budgets.takeRetry(now, c.value()):
 		r.metrics.recordDeniedRetry(c.service)
 		t.Stop(schema.Reason_REASON_RETRY_BUDGET)
 	default:
