budget: the retry budget of all nodes in fleets with more nodes than slack

A part of the slack below one arrival was raised to one. At 840 nodes and a slack of 212 these parts add up to four times the slack in each window, so the bound would be exceeded while all nodes need retries.

Such a node now saves its earnings for one arrival: up to its part while no arrival is denied, and up to one arrival for a window after a denial.

--- a/budget/window.go
+++ b/budget/window.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -45,6 +44,7 @@
 	balance  float64
 	reserved int
 	members  int
+	saved    savings
 	current  int64
 	slots    [windowSlots + 1]slot
 }
@@ -75,7 +75,9 @@
 // beyond the first: by a run that was repeated and made the call. To that part, the call earns nothing and counts as spent.
 func (w *Window) Deposit(now time.Time, repeated float64) {
 	w.advance(now)
-	w.balance += w.ratio*(1-repeated) - repeated
+	earned := w.ratio*(1-repeated) - repeated
+	w.balance += earned
+	w.saved.add(w.elapsed, earned, w.Share(now), w.length())
 	s := w.slotNow()
 	s.highest = max(s.highest, w.balance)
 	s.calls++
@@ -85,9 +87,11 @@
 // Reserve reserves one arrival if at least keep remains available after it, and reports whether it did.
 func (w *Window) Reserve(now time.Time, keep float64) bool {
 	if w.Available(now) < 1+keep-tolerance {
+		w.saved.deny(w.elapsed)
 		return false
 	}
 	w.reserved++
+	w.saved.amount--
 	return true
 }
 
@@ -102,12 +106,18 @@
 }
 
 // Release returns a reserved arrival that reached no server.
-func (w *Window) Release() { w.reserved = max(w.reserved-1, 0) }
+func (w *Window) Release() {
+	if w.reserved > 0 {
+		w.reserved--
+		w.saved.amount++
+	}
+}
 
 // Charge counts an arrival that was not reserved, even if none is available.
 func (w *Window) Charge(now time.Time) {
 	w.advance(now)
 	w.balance--
+	w.saved.amount--
 	w.slotNow().repeats++
 }
 
@@ -115,6 +125,9 @@
 func (w *Window) Available(now time.Time) float64 {
 	w.advance(now)
 	share, ahead := w.Share(now), w.ratio*w.callsAhead()
+	if share < 1 {
+		return w.saved.amount
+	}
 	available := share + ahead
 	for i := range w.slots {
 		if w.inUse(i) {
@@ -129,7 +142,13 @@
 }
 
 // Capacity returns the most that may be available at present.
-func (w *Window) Capacity(now time.Time) float64 { return w.Share(now) + w.ratio*w.callsAhead() }
+func (w *Window) Capacity(now time.Time) float64 {
+	share := w.Share(now)
+	if share < 1 {
+		return 1
+	}
+	return share + w.ratio*w.callsAhead()
+}
 
 // callsAhead returns the calls that are expected within the next window at least: futureShare of the lowest rate in any
 // part of the last one.
@@ -148,8 +167,7 @@
 	return int((w.current - int64(i)) % int64(len(w.slots)))
 }
 
-// Share returns this node's part of the slack. It is at least one arrival, because a smaller part could never be used:
-// with more nodes than slack, the bound holds unless nearly all nodes use their part within one window.
+// Share returns this node's part of the slack.
 func (w *Window) Share(now time.Time) float64 {
 	w.advance(now)
 	members := w.members
@@ -158,7 +176,7 @@
 			members = max(members, w.slots[i].members)
 		}
 	}
-	return math.Max(w.slack/float64(members), math.Min(w.slack, 1))
+	return w.slack / float64(members)
 }
 
 // Calls returns the calls that this node took in within about the last window.
