worth: callers of full servers that shed return after the wait

Servers that shed while no instance could start a call at once were taken for servers that shed at random, so their refused callers returned within 0.12 s. They count as full now if recent reports show a wait.

--- a/worth/entry.go
+++ b/worth/entry.go
@@ -90,11 +90,13 @@
 }
 
 // Admit decides whether a new call is sent to a server at all. left is the time in which the call must start to be of
-// worth. servers is called only while servers refuse calls. Only calls of low worth are refused, so that a call is not
+// worth. servers is called only for calls of low worth while servers are full. Only calls of low worth are refused, so that a call is not
 // refused while one of less worth is sent.
 func (e *Entry) Admit(now time.Time, value float64, left time.Duration, servers func() Servers) bool {
 	e.entering.record(now, value)
-	if !e.isLow(value) || !e.isHopeless(now, left, servers) {
+	shed := e.Share(now, Shed) >= hopelessShare
+	full := e.Share(now, Full) >= fullShare
+	if !shed && !full || !e.isLow(value) || !shed && !startsLate(left, servers()) {
 		return true
 	}
 	e.passed += admittedShare
@@ -107,17 +109,8 @@
 
 func (e *Entry) isLow(value float64) bool { return e.entering.Keep(value) >= maxKeep*lowShare }
 
-// isHopeless reports whether an attempt would probably be refused by any server.
-func (e *Entry) isHopeless(now time.Time, left time.Duration, servers func() Servers) bool {
-	if e.Share(now, Shed) >= hopelessShare {
-		return true
-	}
-	if e.Share(now, Full) < fullShare {
-		return false
-	}
-	s := servers()
-	return s.Known && s.Wait > left
-}
+// startsLate reports whether no instance can start a call within left.
+func startsLate(left time.Duration, s Servers) bool { return s.Known && s.Wait > left }
 
 // RetryAfter returns when a refused caller should return, left being its remaining time. random is in [0, 1). Servers that
 // shed at random serve a part of what returns at any time, so callers return soon. Full servers serve what returns after
@@ -126,11 +119,23 @@
 func (e *Entry) RetryAfter(now time.Time, left time.Duration, s Servers, random float64) time.Duration {
 	latest := max(left/returnDivisor, minReturn)
 	from, spread := minReturn, minSpread
-	if e.Share(now, Full) >= fullShare {
+	if refused := e.refusedByFull(now, s); refused > 0 {
 		from = max(from, min(s.Wait, latest/2))
-		refused := e.attempts[Full] / math.Max(e.attempts[Served], 1)
-		spread += time.Duration(math.Min(refused, 1) * float64(entryDecayTime))
+		spread += time.Duration(math.Min(refused/math.Max(e.attempts[Served], 1), 1) * float64(entryDecayTime))
 	}
 	to := min(from+spread, max(latest, from))
 	return from + time.Duration(random*float64(to-from))
 }
+
+// refusedByFull returns the recent attempts that were refused for lack of capacity, or 0 if servers are not full. Servers
+// that shed while none could start a call at once don't shed at random.
+func (e *Entry) refusedByFull(now time.Time, s Servers) float64 {
+	switch {
+	case s.Known && s.Wait > 0:
+		e.decay(now)
+		return e.attempts[Full] + e.attempts[Shed]
+	case e.Share(now, Full) >= fullShare:
+		return e.attempts[Full]
+	}
+	return 0
+}
--- a/worth/order.go
+++ b/worth/order.go
@@ -9,6 +9,8 @@
 const (
 	// demandDecayTime is the time constant with which earlier requests lose weight in the demand.
 	demandDecayTime = 2 * time.Second
+	// decayStep is the least time after which the demand decays, so that not every call goes through all values.
+	decayStep = 20 * time.Millisecond
 	// minDemand is the demand below which a value is forgotten.
 	minDemand = 0.01
 	// maxKeep is the largest share of a budget that is kept for calls of higher worth.
@@ -82,7 +84,7 @@
 
 func (o *Order) decay(now time.Time) {
 	elapsed := now.Sub(o.last)
-	if !now.After(o.last) {
+	if elapsed < decayStep {
 		return
 	}
 	o.last = now
--- a/worth/worth_test.go
+++ b/worth/worth_test.go
@@ -119,21 +119,23 @@
 // TestRetryAfter guards against callers that return together, before there is capacity, later than they would by
 // themselves, or late although servers that shed at random would serve them now.
 func TestRetryAfter(t *testing.T) {
-	wait := worth.Servers{Known: true, Wait: 200 * time.Millisecond}
+	wait, free := worth.Servers{Known: true, Wait: 200 * time.Millisecond}, worth.Servers{Known: true}
 	for _, test := range []struct {
 		name           string
 		entry          *worth.Entry
+		servers        worth.Servers
 		left           time.Duration
 		earliest, last time.Duration
 	}{
-		{"shed at random", recorded(9, 11, 0), 3 * time.Second, 20 * time.Millisecond, 120 * time.Millisecond},
-		{"full", recorded(10, 0, 5), 3 * time.Second, 200 * time.Millisecond, 800 * time.Millisecond},
-		{"full, little time left", recorded(10, 0, 5), 600 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond},
-		{"no time left", recorded(10, 0, 5), 0, 20 * time.Millisecond, 20 * time.Millisecond},
+		{"shed at random", recorded(9, 11, 0), free, 3 * time.Second, 20 * time.Millisecond, 120 * time.Millisecond},
+		{"shed by full servers", recorded(10, 5, 0), wait, 3 * time.Second, 200 * time.Millisecond, 800 * time.Millisecond},
+		{"full", recorded(10, 0, 5), wait, 3 * time.Second, 200 * time.Millisecond, 800 * time.Millisecond},
+		{"full, little time left", recorded(10, 0, 5), wait, 600 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond},
+		{"no time left", recorded(10, 0, 5), wait, 0, 20 * time.Millisecond, 20 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			qt.Check(t, test.entry.RetryAfter(now, test.left, wait, 0), qt.Equals, test.earliest)
-			qt.Check(t, test.entry.RetryAfter(now, test.left, wait, 1), qt.Equals, test.last)
+			qt.Check(t, test.entry.RetryAfter(now, test.left, test.servers, 0), qt.Equals, test.earliest)
+			qt.Check(t, test.entry.RetryAfter(now, test.left, test.servers, 1), qt.Equals, test.last)
 		})
 	}
 }
