budget: a test of callers that move while the budget is short

A node relies on a quarter of its lowest recent call rate. If its callers move to other nodes, as in the failover of a failure domain, these calls don't come.

--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -65,6 +65,8 @@
 	served, failed int
 	// shed is the share of the attempts that servers shed.
 	shed float64
+	// side, if not 0, lets all calls enter at the first (1) or the second half (2) of the nodes.
+	side int
 	// aborted is the share of the calls that guards abort to run them again, as long as the budget has a retry.
 	aborted float64
 }
@@ -112,6 +114,9 @@
 	if f.random.IntN(2) == 0 {
 		node = (f.step/100*7 + f.random.IntN(5)) % len(f.nodes)
 	}
+	if half := len(f.nodes) / 2; f.side > 0 {
+		node = node%half + (f.side-1)*half
+	}
 	n := f.nodes[node]
 	n.deposit(f.now)
 	if w, ok := n.(windowSpender); ok && f.random.Float64() < f.aborted && w.w.Available(f.now) >= 1 {
@@ -236,6 +241,23 @@
 	qt.Check(t, used > 0.8, qt.IsTrue, qt.Commentf("used %.3f", used))
 }
 
+// TestFleetMoves guards against exceeding the bound when all callers move to the other half of the nodes, as in the
+// failover of a failure domain, soon after the budget became short: the first half relied on later calls.
+func TestFleetMoves(t *testing.T) {
+	for _, before := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second, 8 * time.Second} {
+		f := newRetryFleet(1, newWindowSpender)
+		f.side = 1
+		f.run(15*time.Second, 1074)
+		f.shed = fleetShed
+		f.run(before, 1074)
+		f.side = 2
+		f.run(20*time.Second, 1074)
+		excess, used := f.worst()
+		t.Logf("moved after %v: used %.3f", before, used)
+		qt.Check(t, excess, qt.Equals, 0.0, qt.Commentf("moved after %v", before))
+	}
+}
+
 // TestFleetVanishes guards against exceeding the bound after half of the nodes vanish while the budget is short, and
 // after they return as new processes. The others learn of it a second later, and their callers are gone too or move.
 func TestFleetVanishes(t *testing.T) {
