--- a/config/check.go
+++ b/config/check.go
@@ -415,6 +415,7 @@
 	if s.HasServiceDefaults() {
 		checkServiceDefaults(c, "service_defaults", s.GetServiceDefaults())
 	}
+	checkRetryBudget(c, s)
 	for _, name := range sortedKeys(s.GetDomains()) {
 		if s.GetDomains()[name].GetRegion() == "" {
 			c.reportMissing("domains."+name, "region", "expected the name of a region")
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -188,6 +188,21 @@
 	return slices.Sorted(maps.Keys(s.instances))
 }
 
+// CountNodes returns the number of nodes that may be running. A node may have several names in the snapshot: its first one, and
+// those of the servers that it stood for. So nodes are counted by their addresses.
+func (s *Snapshot) CountNodes() int {
+	if s == nil {
+		return 0
+	}
+	nodes := make(map[string]bool)
+	for _, i := range s.instances {
+		if i.state != schema.InstanceState_INSTANCE_STATE_GONE {
+			nodes[i.address] = true
+		}
+	}
+	return len(nodes)
+}
+
 // Instances returns the instances of a service in all states, sorted by name. Callers must not modify the slice.
 func (s *Snapshot) Instances(service string) []*Instance { return s.services[service] }
 
--- a/quota/rank.go
+++ b/quota/rank.go
@@ -65,18 +65,12 @@
 		return v
 	}
 	var serving []string
-	nodes := make(map[string]bool)
 	for _, name := range snapshot.Names() {
-		instance := snapshot.Instance(name)
-		if instance.State() != schema.InstanceState_INSTANCE_STATE_GONE {
-			nodes[instance.Address()] = true
-		}
-		if instance.Eligible() {
+		if snapshot.Instance(name).Eligible() {
 			serving = append(serving, name)
 		}
 	}
-	// A node may have several names in the snapshot: its first one, and those of the servers that it stood for.
-	v.members = len(nodes)
+	v.members = snapshot.CountNodes()
 	v.rank(serving)
 	return v
 }
--- a/router/budgets.go
+++ b/router/budgets.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"verbenareel/budget"
 	"verbenareel/schema"
+	"verbenareel/worth"
 )
 
 const (
@@ -34,7 +36,15 @@
 	hedgeRatio float64
 	retries    *budget.Ratio
 	hedges     *budget.Ratio
-	lastShed   time.Time
+	// window is this node's part of the retry budget of all nodes, or nil if the settings contain none. It then replaces
+	// retries.
+	window *budget.Window
+	// order decides whose retries use the window while it is short; byWorth switches it on.
+	order   worth.Order
+	byWorth bool
+	// entry decides which new calls are sent to an instance.
+	entry    worth.Entry
+	lastShed time.Time
 	// latencies is nil if hedging is disabled.
 	latencies    *hdrhistogram.WindowedHistogram
 	lastRotation time.Time
@@ -45,6 +55,7 @@
 func (b *budgets) configure(settings *schema.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.byWorth = settings.GetRetryOrder() == schema.RetryOrder_RETRY_ORDER_WORTH
 	ratio, floor := settings.GetRetryRatio(), settings.GetRetryFloor()
 	if b.retries == nil || b.retryRatio != ratio || b.retryFloor != floor {
 		b.retryRatio, b.retryFloor = ratio, floor
@@ -62,27 +73,37 @@
 	}
 }
 
-// recordCall adds the share of a new call to the budgets.
-func (b *budgets) recordCall(now time.Time, repeatable bool) {
+// recordCall adds the share of a new call to the budgets. repeated is the probability that a repeated run made the call.
+func (b *budgets) recordCall(now time.Time, repeatable bool, repeated float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.window != nil {
+		b.window.Deposit(now, repeated)
+	}
 	b.retries.Deposit(now)
 	if repeatable {
 		b.hedges.Deposit(now)
 	}
 }
 
-// takeRetry takes one retry from the budget and reports whether there was one.
-func (b *budgets) takeRetry(now time.Time) bool {
+// takeRetry takes one retry from the budget and reports whether there was one. A retry from the budget of all nodes is
+// only reserved. value is the worth of the call.
+func (b *budgets) takeRetry(now time.Time, value float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.window != nil {
+		return b.reserve(now, value)
+	}
 	return b.retries.Take(now)
 }
 
 // hasRetry reports whether the budget holds a retry that was earned by calls, without taking it.
-func (b *budgets) hasRetry(now time.Time) bool {
+func (b *budgets) hasRetry(now time.Time, value float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.window != nil {
+		return b.window.Available(now) >= 1+b.keep(now, value)
+	}
 	return b.retries.Available(now)
 }
 
@@ -90,6 +111,10 @@
 func (b *budgets) chargeAbandoned(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.window != nil {
+		b.window.Reserve(now, math.Inf(-1))
+		return
+	}
 	b.retries.TakeOnCredit(now)
 }
 
@@ -101,7 +126,7 @@
 	if !b.lastShed.IsZero() && now.Sub(b.lastShed) < shedWindow {
 		return false
 	}
-	return b.hedges.Take(now)
+	return (b.window == nil || b.window.Available(now) >= 1) && b.hedges.Take(now)
 }
 
 // recordRefusal records a refusal. If the instance lacked capacity, the service counts as shedding load.
--- a/router/call.go
+++ b/router/call.go
@@ -50,6 +50,8 @@
 	// retryCharged is set when a guard aborted the call and the retry was charged to the budget, until an attempt
 	// reaches a backend server again.
 	retryCharged bool
+	// reservation is the budget of all nodes in which a retry is reserved for the next attempt that reaches a server.
+	reservation *budgets
 	// eager asks the guard of the next attempt to refuse the call unless it can start at once.
 	eager bool
 	// abandonSlow allows the guard of the next attempt to abort the call if its backend server was slow when the call
@@ -98,7 +100,7 @@
 	if refusal := r.chargeQuota(ctx, snapshot, c.customer); refusal != nil {
 		return refusal
 	}
-	c.group.budgets.recordCall(start, c.rule.GetRepeatable())
+	c.group.budgets.recordCall(start, c.rule.GetRepeatable(), r.nestedRepeat(start, c))
 	reply := r.run(ctx, c)
 	r.refundQuota(snapshot, c.customer, reply)
 	return reply
@@ -147,7 +149,7 @@
 	c := &call{input: input, rule: rule, service: service, group: g, deadline: now.Add(timeout)}
 	c.customer, c.customerName, c.priority = identity.charged, identity.name, identity.priority
 	if !r.endsInTime(input, c.deadline) {
-		return nil, c.finalReply(core.NotRun(schema.Reason_REASON_LEAVING))
+		return nil, r.finalReply(c, core.NotRun(schema.Reason_REASON_LEAVING))
 	}
 	if rule.HasTargetLatency() {
 		c.target = now.Add(rule.GetTargetLatency().AsDuration())
@@ -168,6 +170,10 @@
 // runWithoutTicket sends a call that needs no ticket until it is answered or may not be retried.
 func (r *Router) runWithoutTicket(ctx context.Context, c *call) *schema.ExecuteReply {
 	last := core.NotRun(schema.Reason_REASON_NO_INSTANCE)
+	if !r.admits(r.clock.Now(), c) {
+		return r.finalReply(c, core.NotRun(schema.Reason_REASON_ENTRY))
+	}
+	defer func() { c.releaseRetry(r.clock.Now()) }()
 	for attempt := range maxAttempts {
 		view := r.choose(c)
 		if view == nil && len(c.declined) > 0 {
@@ -195,15 +201,17 @@
 			last = r.attempt(ctx, c, view)
 		}
 		now := r.clock.Now()
+		c.settleRetry(now, last)
 		if succeeded(last) {
 			c.group.budgets.recordLatency(now.Sub(begin))
 		}
 		c.group.budgets.recordRefusal(now, last.GetReason())
+		c.group.budgets.recordAttempt(now, last, c.eager)
 		if ctx.Err() != nil || c.crashes >= maxCrashesPerCall || !c.retryable(last) {
 			break
 		}
 	}
-	return c.finalReply(last)
+	return r.finalReply(c, last)
 }
 
 // mayRetry reports whether the rule and the retry budget allow another attempt. Attempts that reached no backend server
@@ -212,10 +220,11 @@
 func (r *Router) mayRetry(c *call, last *schema.ExecuteReply) bool {
 	if isAbandoned(last) {
 		c.group.budgets.chargeAbandoned(r.clock.Now())
+		c.holdRetry(c.group.budgets)
 		c.retryCharged = true
 		return true
 	}
-	if c.retryCharged && !mayHaveReachedServer(last) {
+	if (c.retryCharged || c.reservation != nil) && !mayHaveReachedServer(last) {
 		return true
 	}
 	if limit := int(c.rule.GetMaxAttempts()); limit > 0 && c.reachedSends >= limit {
@@ -224,7 +233,7 @@
 	if c.reachedSends == 0 && c.refusedSends <= int(c.group.settings.GetFreeResends()) {
 		return true
 	}
-	if !c.group.budgets.takeRetry(r.clock.Now()) {
+	if !c.reserveRetry(r.clock.Now()) {
 		r.metrics.recordDeniedRetry(c.service)
 		return false
 	}
@@ -266,7 +275,7 @@
 }
 
 // finalReply returns the reply for the caller; last is the reply of the last attempt.
-func (c *call) finalReply(last *schema.ExecuteReply) *schema.ExecuteReply {
+func (r *Router) finalReply(c *call, last *schema.ExecuteReply) *schema.ExecuteReply {
 	if succeeded(last) {
 		return last
 	}
@@ -274,7 +283,7 @@
 		return withoutFurtherRetry(c.executionReply)
 	}
 	last = withoutFurtherRetry(last)
-	if wait := retryAfter(last.GetReason()); wait > 0 {
+	if wait := r.retryAfter(c, last.GetReason()); wait > 0 {
 		last.SetRetryAfterUs(wait.Microseconds())
 	}
 	return last
@@ -309,7 +318,7 @@
 	if r.retiring.Load() || !c.rule.GetRepeatable() || c.reachedSends+1 >= max(1, int(c.rule.GetMaxAttempts())) {
 		return false
 	}
-	return c.group.budgets.hasRetry(now)
+	return c.group.budgets.hasRetry(now, c.value())
 }
 
 // isAbandoned reports whether a guard aborted the call because its backend server was slow when the call started.
