meter: count bytes between nodes by cause and by failure domain

What crosses failure domains when calls stay at home was not known: there were counters of datagrams, but none of bytes.

A server does not know the address by which members know a client, so a client counts both directions of an exchange and a datagram is counted by its sender: the sum over all nodes counts each byte once. Reading the size of replies costs no second encoding: it is what was read from the socket less what is still buffered.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"verbenareel/core"
+	"verbenareel/meter"
 	"verbenareel/schema"
 )
 
@@ -89,6 +90,9 @@
 	received                    prometheus.Counter
 	failed                      prometheus.Counter
 	stopped                     atomic.Bool
+	bytes                       *meter.Meter
+	// peers holds the counters of bytes by address.
+	peers map[netip.AddrPort]*meter.Peer
 }
 
 // Option configures a Beacon.
@@ -102,6 +106,9 @@
 	return func(b *Beacon) { registerer.MustRegister(b.sent, b.received, b.failed) }
 }
 
+// WithMeter sets the meter that counts the bytes of the reports that are sent. The default counts nothing.
+func WithMeter(m *meter.Meter) Option { return func(b *Beacon) { b.bytes = m } }
+
 // New listens for datagrams on the address listen (IP:port), which may differ from the address in self that other nodes
 // use. Reports go to the addresses of the other nodes in the snapshot: to those of the same failure domain at every
 // interval, to others less often. An interval of 0 disables sending.
@@ -125,6 +132,7 @@
 		interval:  interval,
 		logger:    zap.NewNop(),
 		done:      make(chan struct{}),
+		peers:     make(map[netip.AddrPort]*meter.Peer),
 		sent:      newCounter("verbenareel_beacon_sent_total", "Load reports sent."),
 		received:  newCounter("verbenareel_beacon_received_total", "Load reports received."),
 		failed:    newCounter("verbenareel_beacon_failed_total", "Load reports that could not be sent or understood."),
@@ -235,7 +243,18 @@
 			continue
 		}
 		b.sent.Inc()
+		b.countBytes(to, len(datagram))
+	}
+}
+
+// countBytes counts the bytes of a report that was sent to an address.
+func (b *Beacon) countBytes(to netip.AddrPort, size int) {
+	peer, ok := b.peers[to]
+	if !ok {
+		peer = b.bytes.Peer(to.String())
+		b.peers[to] = peer
 	}
+	peer.Sent(b.clock.Now(), meter.Report, size)
 }
 
 // updateTargets updates the addresses of the other nodes if the snapshot changed, at most once per targetsInterval.
@@ -245,6 +264,7 @@
 		return
 	}
 	b.snapshot, b.updatedAt = snapshot, now
+	clear(b.peers)
 	b.local, b.remote, b.others = b.local[:0], b.remote[:0], b.others[:0]
 	servicePeers := b.servicePeers(snapshot)
 	seen := map[string]bool{b.self.GetAddress(): true}
--- a/io/client.go
+++ b/io/client.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"verbenareel/meter"
 	"verbenareel/schema"
 )
 
@@ -17,6 +18,7 @@
 type pendingCall struct {
 	frame
 	reply     proto.Message
+	cause     meter.Cause
 	abandoned atomic.Bool
 }
 
@@ -26,6 +28,10 @@
 	conn      net.Conn
 	reader    *frameReader
 	writer    *frameWriter
+	// peer counts the bytes; counted is the number of bytes read up to the end of the last reply.
+	peer    *meter.Peer
+	class   trafficClass
+	counted int
 	// lastRead is the time of the last successful read in nanoseconds since the Unix epoch.
 	lastRead atomic.Int64
 	// onGoodbye is called when the server announces that it accepts no further calls on the connection.
@@ -39,10 +45,10 @@
 	err   error
 }
 
-func newClientCodec(t *Transport, conn net.Conn, class trafficClass) *clientCodec {
-	c := &clientCodec{transport: t, conn: conn}
+func newClientCodec(t *Transport, conn net.Conn, key endpointKey) *clientCodec {
+	c := &clientCodec{transport: t, conn: conn, class: key.class, peer: t.meter.Peer(key.address)}
 	c.lastRead.Store(t.clock.Now().UnixNano())
-	c.reader = newFrameReader(&timestampReader{conn: conn, clock: t.clock, lastRead: &c.lastRead}, class.maxMessageSize(t.maxBody))
+	c.reader = newFrameReader(&timestampReader{conn: conn, clock: t.clock, lastRead: &c.lastRead}, key.class.maxMessageSize(t.maxBody))
 	c.writer = newFrameWriter(conn, t.writeTimeout, &t.group, func(err error) {
 		t.errorCounter.inc(kindWrite)
 		c.closeWithError(fmt.Errorf("write: %w", err))
@@ -80,6 +86,7 @@
 	if err := x.prependHeader(&c.request); err != nil {
 		return err
 	}
+	c.peer.Sent(c.transport.clock.Now(), x.cause, len(x.bytes()))
 	return c.writer.enqueue(&x.frame)
 }
 
@@ -100,6 +107,11 @@
 // ReadResponseBody implements rpc.ClientCodec. body is nil or a *pendingCall.
 func (c *clientCodec) ReadResponseBody(body any) error {
 	x, ok := body.(*pendingCall)
+	cause := discardedCause(c.class)
+	if ok {
+		cause = replyCause(x.cause)
+	}
+	defer c.countReply(cause)
 	if !ok || x.abandoned.Load() {
 		return c.checkRead(c.reader.skip())
 	}
--- a/io/endpoint.go
+++ b/io/endpoint.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenareel/core"
+	"verbenareel/meter"
 	"verbenareel/schema"
 )
 
@@ -205,7 +206,7 @@
 }
 
 func newConnection(e *endpoint, conn net.Conn) *connection {
-	c := &connection{transport: e.transport, codec: newClientCodec(e.transport, conn, e.key.class)}
+	c := &connection{transport: e.transport, codec: newClientCodec(e.transport, conn, e.key)}
 	c.codec.onGoodbye = func() { e.startDraining(c) }
 	c.client = rpc.NewClientWithCodec(c.codec)
 	return c
@@ -240,7 +241,7 @@
 }
 
 func (c *connection) ping() {
-	x := &pendingCall{reply: &schema.PingReply{}}
+	x := &pendingCall{reply: &schema.PingReply{}, cause: meter.Ping}
 	if x.encode(&schema.PingRequest{}, maxMessageOverhead) == nil {
 		c.client.Go("Node.Ping", x, x, make(chan *rpc.Call, 1))
 		c.codec.writer.flush()
--- a/io/frame.go
+++ b/io/frame.go
@@ -45,17 +45,22 @@
 
 // frameReader reads protobuf messages with a varint size prefix.
 type frameReader struct {
+	source  *countingReader
 	buffer  *bufio.Reader
 	options protodelim.UnmarshalOptions
 	limit   uint64
 }
 
 func newFrameReader(r stdio.Reader, limit int) *frameReader {
-	reader := &frameReader{buffer: bufio.NewReaderSize(r, connBufferSize)}
+	source := &countingReader{reader: r}
+	reader := &frameReader{source: source, buffer: bufio.NewReaderSize(source, connBufferSize)}
 	reader.setLimit(limit)
 	return reader
 }
 
+// consumed returns the number of bytes of the messages read so far.
+func (r *frameReader) consumed() int { return r.source.count - r.buffer.Buffered() }
+
 // setLimit sets the maximum size in bytes of the messages that are read from now on.
 func (r *frameReader) setLimit(limit int) {
 	r.options.MaxSize, r.limit = int64(limit), uint64(limit)
--- a/io/option.go
+++ b/io/option.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"verbenareel/core"
+	"verbenareel/meter"
 )
 
 // Default limits and timeouts. See docs/design.md.
@@ -55,6 +56,7 @@
 	pingTimeout     time.Duration
 	wire            *core.WireFormat
 	memory          *Memory
+	meter           *meter.Meter
 }
 
 // Option configures a Server, Transport, Backend or Front. Options that do not apply to a component are ignored.
--- a/io/transport.go
+++ b/io/transport.go
@@ -187,7 +187,7 @@
 // start sends a request without waiting for the reply. The requests that one goroutine sends to an address arrive in order
 // as long as they use one connection.
 func (t *Transport) start(ctx context.Context, class trafficClass, address, method string, request, reply proto.Message) (*outgoingCall, error) {
-	x := &pendingCall{reply: reply}
+	x := &pendingCall{reply: reply, cause: requestCause(method)}
 	if err := x.encode(request, class.maxMessageSize(t.maxBody)); err != nil {
 		t.errorCounter.inc("oversize")
 		return nil, core.NewTransportError(address, schema.Reason_REASON_TOO_LARGE, false, err)
--- a/node/listen.go
+++ b/node/listen.go
@@ -48,7 +48,8 @@
 		}},
 		{"load report", settings.GetRpcAddress(), func(string) (err error) {
 			n.beacon, err = beacon.New(n.self, n.server.Addr(), settings.GetReportInterval().AsDuration(), n.exchange, n.guard, n.router,
-				n.exchange, n.clock, beacon.WithLogger(n.logger), beacon.WithRegisterer(n.registry))
+				n.exchange, n.clock, beacon.WithLogger(n.logger), beacon.WithRegisterer(n.registry),
+				beacon.WithMeter(n.meter))
 			return err
 		}},
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"verbenareel/core"
 	"verbenareel/guard"
 	"verbenareel/io"
+	"verbenareel/meter"
 	"verbenareel/native"
 	"verbenareel/peers"
 	"verbenareel/picker"
@@ -80,6 +81,7 @@
 	status          *statusServer
 	ready           *readinessServer
 	beacon          *beacon.Beacon
+	meter           *meter.Meter
 	chooser         core.Chooser
 	adapter         core.Adapter
 	shuttingDown    atomic.Bool
@@ -156,7 +158,8 @@
 	n.self = n.newMember()
 	suspects := poison.New(suspectCapacity, suspectTTL)
 	n.memory = io.DefaultMemory()
-	n.transport = io.NewTransport(n.clock, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+	n.meter = meter.New(n.settings.GetDomain(), func() *core.Snapshot { return n.exchange.Snapshot() }, n.registry)
+	n.transport = io.NewTransport(n.clock, io.WithLogger(n.logger), io.WithRegisterer(n.registry), io.WithMeter(n.meter))
 	n.backend = io.NewBackend(n.settings.GetBackendAddress(), io.WithLogger(n.logger), io.WithRegisterer(n.registry),
 		io.WithWire(n.wire()), io.WithMemory(n.memory))
 	n.exchange = peers.New(n.self, n.platform(), n.transport, n.clock, peers.WithSeeds(n.settings.GetSeeds()),
