spill, picker, router: calls leave the failure domain by need

With a constant cost of leaving, calls leave a domain that could serve them in time and stay in one that cannot, and no constant fits both short calls with 3.4 ms between domains and long ones with 0.5 ms.

With leave_domain = "by_need" a call with a target latency stays if an instance of its domain is expected to finish it within 60% of the time left. Otherwise it goes to another domain if that gains more than the round trips of the crossing and 5% of the target. Instances there are drawn by their room. The demand at each node, in slots, yields the sum for each domain; if the room elsewhere is less than the excess, only that share of the late calls leaves. A call that was declined at home may wait there, by the load that the refusal reported. A guard reports the usual service time of the rule in its reply if it is asked to.

--- a/config/check.go
+++ b/config/check.go
@@ -34,6 +34,14 @@
 	AdapterStore = "store"
 )
 
+// Values of the setting leave_domain, which selects how calls leave the failure domain of the node that accepts them.
+const (
+	// LeaveConstant makes leaving cost remote_cost. It is the default.
+	LeaveConstant = "constant"
+	// LeaveByNeed lets a call leave if it would be late in the domain. It needs load reports, as AdapterStore has them.
+	LeaveByNeed = "by_need"
+)
+
 // Maximum values. They are chosen to catch mistakes such as a wrong unit, not to rule out unusual deployments.
 const (
 	maxSlots       = 10_000
@@ -411,6 +419,7 @@
 		c.checkDuration("", "report_interval", s.GetReportInterval(), 0, maxInterval)
 	}
 	c.checkNumber("", "remote_cost", s.GetRemoteCost(), 0, maxRemoteCost)
+	checkLeaveDomain(c, s)
 	if s.HasServiceDefaults() {
 		checkServiceDefaults(c, "service_defaults", s.GetServiceDefaults())
 	}
@@ -438,6 +447,18 @@
 	c.checkDuration("", "drain_timeout", s.GetDrainTimeout(), 0, maxTimeout)
 }
 
+func checkLeaveDomain(c *checker, s *schema.Settings) {
+	switch s.GetLeaveDomain() {
+	case "", LeaveConstant:
+	case LeaveByNeed:
+		if s.GetAdapter() != AdapterStore {
+			c.report("", "leave_domain", "is %q, which needs adapter = %q", LeaveByNeed, AdapterStore)
+		}
+	default:
+		c.report("", "leave_domain", "is %s; expected %q or %q", quote([]byte(s.GetLeaveDomain())), LeaveConstant, LeaveByNeed)
+	}
+}
+
 func (c *checker) checkSettingsName(key, value string) {
 	switch {
 	case value == "" && !c.present("", key):
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -261,6 +261,22 @@
 		wantFault{"domains.sapporo", "region", 17, "is missing"})
 }
 
+// TestLeaveDomain guards against a setting that is ignored because of a typing error or of the adapter.
+func TestLeaveDomain(t *testing.T) {
+	c := qt.New(t)
+	settings := "instance = \"sheets-1\"\nservice = \"sheets\"\ndomain = \"sapporo\"\nhttp_address = \"127.0.0.1:1\"\n" +
+		"rpc_address = \"127.0.0.1:2\"\nstatus_address = \"127.0.0.1:3\"\nbackend_address = \"127.0.0.1:4\"\n" +
+		"platform_url = \"http://127.0.0.1:7000\"\nadapter = %q\nleave_domain = %q\n"
+	for _, value := range []string{LeaveConstant, LeaveByNeed} {
+		_, err := ParseSettings(fmt.Appendf(nil, settings, AdapterStore, value))
+		c.Assert(err, qt.IsNil)
+	}
+	_, err := ParseSettings(fmt.Appendf(nil, settings, AdapterStore, "need"))
+	assertFaults(c, err, wantFault{"", "leave_domain", 10, `expected "constant" or "by_need"`})
+	_, err = ParseSettings(fmt.Appendf(nil, settings, AdapterNative, LeaveByNeed))
+	assertFaults(c, err, wantFault{"", "leave_domain", 10, `needs adapter = "store"`})
+}
+
 // TestFaultsAreBounded guards against unbounded memory or time for a large invalid document.
 func TestFaultsAreBounded(t *testing.T) {
 	c := qt.New(t)
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -270,6 +270,9 @@
 // InstanceHash returns the hash that identifies an instance in load reports.
 func InstanceHash(name string) uint64 { return xxhash.Sum64String(name) }
 
+// ServiceHash returns the hash that identifies a service in load reports.
+func ServiceHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 // LoadReport is a guard's measurement of the load on its backend server.
 type LoadReport struct {
 	InFlight    int
--- a/guard/call.go
+++ b/guard/call.go
@@ -77,6 +77,9 @@
 	g.mu.Lock()
 	load := g.load(now)
 	closed := g.controller.Closed()
+	if request.GetReportWork() {
+		reply.SetWorkUs(uint32(g.serviceTimes.expected(request.GetRule(), 0).Microseconds()))
+	}
 	g.mu.Unlock()
 	reply.SetLoad(load.Message())
 	required := reply.GetReason() == schema.Reason_REASON_TICKET_REQUIRED
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"verbenareel/beacon"
+	"verbenareel/config"
 	"verbenareel/core"
 	"verbenareel/guard"
 	"verbenareel/io"
@@ -176,7 +177,7 @@
 		}))
 	routerOptions := []router.Option{router.WithLogger(n.logger), router.WithRegisterer(n.registry)}
 	if n.chooser == nil && n.adapter != nil {
-		n.chooser = picker.NewEarliestFinish(n.settings.GetDomain(), n.settings.GetRemoteCost(), nil)
+		n.chooser = newChooser(n.settings)
 	}
 	if n.chooser != nil {
 		routerOptions = append(routerOptions, router.WithChooser(n.chooser))
@@ -184,6 +185,15 @@
 	n.router = router.New(n.self, n.exchange, n.guard, n.transport, n.clock, routerOptions...)
 }
 
+// newChooser returns the chooser for instances that report their load many times a second.
+func newChooser(settings *schema.Settings) core.Chooser {
+	finish := picker.NewEarliestFinish(settings.GetDomain(), settings.GetRemoteCost(), nil)
+	if settings.GetLeaveDomain() == config.LeaveByNeed {
+		return picker.NewByNeed(finish)
+	}
+	return finish
+}
+
 // receiveWait returns the time until the bodies that are being transferred to this node have arrived.
 func (n *Node) receiveWait() time.Duration {
 	if n.server == nil {
--- a/picker/expected_latency.go
+++ b/picker/expected_latency.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenareel/core"
+	"verbenareel/spill"
 )
 
 // Constants of ExpectedLatency. BenchmarkChoosers of package simul compares choosers with these values.
@@ -203,6 +204,10 @@
 	// InFlight is the mean number of calls in flight at one instance, and OwnInFlight that of this router's calls.
 	InFlight    float64
 	OwnInFlight float64
+	// Balance is how the failure domains share their room, or nil if calls leave them at a constant cost.
+	Balance *spill.Balance
+	// Work is the usual service time of this router's calls, or 0 if it is not known.
+	Work time.Duration
 }
 
 // NewBaseline returns the baseline of a service: means over its instances and their recent reports, and limit as the
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -26,6 +26,9 @@
 	return int(high)
 }
 
+// float returns a uniform number in [0, 1).
+func (s Source) float() float64 { return float64(s()>>11) / (1 << 53) }
+
 // draw returns a random index that is not excluded, or -1.
 func (s Source) draw(n int, exclude func(index int) bool) int {
 	if n == 0 {
--- a/router/call.go
+++ b/router/call.go
@@ -47,6 +47,9 @@
 	retryCharged bool
 	// eager asks the guard of the next attempt to refuse the call unless it can start at once.
 	eager bool
+	// choice is the latest choice of an instance, and profile what is usual for the rule, or nil.
+	choice  core.Choice
+	profile *profile
 	// abandonSlow allows the guard of the next attempt to abort the call if its backend server was slow when the call
 	// started.
 	abandonSlow bool
@@ -76,6 +79,7 @@
 	ctx, stop := context.WithTimeout(ctx, c.deadline.Sub(start))
 	defer stop()
 	c.group.budgets.recordCall(start, c.rule.GetRepeatable())
+	c.group.offer.record(c.profile.usualWork())
 	reply := r.run(ctx, c)
 	if !c.rule.GetRepeatable() {
 		// A guard of an older version may not have checked it.
@@ -83,6 +87,7 @@
 	}
 	took := r.clock.Now().Sub(start)
 	r.metrics.recordCall(c.service, reply, took)
+	r.recordLeft(c)
 	r.logCall(c, reply, took)
 	return reply
 }
@@ -124,6 +129,7 @@
 		timeout = min(timeout, input.Timeout)
 	}
 	c := &call{input: input, rule: rule, service: service, group: g, deadline: now.Add(timeout)}
+	c.profile = r.leaving.profileOf(rule)
 	if !r.endsInTime(input, c.deadline) {
 		return nil, c.finalReply(core.NotRun(schema.Reason_REASON_LEAVING))
 	}
@@ -165,13 +171,14 @@
 		}
 		begin := r.clock.Now()
 		better := r.hasReadyAlternative(begin, c, view)
-		c.eager = better && c.refusedSends < int(c.group.settings.GetFreeResends())
+		c.eager = better && !c.choice.Queue && c.refusedSends < int(c.group.settings.GetFreeResends())
 		c.abandonSlow = better && r.mayAbandon(begin, c)
 		if attempt == 0 && !c.once() {
 			last = r.attemptHedged(ctx, c, view)
 		} else {
 			last = r.attempt(ctx, c, view)
 		}
+		c.profile.observe(last)
 		now := r.clock.Now()
 		if succeeded(last) {
 			c.group.budgets.recordLatency(now.Sub(begin))
@@ -403,7 +410,7 @@
 		return v.Eligible(now, t.snapshot.Revision()) && !c.excludes(v)
 	}
 	for range g.views {
-		i := r.chooser.Choose(now, g.candidates, func(i int) bool {
+		i := r.pick(now, c, g, func(i int) bool {
 			return g.views[i].InBackoff(now) || !usable(g.views[i])
 		})
 		if i < 0 {
@@ -413,7 +420,7 @@
 			return g.views[i]
 		}
 	}
-	i := r.chooser.Choose(now, g.candidates, func(i int) bool { return !usable(g.views[i]) })
+	i := r.pick(now, c, g, func(i int) bool { return !usable(g.views[i]) })
 	if i < 0 {
 		return nil
 	}
--- a/router/log.go
+++ b/router/log.go
@@ -25,6 +25,9 @@
 	reason schema.Reason
 	code   uint32
 	ended  bool
+	// leave is the reason for which the attempt left the failure domain, or empty.
+	leave       core.LeaveReason
+	answerBytes int
 }
 
 func newHop(now time.Time, view *picker.View) hop {
@@ -39,6 +42,7 @@
 // end records the reply to the attempt.
 func (h *hop) end(reply *schema.ExecuteReply) {
 	h.status, h.reason, h.code, h.ended = reply.GetStatus(), reply.GetReason(), reply.GetCode(), true
+	h.answerBytes = len(reply.GetBody())
 }
 
 // String formats a hop for the log, such as "sheets-1:not-run/busy(18+4/18 pace 1.2 age 12ms)": in flight, queued and
@@ -87,6 +91,7 @@
 		zap.Uint32("code", reply.GetCode()),
 		zap.Duration("took", took),
 		zap.Duration("target", c.rule.GetTargetLatency().AsDuration()),
+		zap.String("left_domain", string(c.leaveReason())),
 		zap.String("hops", strings.Join(hops, " ")),
 		zap.Uint64("revision", r.revision()))
 }
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,7 @@
 	tasks   conc.WaitGroup
 
 	splits      splits
+	leaving     *leaving
 	table       atomic.Pointer[table]
 	mu          sync.Mutex
 	viewsByName map[string]*picker.View
@@ -98,7 +99,9 @@
 		done:        make(chan struct{}),
 		viewsByName: make(map[string]*picker.View),
 		budgets:     make(map[string]*budgets),
+		leaving:     newLeaving(o.chooser),
 	}
+	r.leaving.register(o.registerer, o.logger)
 	r.metrics.register(o.registerer, o.logger)
 	return r
 }
@@ -154,8 +157,9 @@
 		r.logger.Warn("process was paused; discarding load reports", zap.Duration("gap", gap))
 		t.resetViews()
 	}
+	r.updateBalances(now, gap, t)
 	for _, g := range t.groups {
-		g.refresh(now)
+		g.refresh(now, r.leaving)
 	}
 }
 
@@ -174,6 +178,8 @@
 	candidates []core.Candidate
 	views      []*picker.View
 	budgets    *budgets
+	// offer is nil if calls leave the failure domain at a constant cost.
+	offer *offer
 }
 
 // resetViews discards the load reports and failure rates of all instances.
@@ -216,6 +222,7 @@
 			t.viewsByHash[core.InstanceHash(v.Instance().Name())] = v
 		}
 	}
+	r.leaving.retain(snapshot)
 	r.splits.retain(snapshot.Document().GetRules())
 	maps.DeleteFunc(r.viewsByName, func(name string, _ *picker.View) bool { return snapshot.Instance(name) == nil })
 	maps.DeleteFunc(r.budgets, func(name string, _ *budgets) bool { return snapshot.Service(name) == nil })
@@ -223,7 +230,7 @@
 }
 
 func (r *Router) buildGroup(now time.Time, snapshot *core.Snapshot, name string, settings *schema.Service) *group {
-	g := &group{settings: settings}
+	g := &group{settings: settings, offer: r.leaving.offerOf(name)}
 	for _, instance := range snapshot.Instances(name) {
 		v := r.viewOf(now, snapshot, instance)
 		g.views = append(g.views, v)
@@ -235,7 +242,7 @@
 		r.budgets[name] = g.budgets
 	}
 	g.budgets.configure(settings)
-	g.refresh(now)
+	g.refresh(now, r.leaving)
 	return g
 }
 
@@ -253,8 +260,9 @@
 }
 
 // refresh recomputes the baseline that is assumed for instances without a recent report, and the hedging delay.
-func (g *group) refresh(now time.Time) {
+func (g *group) refresh(now time.Time, l *leaving) {
 	baseline := picker.NewBaseline(now, g.views, int(g.settings.GetColdLimit()))
+	g.applyBalance(l, baseline)
 	for _, v := range g.views {
 		v.SetBaseline(baseline)
 	}
--- a/router/send.go
+++ b/router/send.go
@@ -28,7 +28,9 @@
 // is too short.
 func (c *call) newRequest(now time.Time, view *picker.View, caller string) *schema.ExecuteRequest {
 	remaining := c.deadline.Sub(now) - view.Delay()
-	c.hops = append(c.hops, newHop(now, view))
+	h := newHop(now, view)
+	h.leave = c.leaveFor(view)
+	c.hops = append(c.hops, h)
 	if remaining <= 0 {
 		return nil
 	}
@@ -55,6 +57,7 @@
 		Eager:       c.eager,
 		Rule:        c.rule.GetName(),
 		AbandonSlow: c.abandonSlow,
+		ReportWork:  c.profile != nil,
 	}.Build()
 }
 
