router, guard: measure the round trip to other failure domains

The platform's document names no delays between domains, so the crossing of a call seemed to take no time: the router took 0 for the round trip. A guard now reports for how long it held a request, if it is asked to, and the router takes the rest of the attempt's time for the round trip, a mean for each domain. Attempts with large bodies don't count, since the body takes rounds of its own.

--- a/guard/call.go
+++ b/guard/call.go
@@ -71,13 +71,15 @@
 
 // Execute implements core.Executor.
 func (g *Guard) Execute(ctx context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
-	c := newCall(g.clock.Now(), request, g.timeout(request))
+	start := g.clock.Now()
+	c := newCall(start, request, g.timeout(request))
 	reply := g.execute(ctx, c)
 	now := g.clock.Now()
 	g.mu.Lock()
 	load := g.load(now)
 	closed := g.controller.Closed()
 	if request.GetReportWork() {
+		reply.SetHeldUs(uint32(max(1, now.Sub(start).Microseconds())))
 		reply.SetWorkUs(uint32(g.serviceTimes.expected(request.GetRule(), 0).Microseconds()))
 	}
 	g.mu.Unlock()
--- a/picker/expected_latency.go
+++ b/picker/expected_latency.go
@@ -208,6 +208,8 @@
 	Balance *spill.Balance
 	// Work is the usual service time of this router's calls, or 0 if it is not known.
 	Work time.Duration
+	// RoundTrips holds the round-trip times to other failure domains, as far as they were measured.
+	RoundTrips map[string]time.Duration
 }
 
 // NewBaseline returns the baseline of a service: means over its instances and their recent reports, and limit as the
--- a/picker/need.go
+++ b/picker/need.go
@@ -37,7 +37,7 @@
 		return core.Choice{Index: home, Queue: queue}
 	}
 	ease := planOf(candidates[away]).Ease()
-	reason := spill.Decide(call, homeSide, side(now, need, candidates, away), candidates[away].Delay(), ease, b.source.float())
+	reason := spill.Decide(call, homeSide, side(now, need, candidates, away), roundTripTo(candidates[away]), ease, b.source.float())
 	if reason == "" {
 		return core.Choice{Index: home, Queue: queue}
 	}
@@ -150,6 +150,15 @@
 	return view.baseline.Load().Balance
 }
 
+// roundTripTo returns the round-trip time to a candidate: as measured, or as the document says if that is longer.
+func roundTripTo(candidate core.Candidate) time.Duration {
+	view, ok := candidate.(*View)
+	if !ok {
+		return candidate.Delay()
+	}
+	return max(candidate.Delay(), view.baseline.Load().RoundTrips[candidate.Instance().Domain()])
+}
+
 // side describes a chosen candidate for the decision.
 func side(now time.Time, need core.Need, candidates []core.Candidate, index int) spill.Side {
 	if index < 0 {
--- a/router/leave.go
+++ b/router/leave.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,8 +16,14 @@
 	"verbenareel/spill"
 )
 
-// answerWeight is the weight of the newest answer in the mean size of the answers of a rule.
-const answerWeight = 0.1
+const (
+	// answerWeight is the weight of the newest answer in the mean size of the answers of a rule, and roundTripWeight that of the
+	// newest attempt in the mean round-trip time.
+	answerWeight    = 0.1
+	roundTripWeight = 0.1
+	// maxMeasuredBody is the size in bytes up to which a body travels with its call.
+	maxMeasuredBody = 16 << 10
+)
 
 // leaving holds what the router knows for the decision whether a call leaves its failure domain.
 type leaving struct {
@@ -29,13 +36,16 @@
 	mu       sync.Mutex
 	profiles map[string]*profile
 	offers   map[string]*offer
+	// roundTrips holds the mean round-trip times to other domains, since a document need not name them.
+	roundTrips map[string]time.Duration
 }
 
 // newLeaving returns the state for a chooser, which decides by need if it is a core.NeedChooser.
 func newLeaving(chooser core.Chooser) *leaving {
 	l := &leaving{
-		profiles: make(map[string]*profile),
-		offers:   make(map[string]*offer),
+		profiles:   make(map[string]*profile),
+		offers:     make(map[string]*offer),
+		roundTrips: make(map[string]time.Duration),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "verbenareel_router_left_domain_total",
 			Help: "Attempts sent to another failure domain, by service and reason.",
@@ -103,6 +113,23 @@
 	return time.Duration(p.work.Load())
 }
 
+// observeRoundTrip records the round-trip time of an attempt that took a time until its reply arrived. A large body is sent in
+// several rounds before the call, so such attempts don't count.
+func (l *leaving) observeRoundTrip(domain string, took time.Duration, bodySize int, reply *schema.ExecuteReply) {
+	held := time.Duration(reply.GetHeldUs()) * time.Microsecond
+	if held == 0 || bodySize > maxMeasuredBody {
+		return
+	}
+	measured := max(0, took-held)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mean, ok := l.roundTrips[domain]
+	if !ok {
+		mean = measured
+	}
+	l.roundTrips[domain] = mean + time.Duration(roundTripWeight*float64(measured-mean))
+}
+
 // offer is the demand for one service at this node.
 type offer struct {
 	// work is the work in nanoseconds of the calls since the last tick, and count their number.
@@ -278,6 +305,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	baseline.Balance, baseline.Work = g.offer.balance, g.offer.mean
+	baseline.RoundTrips = maps.Clone(l.roundTrips)
 }
 
 // recordLeft counts the attempts of a call in other domains and the bytes of their bodies.
--- a/router/leave_test.go
+++ b/router/leave_test.go
@@ -143,3 +143,15 @@
 	})
 	c.Check(r.Summary().Neighbors, qt.DeepEquals, neighbor)
 }
+
+// TestRoundTrip guards against a crossing that seems to cost nothing because the document does not name delays, and against
+// the time of a call's run or of a body's transfer that is taken for a round trip.
+func TestRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	l := newLeaving(nil)
+	reply := schema.ExecuteReply_builder{HeldUs: 60_000}.Build()
+	l.observeRoundTrip("b", 67*time.Millisecond, 0, reply)
+	l.observeRoundTrip("b", 900*time.Millisecond, maxMeasuredBody+1, reply)
+	l.observeRoundTrip("b", 900*time.Millisecond, 0, answer(200))
+	c.Assert(l.roundTrips, qt.DeepEquals, map[string]time.Duration{"b": 7 * time.Millisecond})
+}
--- a/router/send.go
+++ b/router/send.go
@@ -79,9 +79,12 @@
 	if request == nil {
 		return sendResult{reply: core.NotRun(schema.Reason_REASON_DEADLINE)}
 	}
-	pending := view.Begin(r.clock.Now())
+	begin, bodySize := r.clock.Now(), len(request.GetBody())
+	pending := view.Begin(begin)
 	result := r.execute(ctx, view, request)
-	view.End(r.clock.Now(), pending, countsAsFailure(result.reply))
+	end := r.clock.Now()
+	view.End(end, pending, countsAsFailure(result.reply))
+	r.leaving.observeRoundTrip(view.Instance().Domain(), end.Sub(begin), bodySize, result.reply)
 	r.updateView(view, result)
 	return result
 }
