beacon, spill: fewer summaries to domains whose calls stay at home

A domain with three servers or more whose demand is at most 40% of its capacity hardly sends calls away, so it gets one summary in four: often enough that its nodes keep the demands of the others.

Tests: go test -race of beacon, spill and router passed.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -85,6 +85,8 @@
 	local, remote, others []netip.AddrPort
 	// distant are those of nodes in other domains that get only the reports after a confirmation.
 	distant []netip.AddrPort
+	// remoteByDomain holds those of remote by their domain.
+	remoteByDomain map[string][]netip.AddrPort
 	// peerDomains holds the domains of the other instances of this node's service.
 	peerDomains map[string]bool
 	// targets is a buffer reused by send.
@@ -215,8 +217,11 @@
 // chooseTargets appends the nodes that get the current report to targets.
 func (b *Beacon) chooseTargets(targets []netip.AddrPort, confirmed uint32) []netip.AddrPort {
 	due := [][]netip.AddrPort{b.local}
-	if b.crossesNow() || b.newlyConfirmed(confirmed) {
+	switch {
+	case b.newlyConfirmed(confirmed):
 		due = append(due, b.remote)
+	case b.crossesNow():
+		due = b.appendRemote(due)
 	}
 	targets = b.subscriberCursor.appendNext(targets, maxTargets, due...)
 	switch {
@@ -278,7 +283,7 @@
 	clear(b.peers)
 	b.local, b.remote, b.others, b.distant = b.local[:0], b.remote[:0], b.others[:0], b.distant[:0]
 	servicePeers := b.servicePeers(snapshot)
-	b.peerDomains = domainsOf(servicePeers)
+	b.peerDomains, b.remoteByDomain = domainsOf(servicePeers), make(map[string][]netip.AddrPort)
 	seen := map[string]bool{b.self.GetAddress(): true}
 	for name := range snapshot.Document().GetServices() {
 		for _, i := range snapshot.Instances(name) {
@@ -293,6 +298,7 @@
 				b.local = append(b.local, address)
 			case subscribes:
 				b.remote = append(b.remote, address)
+				b.remoteByDomain[i.Domain()] = append(b.remoteByDomain[i.Domain()], address)
 			case b.crossesRarely(i):
 				b.distant = append(b.distant, address)
 			default:
--- a/beacon/summary.go
+++ b/beacon/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 
 	"verbenareel/core"
 	"verbenareel/schema"
@@ -12,6 +13,9 @@
 	// ones, and in a large fleet in largeSummaryDomains. An instance that fails leaves those of the other domains.
 	summaryDomains      = 3
 	largeSummaryDomains = 2
+	// A domain whose calls hardly need to leave it gets one summary in quietEvery: less often than its nodes forget demands,
+	// but too seldom to choose instances by.
+	quietEvery = 4
 	// One summary in demandEvery carries demands, which are means over some 0.5 s.
 	demandEvery = 2
 )
@@ -21,6 +25,8 @@
 type Summaries interface {
 	Summary() core.Summary
 	HandleSummary(instance, revision uint64, summary core.Summary)
+	// Quiet reports whether the calls of a domain to this node's service hardly need to leave the domain.
+	Quiet(domain string) bool
 }
 
 // WithSummaries makes the node send summaries to nodes in other failure domains, and to fewer of them. By default load reports
@@ -32,6 +38,20 @@
 // crossesNow reports whether the current report goes to subscribers in other failure domains.
 func (b *Beacon) crossesNow() bool { return b.sequence%remoteReportEvery == 0 }
 
+// appendRemote appends the lists of the subscribers in other failure domains that get the current report.
+func (b *Beacon) appendRemote(due [][]netip.AddrPort) [][]netip.AddrPort {
+	if b.summaries == nil {
+		return append(due, b.remote)
+	}
+	all := b.sequence%(remoteReportEvery*quietEvery) == 0
+	for domain, addresses := range b.remoteByDomain {
+		if all || !b.summaries.Quiet(domain) {
+			due = append(due, addresses)
+		}
+	}
+	return due
+}
+
 // addSummary adds the summary of the domain to a report that crosses domains.
 func (b *Beacon) addSummary(report *schema.LoadReport) {
 	if b.summaries == nil || !b.crossesNow() {
--- a/beacon/summary_test.go
+++ b/beacon/summary_test.go
@@ -18,12 +18,15 @@
 // fixedSummary implements Summaries. It returns itself and keeps what arrives.
 type fixedSummary struct {
 	sent, received core.Summary
+	quiet          string
 }
 
 func (f *fixedSummary) Summary() core.Summary { return f.sent }
 
 func (f *fixedSummary) HandleSummary(_, _ uint64, summary core.Summary) { f.received = summary }
 
+func (f *fixedSummary) Quiet(domain string) bool { return domain == f.quiet }
+
 // TestSummarySubscribers guards against as many reports across domains as without summaries, against nodes that hear of none
 // of the instances in another domain, and against far domains before near ones.
 func TestSummarySubscribers(t *testing.T) {
@@ -70,6 +73,20 @@
 	}
 }
 
+// TestQuietDomain guards against summaries that a domain does not need, and against a quiet domain that hears nothing at all.
+func TestQuietDomain(t *testing.T) {
+	b := &Beacon{interval: time.Second, summaries: &fixedSummary{quiet: "b"}, remoteByDomain: map[string][]netip.AddrPort{
+		"b": {netip.MustParseAddrPort("10.0.0.2:1")}, "c": {netip.MustParseAddrPort("10.0.0.3:1")},
+	}}
+	sent := make(map[string]int)
+	for b.sequence = range uint64(remoteReportEvery * quietEvery) {
+		for _, to := range b.chooseTargets(nil, 0) {
+			sent[to.Addr().String()]++
+		}
+	}
+	qt.Check(t, sent, qt.DeepEquals, map[string]int{"10.0.0.2": 1, "10.0.0.3": quietEvery})
+}
+
 // TestSummary guards against summaries that lose a field in transit, do not fit into a datagram, or come with each report.
 func TestSummary(t *testing.T) {
 	c := qt.New(t)
--- a/picker/need_test.go
+++ b/picker/need_test.go
@@ -39,6 +39,8 @@
 	swingWindow = 100 * time.Millisecond
 )
 
+var siteNames = []string{"a", "b", "c", "d"}
+
 // siteResult holds shares of the calls. swing is the mean change from one window to the next of the attempts that other domains
 // send to a domain, as a share of what the domain can serve in a window.
 type siteResult struct{ inTime, left, swing float64 }
@@ -78,6 +80,7 @@
 type siteRun struct {
 	site
 	byNeed  bool
+	quiet   [siteDomains]bool
 	now     time.Time
 	random  *rand.Rand
 	events  siteEvents
@@ -116,7 +119,7 @@
 
 func simulateOnce(s site, remote float64, byNeed bool, seed uint64) siteResult {
 	r := &siteRun{site: s, byNeed: byNeed, now: start, random: rand.New(rand.NewPCG(seed, 2))}
-	names := []string{"a", "b", "c", "d"}
+	names := siteNames
 	for i := range siteDomains * s.servers {
 		member := schema.Member_builder{Instance: names[i%siteDomains] + string(rune('0'+i)), Domain: names[i%siteDomains], Incarnation: 1}.Build()
 		r.servers = append(r.servers, &siteServer{domain: i % siteDomains, index: i,
@@ -178,17 +181,20 @@
 	for _, s := range r.servers {
 		d := domains[s.instance.Domain()]
 		if !r.lostServer(s) {
+			d.Servers++
 			d.Capacity += kneeShare * float64(r.limit()) * (3 + 1/r.slow) / 4
 		}
 		d.Demand = r.rates[s.domain].Update(0, 0)
 		domains[s.instance.Domain()] = d
 	}
+	balance := spill.NewBalance(domains)
 	for d := range siteDomains {
+		r.quiet[d] = r.byNeed && balance.Quiet(siteNames[d])
 		r.rates[d].Update(r.offered[d], 100*time.Millisecond)
 		r.offered[d] = 0
 		for _, o := range r.routers[d] {
 			baseline := NewBaseline(r.now, o.views, r.slots)
-			baseline.Latency, baseline.Work, baseline.Balance = r.work, r.work, spill.NewBalance(domains)
+			baseline.Latency, baseline.Work, baseline.Balance = r.work, r.work, balance
 			for i, v := range o.views {
 				v.SetBaseline(baseline)
 				if r.lostServer(r.servers[i]) {
@@ -223,7 +229,7 @@
 		for _, o := range r.routers[d] {
 			if d == s.domain {
 				o.views[s.index].SetReport(r.now, load)
-			} else if sequence%4 == 0 && o.subscribed[s.index] {
+			} else if sequence%4 == 0 && o.subscribed[s.index] && (sequence%16 == 0 || !r.quiet[d]) {
 				r.after(r.oneWay, func() { o.views[s.index].SetReport(r.now, load) })
 				r.passOn(s, o)
 			}
--- a/router/leave.go
+++ b/router/leave.go
@@ -287,6 +287,7 @@
 	for _, v := range g.views {
 		d := domains[v.Instance().Domain()]
 		if v.Instance().Eligible() {
+			d.Servers++
 			d.Capacity += picker.Capacity(now, v, int(g.settings.GetSlots()))
 		}
 		domains[v.Instance().Domain()] = d
@@ -297,6 +298,16 @@
 	g.offer.balance = balance
 }
 
+// balance returns the balance of the service as of the last tick, or nil.
+func (g *group) balance(l *leaving) *spill.Balance {
+	if g.offer == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return g.offer.balance
+}
+
 // applyBalance sets what the last tick found in a new baseline.
 func (g *group) applyBalance(l *leaving, baseline *picker.Baseline) {
 	if g.offer == nil {
--- a/router/summary.go
+++ b/router/summary.go
@@ -40,6 +40,19 @@
 	return summary
 }
 
+// Quiet reports whether the calls of a domain to the service of this node hardly need to leave the domain.
+func (r *Router) Quiet(domain string) bool {
+	t := r.current(r.clock.Now())
+	if t.snapshot == nil {
+		return false
+	}
+	own := t.ownInstance(r.self.GetAddress())
+	if own == nil || t.groups[own.Service()] == nil {
+		return false
+	}
+	return t.groups[own.Service()].balance(r.leaving).Quiet(domain)
+}
+
 // HandleSummary records the summary of another node; hash is the core.InstanceHash of its instance. The demands are ignored if
 // the node has another revision of the document, whose services may differ.
 func (r *Router) HandleSummary(hash, revision uint64, summary core.Summary) {
--- a/spill/spill_test.go
+++ b/spill/spill_test.go
@@ -46,6 +46,11 @@
 	b := NewBalance(map[string]Domain{"lost": {Demand: 20}, "a": {Capacity: 20, Demand: 15}, "b": {Capacity: 20, Demand: 10}})
 	c.Check(b.Ease(), qt.Equals, 0.75)
 	c.Check(b.Open("b"), qt.Equals, 2*b.Open("a"))
+	c.Check(b.Quiet("lost"), qt.IsFalse)
+	calm := NewBalance(map[string]Domain{
+		"few": {Capacity: 8, Demand: 1, Servers: 2}, "many": {Capacity: 20, Demand: 8, Servers: 5}, "unknown": {Capacity: 20, Servers: 5},
+	})
+	c.Check([]bool{calm.Quiet("few"), calm.Quiet("many"), calm.Quiet("unknown")}, qt.DeepEquals, []bool{false, true, false})
 	full := NewBalance(map[string]Domain{"a": {Capacity: 20, Demand: 25}, "b": {Capacity: 20, Demand: 30}})
 	c.Check(full.Ease(), qt.Equals, 0.0)
 	c.Check(full.Open("a"), qt.Equals, minOpen)
