meter, router: less work for each member of a large fleet

Each look-up of an address sorted the names of all members, and the beacon looked all its targets up again after each change of the members.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -42,6 +42,8 @@
 	// targetsInterval is the shortest time between two updates of the targets. Members change many times a second while a
 	// fleet starts, and ranking them takes time in proportion to the nodes times the instances of a service.
 	targetsInterval = time.Second
+	// maxPeers limits the addresses whose counters of bytes are kept.
+	maxPeers = 4096
 	// maxDatagramSize limits a received report in bytes. Reports have about 40 bytes.
 	maxDatagramSize = 512
 	// idleInterval is how often Run wakes up while sending is disabled.
@@ -267,6 +269,9 @@
 func (b *Beacon) countBytes(to netip.AddrPort, size int) {
 	peer, ok := b.peers[to]
 	if !ok {
+		if len(b.peers) == maxPeers {
+			clear(b.peers)
+		}
 		peer = b.bytes.Peer(to.String())
 		b.peers[to] = peer
 	}
@@ -280,7 +285,6 @@
 		return
 	}
 	b.snapshot, b.updatedAt = snapshot, now
-	clear(b.peers)
 	b.local, b.remote, b.others, b.distant = b.local[:0], b.remote[:0], b.others[:0], b.distant[:0]
 	servicePeers := b.servicePeers(snapshot)
 	b.peerDomains, b.remoteByDomain = domainsOf(servicePeers), make(map[string][]netip.AddrPort)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -130,15 +130,19 @@
 // find looks up the domain of an address among the members.
 func (m *Meter) find(address string) crossing {
 	snapshot := m.snapshot()
-	for _, name := range snapshot.Names() {
-		instance := snapshot.Instance(name)
-		if instance.Address() != address {
-			continue
-		}
-		if instance.Domain() == m.domain {
-			return ownDomain
+	for _, service := range snapshot.ServiceNames() {
+		for _, instance := range snapshot.Instances(service) {
+			if instance.Address() == address {
+				return m.crossingTo(instance.Domain())
+			}
 		}
-		return otherDomain
 	}
 	return unknownDomain
 }
+
+func (m *Meter) crossingTo(domain string) crossing {
+	if domain == m.domain {
+		return ownDomain
+	}
+	return otherDomain
+}
--- a/router/leave.go
+++ b/router/leave.go
@@ -241,9 +241,8 @@
 	}
 	r.leaving.mu.Unlock()
 	r.leaving.demands.Record(now, own, r.self.GetDomain(), r.Demands())
-	nodes := nodesByDomain(t.snapshot)
 	for name, g := range t.groups {
-		g.updateBalance(now, r.leaving, name, nodes)
+		g.updateBalance(now, r.leaving, name, t.nodesByDomain)
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -172,6 +172,8 @@
 	viewsByHash map[uint64]*picker.View
 	// viewsByNeighbor holds the views by the core.NeighborHash.
 	viewsByNeighbor map[uint32]*picker.View
+	// nodesByDomain holds the number of nodes in each domain.
+	nodesByDomain map[string]float64
 }
 
 // group holds the instances of one service. It does not change after it was built, except for the state of the views.
@@ -225,6 +227,7 @@
 			t.viewsByNeighbor[core.NeighborHash(v.Instance().Name())] = v
 		}
 	}
+	t.nodesByDomain = nodesByDomain(snapshot)
 	r.leaving.retain(snapshot)
 	r.splits.retain(snapshot.Document().GetRules())
 	maps.DeleteFunc(r.viewsByName, func(name string, _ *picker.View) bool { return snapshot.Instance(name) == nil })
--- a/router/summary.go
+++ b/router/summary.go
@@ -64,7 +64,9 @@
 	if names := t.snapshot.ServiceNames(); len(summary.Demands) > 0 && revision == t.snapshot.Revision() && len(summary.Demands) <= len(names) {
 		slots := make(map[uint32]float64, len(summary.Demands))
 		for i, demand := range summary.Demands {
-			slots[core.ServiceHash(names[i])] = float64(demand) / slotUnit
+			if demand > 0 {
+				slots[core.ServiceHash(names[i])] = float64(demand) / slotUnit
+			}
 		}
 		r.HandleDemands(hash, slots)
 	}
