picker: a closed guard is no place to stay

A guard whose backend server is down reports a limit of 0 and no load, which looks like an idle server. When a domain lost its servers, calls were sent to one after the other there until no attempt was left. A candidate whose recent report has a limit of 0 now ranks behind all others, and a domain with none but such candidates counts as one without instances.

Tests: go test of picker passed, go test -race of router passed.

--- a/picker/need.go
+++ b/picker/need.go
@@ -33,11 +33,14 @@
 		return core.Choice{Index: home, Queue: queue}
 	}
 	away := b.chooseAway(now, candidates, exclude)
-	if away < 0 {
+	if away < 0 || home >= 0 && isClosed(now, candidates[away]) {
 		return core.Choice{Index: home, Queue: queue}
 	}
-	ease := planOf(candidates[away]).Ease()
-	reason := spill.Decide(call, homeSide, side(now, need, candidates, away), roundTripTo(candidates[away]), ease, b.source.float())
+	if home < 0 {
+		return core.Choice{Index: away, Leave: core.LeaveNoInstance}
+	}
+	roundTrip, ease := roundTripTo(candidates[away]), planOf(candidates[away]).Ease()
+	reason := spill.Decide(call, homeSide, side(now, need, candidates, away), roundTrip, ease, b.source.float())
 	if reason == "" {
 		return core.Choice{Index: home, Queue: queue}
 	}
@@ -81,7 +84,7 @@
 		if !declined && exclude(index) {
 			continue
 		}
-		if cost := b.cost(now, candidates[index]); cost < lowest {
+		if cost := b.cost(now, candidates[index]) + closedCost(now, candidates[index]); cost < lowest {
 			best, lowest, queue = index, cost, declined
 		}
 	}
@@ -104,7 +107,7 @@
 			if b.source.float() < weight/total {
 				chosen = i
 			}
-		} else if cost := b.cost(now, candidate); chosen < 0 && cost < lowest {
+		} else if cost := b.cost(now, candidate) + closedCost(now, candidate); chosen < 0 && cost < lowest {
 			cheapest, lowest = i, cost
 		}
 	}
@@ -164,9 +167,27 @@
 	if index < 0 {
 		return spill.Side{}
 	}
+	if isClosed(now, candidates[index]) {
+		return spill.Side{}
+	}
 	return spill.Side{Exists: true, Finish: expectedFinish(now, candidates[index], need.Work)}
 }
 
+// isClosed reports whether the guard of a candidate has just reported that it starts no calls, for example because its backend
+// server is down. Its load alone looks like that of an idle server.
+func isClosed(now time.Time, candidate core.Candidate) bool {
+	load, received := candidate.Load()
+	return !received.IsZero() && now.Sub(received) <= maxReportAge && load.Limit == 0
+}
+
+// closedCost returns a cost that puts a closed candidate behind all others.
+func closedCost(now time.Time, candidate core.Candidate) float64 {
+	if isClosed(now, candidate) {
+		return math.MaxFloat32
+	}
+	return 0
+}
+
 // expectedFinish returns the expected time until a call finishes at a candidate, without the network. work is the usual service
 // time of the call; 0 means that of the service. Unlike the cost, it contains nothing that only spreads calls.
 func expectedFinish(now time.Time, candidate core.Candidate, work time.Duration) time.Duration {
--- a/picker/need_test.go
+++ b/picker/need_test.go
@@ -404,3 +404,28 @@
 		})
 	}
 }
+
+// TestClosedHome guards against calls that are sent to one server after the other at home after all of them went down, until no
+// attempt is left: a closed guard reports no load. A trial in which a domain lost its servers found this.
+func TestClosedHome(t *testing.T) {
+	candidates, views := reportingViews(4)
+	full := spill.NewBalance(map[string]spill.Domain{"near": {Demand: 10}})
+	for _, v := range views {
+		v.SetBaseline(&Baseline{Latency: 64 * time.Millisecond, Balance: full})
+	}
+	views[0].SetReport(start, core.LoadReport{})
+	need := core.Need{Target: 250 * time.Millisecond, Left: 250 * time.Millisecond}
+	b := NewByNeed(NewEarliestFinish("near", 0.5, source(1)))
+	for range 100 {
+		qt.Assert(t, b.ChooseFor(start, need, candidates, none).Index, qt.Equals, 2)
+	}
+	views[2].SetReport(start, core.LoadReport{})
+	for range 100 {
+		qt.Assert(t, b.ChooseFor(start, need, candidates, none).Leave, qt.Equals, core.LeaveNoInstance)
+	}
+	views[1].SetReport(start, core.LoadReport{})
+	views[3].SetReport(start, core.LoadReport{})
+	qt.Assert(t, b.ChooseFor(start, need, candidates, none).Leave, qt.Equals, core.LeaveReason(""))
+	onlyLast := b.ChooseFor(start, need, candidates, func(i int) bool { return i != 3 })
+	qt.Assert(t, onlyLast, qt.Equals, core.Choice{Index: 3, Leave: core.LeaveNoInstance})
+}
