--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"verbenareel/core"
+	"verbenareel/meter"
 	"verbenareel/schema"
 )
 
@@ -41,6 +42,8 @@
 	// targetsInterval is the shortest time between two updates of the targets. Members change many times a second while a
 	// fleet starts, and ranking them takes time in proportion to the nodes times the instances of a service.
 	targetsInterval = time.Second
+	// maxPeers limits the addresses whose counters of bytes are kept.
+	maxPeers = 4096
 	// maxDatagramSize limits a received report in bytes. Reports have about 40 bytes.
 	maxDatagramSize = 512
 	// idleInterval is how often Run wakes up while sending is disabled.
@@ -82,6 +85,12 @@
 	snapshot              *core.Snapshot
 	updatedAt             time.Time
 	local, remote, others []netip.AddrPort
+	// distant are those of nodes in other domains that get only the reports after a confirmation.
+	distant []netip.AddrPort
+	// remoteByDomain holds those of remote by their domain.
+	remoteByDomain map[string][]netip.AddrPort
+	// peerDomains holds the domains of the other instances of this node's service.
+	peerDomains map[string]bool
 	// targets is a buffer reused by send.
 	targets                     []netip.AddrPort
 	subscriberCursor, allCursor cursor
@@ -89,6 +98,11 @@
 	received                    prometheus.Counter
 	failed                      prometheus.Counter
 	stopped                     atomic.Bool
+	bytes                       *meter.Meter
+	// summaries is nil if load reports cross failure domains.
+	summaries Summaries
+	// peers holds the counters of bytes by address.
+	peers map[netip.AddrPort]*meter.Peer
 }
 
 // Option configures a Beacon.
@@ -102,6 +116,9 @@
 	return func(b *Beacon) { registerer.MustRegister(b.sent, b.received, b.failed) }
 }
 
+// WithMeter sets the meter that counts the bytes of the reports that are sent. The default counts nothing.
+func WithMeter(m *meter.Meter) Option { return func(b *Beacon) { b.bytes = m } }
+
 // New listens for datagrams on the address listen (IP:port), which may differ from the address in self that other nodes
 // use. Reports go to the addresses of the other nodes in the snapshot: to those of the same failure domain at every
 // interval, to others less often. An interval of 0 disables sending.
@@ -125,6 +142,7 @@
 		interval:  interval,
 		logger:    zap.NewNop(),
 		done:      make(chan struct{}),
+		peers:     make(map[netip.AddrPort]*meter.Peer),
 		sent:      newCounter("verbenareel_beacon_sent_total", "Load reports sent."),
 		received:  newCounter("verbenareel_beacon_received_total", "Load reports received."),
 		failed:    newCounter("verbenareel_beacon_failed_total", "Load reports that could not be sent or understood."),
@@ -182,13 +200,15 @@
 		return
 	}
 	load.Revision, load.Incarnation, load.Latency = revision, 0, 0
-	datagram, err := proto.Marshal(schema.LoadReport_builder{
+	report := schema.LoadReport_builder{
 		Instance:    core.InstanceHash(b.source.Instance()),
 		Sequence:    b.sequence,
 		Load:        load.Message(),
 		Manifest:    manifest,
 		ConfirmedMs: confirmed,
-	}.Build())
+	}.Build()
+	b.addSummary(report)
+	datagram, err := proto.Marshal(report)
 	if err != nil {
 		b.failed.Inc()
 		return
@@ -199,12 +219,18 @@
 // chooseTargets appends the nodes that get the current report to targets.
 func (b *Beacon) chooseTargets(targets []netip.AddrPort, confirmed uint32) []netip.AddrPort {
 	due := [][]netip.AddrPort{b.local}
-	if b.sequence%remoteReportEvery == 0 || b.newlyConfirmed(confirmed) {
+	switch {
+	case b.newlyConfirmed(confirmed):
 		due = append(due, b.remote)
+	case b.crossesNow():
+		due = b.appendRemote(due)
 	}
 	targets = b.subscriberCursor.appendNext(targets, maxTargets, due...)
-	if b.sequence%allNodesEvery == 0 || b.newlyConfirmed(confirmed) {
-		targets = b.allCursor.appendNext(targets, maxOthers, b.others)
+	switch {
+	case b.newlyConfirmed(confirmed):
+		return b.allCursor.appendNext(targets, maxOthers, b.others, b.distant)
+	case b.sequence%allNodesEvery == 0:
+		return b.allCursor.appendNext(targets, maxOthers, b.others)
 	}
 	return targets
 }
@@ -235,7 +261,21 @@
 			continue
 		}
 		b.sent.Inc()
+		b.countBytes(to, len(datagram))
+	}
+}
+
+// countBytes counts the bytes of a report that was sent to an address.
+func (b *Beacon) countBytes(to netip.AddrPort, size int) {
+	peer, ok := b.peers[to]
+	if !ok {
+		if len(b.peers) == maxPeers {
+			clear(b.peers)
+		}
+		peer = b.bytes.Peer(to.String())
+		b.peers[to] = peer
 	}
+	peer.Sent(b.clock.Now(), meter.Report, size)
 }
 
 // updateTargets updates the addresses of the other nodes if the snapshot changed, at most once per targetsInterval.
@@ -245,8 +285,9 @@
 		return
 	}
 	b.snapshot, b.updatedAt = snapshot, now
-	b.local, b.remote, b.others = b.local[:0], b.remote[:0], b.others[:0]
+	b.local, b.remote, b.others, b.distant = b.local[:0], b.remote[:0], b.others[:0], b.distant[:0]
 	servicePeers := b.servicePeers(snapshot)
+	b.peerDomains, b.remoteByDomain = domainsOf(servicePeers), make(map[string][]netip.AddrPort)
 	seen := map[string]bool{b.self.GetAddress(): true}
 	for name := range snapshot.Document().GetServices() {
 		for _, i := range snapshot.Instances(name) {
@@ -255,13 +296,17 @@
 				continue
 			}
 			seen[i.Address()] = true
+			subscribes := b.isSubscriber(snapshot, i, servicePeers)
 			switch {
-			case !b.isSubscriber(i, servicePeers, snapshot.Large()):
-				b.others = append(b.others, address)
-			case i.Domain() == b.self.GetDomain():
+			case subscribes && i.Domain() == b.self.GetDomain():
 				b.local = append(b.local, address)
-			default:
+			case subscribes:
 				b.remote = append(b.remote, address)
+				b.remoteByDomain[i.Domain()] = append(b.remoteByDomain[i.Domain()], address)
+			case b.crossesRarely(i):
+				b.distant = append(b.distant, address)
+			default:
+				b.others = append(b.others, address)
 			}
 		}
 	}
@@ -281,7 +326,11 @@
 // isSubscriber reports whether a node subscribes to the reports of this instance. The node ranks the instances of a service
 // in its own failure domain, and those in other ones, by a hash of its own and their addresses, so that different nodes
 // subscribe to different instances.
-func (b *Beacon) isSubscriber(subscriber *core.Instance, peers []*core.Instance, large bool) bool {
+func (b *Beacon) isSubscriber(snapshot *core.Snapshot, subscriber *core.Instance, peers []*core.Instance) bool {
+	if b.crossesRarely(subscriber) {
+		return b.subscribesToSummary(snapshot, subscriber, peers)
+	}
+	large := snapshot.Large()
 	ownHash := pairHash(subscriber.Address(), b.self.GetAddress())
 	local := subscriber.Domain() == b.self.GetDomain()
 	limit := subscriptions(local, large)
@@ -348,6 +397,7 @@
 	b.received.Inc()
 	load := core.NewLoadReport(report.GetLoad())
 	b.sink.HandleReport(report.GetInstance(), load)
+	b.handleSummary(report)
 	address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	b.gossip.HandleDigest(address.String(), load.Revision, report.GetManifest(), report.GetConfirmedMs())
 }
--- a/core/snapshot.go
+++ b/core/snapshot.go
@@ -88,7 +88,9 @@
 	rules     map[string][]*schema.Rule
 	// customers holds the names of the customers by the hashes of their API keys.
 	customers map[string]string
-	listTime  time.Time
+	// serviceNames holds the sorted names of the services of the document.
+	serviceNames []string
+	listTime     time.Time
 }
 
 // anyHost is the host of rules that match every host.
@@ -97,12 +99,13 @@
 // NewSnapshot builds a snapshot from an accepted document and the known members.
 func NewSnapshot(revision uint64, document *schema.Document, members []*schema.Member) *Snapshot {
 	s := &Snapshot{
-		revision:  revision,
-		document:  document,
-		rules:     rulesByHost(document),
-		customers: customersByKey(document),
-		instances: make(map[string]*Instance, len(members)),
-		services:  make(map[string][]*Instance),
+		revision:     revision,
+		document:     document,
+		rules:        rulesByHost(document),
+		customers:    customersByKey(document),
+		serviceNames: slices.Sorted(maps.Keys(document.GetServices())),
+		instances:    make(map[string]*Instance, len(members)),
+		services:     make(map[string][]*Instance),
 	}
 	running := runningByAddress(members)
 	for _, m := range members {
@@ -285,6 +288,9 @@
 // InstanceHash returns the hash that identifies an instance in load reports.
 func InstanceHash(name string) uint64 { return xxhash.Sum64String(name) }
 
+// ServiceHash returns the hash that identifies a service in load reports.
+func ServiceHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 // LoadReport is a guard's measurement of the load on its backend server.
 type LoadReport struct {
 	InFlight    int
--- a/io/option.go
+++ b/io/option.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"verbenareel/core"
+	"verbenareel/meter"
 )
 
 // Default limits and timeouts. See docs/design.md.
@@ -56,6 +57,7 @@
 	wire            *core.WireFormat
 	memory          *Memory
 	quotaPeer       core.QuotaPeer
+	meter           *meter.Meter
 }
 
 // Option configures a Server, Transport, Backend or Front. Options that do not apply to a component are ignored.
--- a/node/node.go
+++ b/node/node.go
@@ -17,9 +17,11 @@
 	"go.uber.org/zap"
 
 	"verbenareel/beacon"
+	"verbenareel/config"
 	"verbenareel/core"
 	"verbenareel/guard"
 	"verbenareel/io"
+	"verbenareel/meter"
 	"verbenareel/native"
 	"verbenareel/peers"
 	"verbenareel/picker"
@@ -82,6 +84,7 @@
 	ready           *readinessServer
 	beacon          *beacon.Beacon
 	quota           *quota.Service
+	meter           *meter.Meter
 	chooser         core.Chooser
 	adapter         core.Adapter
 	shuttingDown    atomic.Bool
@@ -158,7 +161,8 @@
 	n.self = n.newMember()
 	suspects := poison.New(suspectCapacity, suspectTTL)
 	n.memory = io.DefaultMemory()
-	n.transport = io.NewTransport(n.clock, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+	n.meter = meter.New(n.settings.GetDomain(), func() *core.Snapshot { return n.exchange.Snapshot() }, n.registry)
+	n.transport = io.NewTransport(n.clock, io.WithLogger(n.logger), io.WithRegisterer(n.registry), io.WithMeter(n.meter))
 	n.backend = io.NewBackend(n.settings.GetBackendAddress(), io.WithLogger(n.logger), io.WithRegisterer(n.registry),
 		io.WithWire(n.wire()), io.WithMemory(n.memory))
 	n.exchange = peers.New(n.self, n.platform(), n.transport, n.clock, peers.WithSeeds(n.settings.GetSeeds()),
@@ -177,7 +181,7 @@
 		quota.WithRegisterer(n.registry))
 	routerOptions := []router.Option{router.WithLogger(n.logger), router.WithRegisterer(n.registry), router.WithQuota(n.quota)}
 	if n.chooser == nil && n.adapter != nil {
-		n.chooser = picker.NewEarliestFinish(n.settings.GetDomain(), n.settings.GetRemoteCost(), nil)
+		n.chooser = newChooser(n.settings)
 	}
 	if n.chooser != nil {
 		routerOptions = append(routerOptions, router.WithChooser(n.chooser))
@@ -191,6 +195,23 @@
 	n.router = router.New(n.self, n.exchange, n.guard, n.transport, n.clock, routerOptions...)
 }
 
+// newChooser returns the chooser for instances that report their load many times a second.
+func newChooser(settings *schema.Settings) core.Chooser {
+	finish := picker.NewEarliestFinish(settings.GetDomain(), settings.GetRemoteCost(), nil)
+	if settings.GetLeaveDomain() == config.LeaveByNeed {
+		return picker.NewByNeed(finish)
+	}
+	return finish
+}
+
+// summaries returns the source of the summaries that cross failure domains, or nil if load reports do.
+func (n *Node) summaries() beacon.Summaries {
+	if _, ok := n.chooser.(core.NeedChooser); !ok {
+		return nil
+	}
+	return n.router
+}
+
 // receiveWait returns the time until the bodies that are being transferred to this node have arrived.
 func (n *Node) receiveWait() time.Duration {
 	if n.server == nil {
--- a/router/call.go
+++ b/router/call.go
@@ -54,6 +54,9 @@
 	reservation *budgets
 	// eager asks the guard of the next attempt to refuse the call unless it can start at once.
 	eager bool
+	// choice is the latest choice of an instance, and profile what is usual for the rule, or nil.
+	choice  core.Choice
+	profile *profile
 	// abandonSlow allows the guard of the next attempt to abort the call if its backend server was slow when the call
 	// started.
 	abandonSlow bool
@@ -90,6 +93,7 @@
 	took := r.clock.Now().Sub(start)
 	r.metrics.recordCall(c.service, reply, took)
 	r.customers.record(start.Add(took), c.customerName, reply)
+	r.recordLeft(c)
 	r.logCall(c, reply, took)
 	return reply
 }
@@ -101,6 +105,7 @@
 		return refusal
 	}
 	c.group.budgets.recordCall(start, c.rule.GetRepeatable(), r.nestedRepeat(start, c))
+	c.group.offer.record(c.profile.usualWork())
 	reply := r.run(ctx, c)
 	r.refundQuota(snapshot, c.customer, reply)
 	return reply
@@ -148,6 +153,7 @@
 	}
 	c := &call{input: input, rule: rule, service: service, group: g, deadline: now.Add(timeout)}
 	c.customer, c.customerName, c.priority = identity.charged, identity.name, identity.priority
+	c.profile = r.leaving.profileOf(rule)
 	if !r.endsInTime(input, c.deadline) {
 		return nil, r.finalReply(c, core.NotRun(schema.Reason_REASON_LEAVING))
 	}
@@ -193,13 +199,14 @@
 		}
 		begin := r.clock.Now()
 		better := r.hasReadyAlternative(begin, c, view)
-		c.eager = better && c.refusedSends < int(c.group.settings.GetFreeResends())
+		c.eager = better && !c.choice.Queue && c.refusedSends < int(c.group.settings.GetFreeResends())
 		c.abandonSlow = better && r.mayAbandon(begin, c)
 		if attempt == 0 && !c.once() {
 			last = r.attemptHedged(ctx, c, view)
 		} else {
 			last = r.attempt(ctx, c, view)
 		}
+		c.profile.observe(last)
 		now := r.clock.Now()
 		c.settleRetry(now, last)
 		if succeeded(last) {
@@ -434,7 +441,7 @@
 		return v.Eligible(now, t.snapshot.Revision()) && !c.excludes(v)
 	}
 	for range g.views {
-		i := r.chooser.Choose(now, g.candidates, func(i int) bool {
+		i := r.pick(now, c, g, func(i int) bool {
 			return g.views[i].InBackoff(now) || !usable(g.views[i])
 		})
 		if i < 0 {
@@ -444,7 +451,7 @@
 			return g.views[i]
 		}
 	}
-	i := r.chooser.Choose(now, g.candidates, func(i int) bool { return !usable(g.views[i]) })
+	i := r.pick(now, c, g, func(i int) bool { return !usable(g.views[i]) })
 	if i < 0 {
 		return nil
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -52,6 +52,7 @@
 	tasks   conc.WaitGroup
 
 	splits      splits
+	leaving     *leaving
 	table       atomic.Pointer[table]
 	mu          sync.Mutex
 	viewsByName map[string]*picker.View
@@ -113,9 +114,11 @@
 		budgets:     make(map[string]*budgets),
 		retryBudget: o.retryBudget,
 		repeatShare: o.repeatShare,
+		leaving:     newLeaving(o.chooser),
 
 		withoutDepth: o.withoutDepth,
 	}
+	r.leaving.register(o.registerer, o.logger)
 	r.metrics.register(o.registerer, o.logger, r.customers)
 	return r
 }
@@ -171,8 +174,9 @@
 		r.logger.Warn("process was paused; discarding load reports", zap.Duration("gap", gap))
 		t.resetViews()
 	}
+	r.updateBalances(now, gap, t)
 	for service, g := range t.groups {
-		g.refresh(now)
+		g.refresh(now, r.leaving)
 		if state, shared := g.budgets.state(now); shared {
 			r.metrics.recordBudget(service, state)
 		}
@@ -190,6 +194,10 @@
 	// viewsByHash holds the views by the core.InstanceHash of the instance name, which identifies the instance in load
 	// reports.
 	viewsByHash map[uint64]*picker.View
+	// viewsByNeighbor holds the views by the core.NeighborHash.
+	viewsByNeighbor map[uint32]*picker.View
+	// nodesByDomain holds the number of nodes in each domain.
+	nodesByDomain map[string]float64
 }
 
 // group holds the instances of one service. It does not change after it was built, except for the state of the views.
@@ -200,6 +208,8 @@
 	budgets    *budgets
 	// meanTarget is the mean target latency of the rules that lead to the service, or 0 if none has a target.
 	meanTarget time.Duration
+	// offer is nil if calls leave the failure domain at a constant cost.
+	offer *offer
 }
 
 // resetViews discards the load reports and failure rates of all instances.
@@ -230,7 +240,7 @@
 
 // build returns the table of a snapshot. Views of instances that remain in the snapshot are kept.
 func (r *Router) build(now time.Time, snapshot *core.Snapshot) *table {
-	t := &table{snapshot: snapshot, groups: make(map[string]*group), viewsByHash: make(map[uint64]*picker.View)}
+	t := &table{snapshot: snapshot, groups: make(map[string]*group), viewsByHash: make(map[uint64]*picker.View), viewsByNeighbor: make(map[uint32]*picker.View)}
 	if snapshot == nil {
 		return t
 	}
@@ -240,8 +250,11 @@
 	for _, g := range t.groups {
 		for _, v := range g.views {
 			t.viewsByHash[core.InstanceHash(v.Instance().Name())] = v
+			t.viewsByNeighbor[core.NeighborHash(v.Instance().Name())] = v
 		}
 	}
+	t.nodesByDomain = nodesByDomain(snapshot)
+	r.leaving.retain(snapshot)
 	r.splits.retain(snapshot.Document().GetRules())
 	maps.DeleteFunc(r.viewsByName, func(name string, _ *picker.View) bool { return snapshot.Instance(name) == nil })
 	maps.DeleteFunc(r.budgets, func(name string, _ *budgets) bool { return snapshot.Service(name) == nil })
@@ -249,7 +262,10 @@
 }
 
 func (r *Router) buildGroup(now time.Time, snapshot *core.Snapshot, name string, settings *schema.Service) *group {
-	g := &group{settings: settings, meanTarget: meanTarget(snapshot.Document().GetRules(), name)}
+	g := &group{
+		settings: settings, offer: r.leaving.offerOf(name),
+		meanTarget: meanTarget(snapshot.Document().GetRules(), name),
+	}
 	for _, instance := range snapshot.Instances(name) {
 		v := r.viewOf(now, snapshot, instance)
 		g.views = append(g.views, v)
@@ -262,7 +278,7 @@
 	}
 	g.budgets.configure(settings)
 	g.budgets.share(now, r.retryBudget, snapshot.CountNodes())
-	g.refresh(now)
+	g.refresh(now, r.leaving)
 	return g
 }
 
@@ -280,8 +296,9 @@
 }
 
 // refresh recomputes the baseline that is assumed for instances without a recent report, and the hedging delay.
-func (g *group) refresh(now time.Time) {
+func (g *group) refresh(now time.Time, l *leaving) {
 	baseline := picker.NewBaseline(now, g.views, int(g.settings.GetColdLimit()))
+	g.applyBalance(l, baseline)
 	for _, v := range g.views {
 		v.SetBaseline(baseline)
 	}
--- a/router/send.go
+++ b/router/send.go
@@ -28,7 +28,9 @@
 // is too short.
 func (c *call) newRequest(now time.Time, view *picker.View, caller string) *schema.ExecuteRequest {
 	remaining := c.deadline.Sub(now) - view.Delay()
-	c.hops = append(c.hops, newHop(now, view))
+	h := newHop(now, view)
+	h.leave = c.leaveFor(view)
+	c.hops = append(c.hops, h)
 	if remaining <= 0 {
 		return nil
 	}
@@ -58,6 +60,7 @@
 		AbandonSlow: c.abandonSlow,
 
 		EarlierArrivals: uint32(c.reachedSends),
+		ReportWork:      c.profile != nil,
 	}.Build()
 }
 
@@ -79,9 +82,12 @@
 	if request == nil {
 		return sendResult{reply: core.NotRun(schema.Reason_REASON_DEADLINE)}
 	}
-	pending := view.Begin(r.clock.Now())
+	begin, bodySize := r.clock.Now(), len(request.GetBody())
+	pending := view.Begin(begin)
 	result := r.execute(ctx, view, request)
-	view.End(r.clock.Now(), pending, countsAsFailure(result.reply))
+	end := r.clock.Now()
+	view.End(end, pending, countsAsFailure(result.reply))
+	r.leaving.observeRoundTrip(view.Instance().Domain(), end.Sub(begin), bodySize, result.reply)
 	r.updateView(view, result)
 	return result
 }
