quota: refunds beyond what a node holds go back to the coordinator

Of several refunds at one node only those were kept that the node would hold anyway; a customer lost the rest. They now go back to the bucket of the coordinator, which is bounded, and so do the tokens of a node that has no more calls of the customer. Keeping all of them at the node was ruled out: after an outage they would be used at once. The wait that a refused call is told is no longer cut at 2 s for quotas below one call in 2 s.

--- a/quota/account.go
+++ b/quota/account.go
@@ -126,6 +126,9 @@
 	return target - held
 }
 
+// idle reports whether there are expired tokens that no request for further ones will return soon.
+func (a *account) idle() bool { return a.returned > 0 && !a.asked && a.target() == 0 }
+
 // deny records that the coordinator has no tokens for wait.
 func (a *account) deny(now time.Time, wait time.Duration) {
 	a.retryAt = now.Add(wait)
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -61,9 +61,9 @@
 // wait returns the time until the bucket holds a token.
 func (b *bucket) wait(rate float64) time.Duration {
 	if rate <= 0 {
-		return maxWait
+		return longestWait
 	}
-	seconds := min(max(1-b.level, 0)/rate, maxWait.Seconds())
+	seconds := min(max(1-b.level, 0)/rate, longestWait.Seconds())
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// maxWait bounds the time that a refused node is told to wait.
+	// maxWait bounds how far tokens that have not come yet are promised to refused nodes, which ask again earlier.
 	maxWait = 2 * time.Second
+	// longestWait bounds the time until the first token of a small quota.
+	longestWait = time.Minute
 	// stepInterval is the longest time between two steps of a Coordinator with leases.
 	stepInterval = 25 * time.Millisecond
 )
@@ -237,11 +239,11 @@
 	seconds := min(want/rate, maxWait.Seconds())
 	promised := p.next
 	p.next = p.next.Add(time.Duration(seconds * float64(time.Second)))
-	limit := now.Add(maxWait)
+	limit := first.Add(maxWait)
 	if p.next.After(limit) {
 		p.next = limit
 	}
-	return min(promised.Sub(now), maxWait)
+	return promised.Sub(now)
 }
 
 // Counts returns the decisions so far.
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -67,6 +67,14 @@
 	return l
 }
 
+// epochOrZero returns the epoch of the last reply, or 0 for a nil link.
+func (l *link) epochOrZero() uint64 {
+	if l == nil {
+		return 0
+	}
+	return l.epoch
+}
+
 // preferred returns the first coordinator of a slot that has not failed, or nil.
 func (n *Node) preferred(slot int) *link {
 	for _, l := range n.ranked[slot] {
@@ -255,7 +263,7 @@
 		}
 		g := r.GetGrants()[i]
 		a.add(grant{count: int(g.GetTokens()), until: m.sentAt.Add(tokenLife), epoch: m.Request.GetEpoch()})
-		if g.GetTokens() == 0 {
+		if g.GetWaitUs() > 0 {
 			a.deny(now, time.Duration(g.GetWaitUs())*time.Microsecond)
 		}
 	}
--- a/quota/node.go
+++ b/quota/node.go
@@ -181,19 +181,29 @@
 	if a.retryAt.After(now) {
 		wait = a.retryAt.Sub(now)
 	}
-	return min(max(wait, retryTime), maxWait)
+	return min(max(wait, retryTime), longestWait)
 }
 
-// Refund returns the token of a call that did not run. Its life begins anew, so no more are returned than the node would
-// hold: a long outage returns many calls at once, which would exceed the bound of the window in which they run then.
+// Refund returns the token of a call that did not run. The node keeps no more than it would hold anyway; further ones go back to
+// the coordinator, whose bucket is bounded. After an outage many come together, and would exceed the bound of the window in
+// which they are used otherwise.
 func (n *Node) Refund(now time.Time, name string) {
 	a := n.accounts[name]
 	if a == nil {
 		return
 	}
 	a.expire(now)
-	if a.held() < max(1, a.target()) {
-		a.add(grant{count: 1, until: now.Add(tokenLife)})
+	l := n.askable(a.slot)
+	switch {
+	case a.own != nil:
+		n.accrueAccount(now, a)
+		a.own.level++
+		n.accrueAccount(now, a)
+	case l == nil || a.held() < max(1, a.target()):
+		a.add(grant{count: 1, until: now.Add(tokenLife), epoch: l.epochOrZero()})
+	default:
+		a.giveBack(grant{count: 1, epoch: l.epoch})
+		n.enqueue(a)
 	}
 }
 
@@ -223,7 +233,10 @@
 		a.expire(now)
 		a.measure(elapsed)
 		a.giveUpAsk(now)
-		if a.missing(now) > 0 && n.askable(a.slot) != nil {
+		if n.askable(a.slot) == nil {
+			continue
+		}
+		if a.missing(now) > 0 || a.idle() {
 			a.nextAsk = now.Add(askInterval)
 			n.enqueue(a)
 		}
@@ -281,7 +294,8 @@
 }
 
 func (a *account) ask(epoch uint64) *schema.QuotaAsk {
-	want := max(a.waiting, a.target()-a.held(), 1)
+	// A request that only returns tokens wants none.
+	want := max(a.waiting, a.target()-a.held(), 0)
 	a.waiting = 0
 	ask := schema.QuotaAsk_builder{Customer: a.hash, Want: uint32(want)}
 	if a.returnedEpoch == epoch {
--- a/quota/service_test.go
+++ b/quota/service_test.go
@@ -107,8 +107,9 @@
 	s := n.services["10.0.0.0:7000"]
 	allowed, _ := s.Take(context.Background(), "a")
 	c.Assert(allowed, qt.IsTrue)
-	allowed, _ = s.Take(context.Background(), "a")
+	allowed, wait := s.Take(context.Background(), "a")
 	c.Assert(allowed, qt.IsFalse)
+	c.Check(wait > 800*time.Millisecond && wait <= time.Second, qt.IsTrue, qt.Commentf("%v at one call a second", wait))
 	s.Refund("a")
 	allowed, _ = s.Take(context.Background(), "a")
 	c.Check(allowed, qt.IsTrue)
@@ -117,6 +118,31 @@
 	c.Check(n.requests.Load(), qt.Equals, int64(0), qt.Commentf("a single node sent messages"))
 }
 
+// TestServiceRefundAll guards against refunds that are lost when many calls of a node did not run.
+func TestServiceRefundAll(t *testing.T) { synctest.Test(t, testServiceRefundAll) }
+
+func testServiceRefundAll(t *testing.T) {
+	c := qt.New(t)
+	n := startServices(t, 3, 5, 20)
+	time.Sleep(5 * time.Second)
+	takeAll := func(address string) (count int) {
+		for {
+			if ok, _ := n.services[address].Take(context.Background(), "a"); !ok {
+				return count
+			}
+			count++
+		}
+	}
+	taken := takeAll("10.0.0.0:7000")
+	c.Check(taken >= 20, qt.IsTrue, qt.Commentf("%d calls", taken))
+	for range taken {
+		n.services["10.0.0.0:7000"].Refund("a")
+	}
+	time.Sleep(tokenLife + 100*time.Millisecond)
+	again := takeAll("10.0.0.1:7000")
+	c.Check(again >= taken-2 && again <= taken+2, qt.IsTrue, qt.Commentf("%d calls, then %d at another node", taken, again))
+}
+
 // TestServiceCutOff guards against calls that are refused for longer than a lease when a coordinator does not answer.
 func TestServiceCutOff(t *testing.T) { synctest.Test(t, testServiceCutOff) }
 
