quota: bounded refunds while a customer is beyond its quota

Refunds now go to the coordinator, which returns all of them unless it refused a node in the last 5 s, and then 2% of the rate. Ageing each refund was ruled out, since it would need the future outcome of the calls charged since.

--- a/quota/account.go
+++ b/quota/account.go
@@ -33,9 +33,11 @@
 	// returned counts the expired tokens to be returned to the epoch that granted them.
 	returned      int
 	returnedEpoch uint64
-	nextAsk       time.Time
-	deniedUntil   time.Time
-	retryAt       time.Time
+	// refunded counts the calls that did not run and whose charge is to be returned.
+	refunded    int
+	nextAsk     time.Time
+	deniedUntil time.Time
+	retryAt     time.Time
 }
 
 // grant is a number of tokens that may be used for a time. epoch is 0 for refunds.
@@ -126,8 +128,10 @@
 	return target - held
 }
 
-// idle reports whether there are expired tokens that no request for further ones will return soon.
-func (a *account) idle() bool { return a.returned > 0 && !a.asked && a.target() == 0 }
+// idle reports whether there are refunds, or expired tokens that no request for further ones will return soon.
+func (a *account) idle() bool {
+	return !a.asked && (a.refunded > 0 || a.returned > 0 && a.target() == 0)
+}
 
 // deny records that the coordinator has no tokens for wait.
 func (a *account) deny(now time.Time, wait time.Duration) {
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -9,6 +9,13 @@
 const (
 	// maxWait bounds how far tokens that have not come yet are promised to refused nodes, which ask again earlier.
 	maxWait = 2 * time.Second
+	// While nodes are refused, refunds are bounded to refundRate of the rate, and at once to refundBurst of the burst and
+	// minRefunds. That is 0.1 s of the rate in a window of 5 s. refundCalm is the time without a refusal after which all
+	// refunds count.
+	refundRate  = 0.02
+	refundBurst = 0.125
+	minRefunds  = 4
+	refundCalm  = 5 * time.Second
 	// longestWait bounds the time until the first token of a small quota.
 	longestWait = time.Minute
 	// stepInterval is the longest time between two steps of a Coordinator with leases.
@@ -47,6 +54,9 @@
 // pool holds the tokens of one customer.
 type pool struct {
 	bucket
+	// refunds bounds the refunds while nodes are refused, which was last so at deniedAt.
+	refunds  bucket
+	deniedAt time.Time
 	// next is the time until which the tokens to come are already promised to refused nodes.
 	next time.Time
 }
@@ -217,7 +227,7 @@
 	if p == nil || share <= 0 {
 		return schema.QuotaGrant_builder{WaitUs: uint32(retryTime.Microseconds())}.Build()
 	}
-	p.level += float64(ask.GetReturned())
+	p.level += float64(ask.GetReturned()) + p.refund(now, x, share, float64(ask.GetRefunded()))
 	p.accrue(now, share*x.rate, capacityOf(x.rate, x.burst, share))
 	tokens := p.take(int(ask.GetWant()))
 	c.counts.Granted += uint64(tokens)
@@ -225,10 +235,22 @@
 		return schema.QuotaGrant_builder{Tokens: uint32(tokens)}.Build()
 	}
 	c.counts.Refused++
+	p.deniedAt = now
 	wait := p.promise(now, share*x.rate, float64(ask.GetWant()))
 	return schema.QuotaGrant_builder{WaitUs: uint32(wait.Microseconds())}.Build()
 }
 
+// refund returns how many of the calls that did not run are returned to the bucket: all of them, unless nodes were refused lately.
+// Callers that are beyond their quota then use a refund at once for another call, so during an outage the tokens on their way
+// would grow with its length, and all of them would be used in the first window after it.
+func (p *pool) refund(now time.Time, x customer, share, count float64) float64 {
+	p.refunds.accrue(now, share*x.rate*refundRate, max(1, share*(x.burst*refundBurst+minRefunds)))
+	if now.Sub(p.deniedAt) > refundCalm {
+		return count
+	}
+	return float64(p.refunds.take(int(count)))
+}
+
 // promise returns the time after which a node that was refused should ask again. Nodes are told successive times, at which
 // the tokens that each of them wants will have come.
 func (p *pool) promise(now time.Time, rate, want float64) time.Duration {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -70,6 +70,8 @@
 	decideOther func(m *machine, l *load) bool
 	// loss is the share of the messages that are lost.
 	loss float64
+	// outage is set while no call runs. Calls are refunded 300 ms later.
+	outage bool
 	// first is the step from which refusals count: leases begin after one lease time.
 	first int
 }
@@ -192,6 +194,8 @@
 		verdict = Allowed
 	}
 	switch {
+	case verdict == Allowed && f.outage:
+		f.later(m, 300, func(now time.Time) { m.node.Refund(now, w.load.name) })
 	case verdict == Allowed:
 		w.load.ran++
 		w.load.runs[f.step]++
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -67,14 +67,6 @@
 	return l
 }
 
-// epochOrZero returns the epoch of the last reply, or 0 for a nil link.
-func (l *link) epochOrZero() uint64 {
-	if l == nil {
-		return 0
-	}
-	return l.epoch
-}
-
 // preferred returns the first coordinator of a slot that has not failed, or nil.
 func (n *Node) preferred(slot int) *link {
 	for _, l := range n.ranked[slot] {
--- a/quota/load_test.go
+++ b/quota/load_test.go
@@ -92,6 +92,10 @@
 				f.at(8*time.Second, func() { m.paused = false })
 			}
 		}, 0.25},
+		{"no call runs for 2 s, refunds come later", func(f *fleet) {
+			f.outage = true
+			f.at(7*time.Second, func() { f.outage = false })
+		}, 0.05},
 		{"a fifth of the messages lost", func(f *fleet) { f.loss = 0.2 }, 0.35},
 		{"half of the nodes know half of the members", func(f *fleet) {
 			f.update(f.view(half(f)), half(f)...)
--- a/quota/node.go
+++ b/quota/node.go
@@ -184,27 +184,16 @@
 	return min(max(wait, retryTime), longestWait)
 }
 
-// Refund returns the token of a call that did not run. The node keeps no more than it would hold anyway; further ones go back to
-// the coordinator, whose bucket is bounded. After an outage many come together, and would exceed the bound of the window in
-// which they are used otherwise.
+// Refund returns the charge of a call that did not run to the coordinator.
 func (n *Node) Refund(now time.Time, name string) {
 	a := n.accounts[name]
-	if a == nil {
+	if a == nil || n.askable(a.slot) == nil {
 		return
 	}
 	a.expire(now)
-	l := n.askable(a.slot)
-	switch {
-	case a.own != nil:
-		n.accrueAccount(now, a)
-		a.own.level++
-		n.accrueAccount(now, a)
-	case l == nil || a.held() < max(1, a.target()):
-		a.add(grant{count: 1, until: now.Add(tokenLife), epoch: l.epochOrZero()})
-	default:
-		a.giveBack(grant{count: 1, epoch: l.epoch})
-		n.enqueue(a)
-	}
+	a.refunded++
+	a.deniedUntil = time.Time{}
+	n.enqueue(a)
 }
 
 // checkPause drops all tokens if the process was paused. It may have used up their life without a clock that counted it.
@@ -294,13 +283,13 @@
 }
 
 func (a *account) ask(epoch uint64) *schema.QuotaAsk {
-	// A request that only returns tokens wants none.
+	// A request that only returns tokens or refunds wants none.
 	want := max(a.waiting, a.target()-a.held(), 0)
 	a.waiting = 0
-	ask := schema.QuotaAsk_builder{Customer: a.hash, Want: uint32(want)}
+	ask := schema.QuotaAsk_builder{Customer: a.hash, Want: uint32(want), Refunded: uint32(a.refunded)}
 	if a.returnedEpoch == epoch {
 		ask.Returned = uint32(a.returned)
 	}
-	a.returned = 0
+	a.returned, a.refunded = 0, 0
 	return ask.Build()
 }
