--- a/quota/lease.go
+++ b/quota/lease.go
@@ -257,7 +257,7 @@
 		}
 		g := r.GetGrants()[i]
 		a.add(grant{count: int(g.GetTokens()), until: m.sentAt.Add(tokenLife), epoch: m.Request.GetEpoch()})
-		if g.GetTokens() == 0 {
+		if g.GetWaitUs() > 0 {
 			a.deny(now, time.Duration(g.GetWaitUs())*time.Microsecond)
 		}
 	}
--- a/quota/node.go
+++ b/quota/node.go
@@ -181,20 +181,19 @@
 	if a.retryAt.After(now) {
 		wait = a.retryAt.Sub(now)
 	}
-	return min(max(wait, retryTime), maxWait)
+	return min(max(wait, retryTime), longestWait)
 }
 
-// Refund returns the token of a call that did not run. Its life begins anew, so no more are returned than the node would
-// hold: a long outage returns many calls at once, which would exceed the bound of the window in which they run then.
+// Refund returns the charge of a call that did not run to the coordinator.
 func (n *Node) Refund(now time.Time, name string) {
 	a := n.accounts[name]
-	if a == nil {
+	if a == nil || n.askable(a.slot) == nil {
 		return
 	}
 	a.expire(now)
-	if a.held() < max(1, a.target()) {
-		a.add(grant{count: 1, until: now.Add(tokenLife)})
-	}
+	a.refunded++
+	a.deniedUntil = time.Time{}
+	n.enqueue(a)
 }
 
 // checkPause drops all tokens if the process was paused. It may have used up their life without a clock that counted it.
@@ -223,7 +222,10 @@
 		a.expire(now)
 		a.measure(elapsed)
 		a.giveUpAsk(now)
-		if a.missing(now) > 0 && n.askable(a.slot) != nil {
+		if n.askable(a.slot) == nil {
+			continue
+		}
+		if a.missing(now) > 0 || a.idle() {
 			a.nextAsk = now.Add(askInterval)
 			n.enqueue(a)
 		}
@@ -281,12 +283,13 @@
 }
 
 func (a *account) ask(epoch uint64) *schema.QuotaAsk {
-	want := max(a.waiting, a.target()-a.held(), 1)
+	// A request that only returns tokens or refunds wants none.
+	want := max(a.waiting, a.target()-a.held(), 0)
 	a.waiting = 0
-	ask := schema.QuotaAsk_builder{Customer: a.hash, Want: uint32(want)}
+	ask := schema.QuotaAsk_builder{Customer: a.hash, Want: uint32(want), Refunded: uint32(a.refunded)}
 	if a.returnedEpoch == epoch {
 		ask.Returned = uint32(a.returned)
 	}
-	a.returned = 0
+	a.returned, a.refunded = 0, 0
 	return ask.Build()
 }
