status: a status outside of 100 to 999 is no answer

A backend server in trouble sent the status line "HTTP/1.1 000 Odd" with a body, and the caller got it as 200: the HTTP library parses the code and its accessor returns 200 for 0. The status 099 passed for an interim response, so the call waited for another one until its deadline. The same holds for health checks (a server with a status of 000 counted as healthy), for reads of the platform (a body with a status of 000 was taken for the document), and for replies between nodes, whose code was passed on unchecked.

The package status checks the status line before the library parses it, and the code in the reply of a guard. The outcome is unknown with the reason garbled (502). The statuses 0, 00, 20, 1000, -20, +200 and an empty one were unknown with the reason truncated (502) before, and have the reason garbled now. 600 and 999 are passed on as before. Replies to cancels carry no code, and the load generator reads only the project's own front.

--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -16,6 +16,7 @@
 
 	"verbenareel/core"
 	"verbenareel/schema"
+	"verbenareel/status"
 )
 
 // backendConn is a connection to the backend server. It counts the bytes read and written for the current request.
@@ -291,6 +292,8 @@
 		result.Reason = schema.Reason_REASON_CANCELLED
 	case errors.As(err, &timeout) && timeout.Timeout():
 		result.Reason = schema.Reason_REASON_DEADLINE
+	case errors.Is(err, status.ErrMeaningless):
+		result.Reason = schema.Reason_REASON_GARBLED
 	case c.bytesRead > 0:
 		result.Reason = schema.Reason_REASON_TRUNCATED
 	default:
@@ -331,6 +334,9 @@
 	h := &response.Header
 	h.DisableNormalizing()
 	h.SetNoDefaultContentType(true)
+	if err := status.CheckLine(c.reader); err != nil {
+		return err
+	}
 	if err := h.Read(c.reader); err != nil {
 		return err
 	}
--- a/native/reader.go
+++ b/native/reader.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"verbenareel/core"
+	"verbenareel/status"
 )
 
 const (
@@ -231,6 +232,9 @@
 	if err := conn.writer.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
+	if err := status.CheckLine(conn.reader); err != nil {
+		return fmt.Errorf("read response: %w", err)
+	}
 	if err := response.ReadLimitBody(conn.reader, maxResponseBody); err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
--- /dev/null
+++ b/native/status_test.go
@@ -0,0 +1,65 @@
+package native
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+)
+
+// TestStatus guards against a response of the platform with a meaningless status that is taken for a document.
+func TestStatus(t *testing.T) {
+	for _, status := range []string{"000 Odd", "099 Odd"} {
+		t.Run(status, func(t *testing.T) {
+			client := New(startStatusPlatform(t, status), clockwork.NewRealClock(), WithTimeout(5*time.Second))
+			defer client.Close()
+			_, text, err := client.Document(context.Background(), 0, 0)
+			var failure *Error
+			qt.Assert(t, errors.As(err, &failure), qt.IsTrue)
+			qt.Check(t, failure.Code(), qt.Equals, 0)
+			qt.Check(t, text, qt.IsNil)
+			_, err = client.Members(context.Background())
+			qt.Check(t, err, qt.IsNotNil)
+		})
+	}
+}
+
+// startStatusPlatform starts a platform that responds to each request with a status line, and returns its URL.
+func startStatusPlatform(t *testing.T, status string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() { respondWith(conn, status) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Wait()
+	})
+	return "http://" + listener.Addr().String()
+}
+
+func respondWith(conn net.Conn, status string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: 7\r\nContent-Length: 16\r\n\r\n{\"instances\":[]}", status, RevisionHeader)
+	}
+}
--- a/router/send.go
+++ b/router/send.go
@@ -9,6 +9,7 @@
 	"verbenareel/core"
 	"verbenareel/picker"
 	"verbenareel/schema"
+	"verbenareel/status"
 )
 
 // cancelTimeout is how long a cancelled call waits for the guard's confirmation, in addition to the network round trip.
@@ -139,11 +140,12 @@
 	return view.Instance().Address() == r.self.GetAddress()
 }
 
-// guardReply wraps a reply of a guard. A reply with an unknown status does not tell whether the call ran.
+// guardReply wraps a reply of a guard. A reply with an unknown status does not tell whether the call ran, and neither does an
+// answer without a valid status code.
 func guardReply(reply *schema.ExecuteReply) sendResult {
 	switch reply.GetStatus() {
 	case schema.Status_STATUS_ANSWERED, schema.Status_STATUS_NOT_RUN, schema.Status_STATUS_UNKNOWN:
-		return sendResult{reply: reply, sent: true, replied: true}
+		return sendResult{reply: status.CheckReply(reply), sent: true, replied: true}
 	}
 	return sendResult{reply: core.Unknown(schema.Reason_REASON_MALFORMED), sent: true}
 }
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -64,7 +64,7 @@
 	"cold":              "the backend server was in cold start and had reached its rate of new calls",
 	"slow":              "the backend server was temporarily slow",
 	"cancelled":         "the caller cancelled the request",
-	"garbled":           "the response did not belong to this request",
+	"garbled":           "the response did not belong to this request or had no valid status",
 	"unmarked-refusal":  "the backend server answered 408, 421, 429 or 503 without its mark that the request did not run",
 	"memory":            "the node had no memory left for large bodies",
 	"too-large":         "the request or its response exceeds a size limit of the service",
