platform, peers: nothing regresses when the store is restored from a backup

A restored store has lost what was written since the backup and gives its revisions out again. Nodes took a revision of the new era for an old one (changes were not applied until the store had passed the revision of the loss), or a backup for the current state: a withdrawn route was back, an evacuation ended or began, a draining server looked ready.

An offered text can be older in parts although its revision is higher. Nodes that hold different texts under one revision pull each other's and merge them to the same text. A new process thus gets what only its peers know.

In the grace after a restoration missing entries count as lapsed, and the own entry does not overrule the health check.

--- a/node/node.go
+++ b/node/node.go
@@ -213,7 +213,7 @@
 	if n.adapter == nil {
 		return peers.DefaultReadPolicy()
 	}
-	return peers.ReadPolicy{
+	reading := peers.ReadPolicy{
 		Parse:              n.adapter.Parse,
 		WatchTimeout:       adapterWatchTimeout,
 		ReadersPerDomain:   adapterReaders,
@@ -226,6 +226,10 @@
 		Burst:              adapterBurst,
 		OutageGrace:        n.settings.GetListGrace().AsDuration(),
 	}
+	if restorable, ok := n.adapter.(core.Restorable); ok {
+		reading.Merge, reading.RestoredAt = restorable.Merge, restorable.RestoredAt
+	}
+	return reading
 }
 
 // platform returns the platform client, or nil if no platform is configured.
--- a/peers/outage.go
+++ b/peers/outage.go
@@ -10,6 +10,8 @@
 	start, end time.Time
 	// reached is when the latest of the successful reads began, failed when the last failed read ended.
 	reached, failed time.Time
+	// restored is when the first response after the platform was last restored from a backup arrived.
+	restored time.Time
 }
 
 // record records the result of a read that began at a time. The failure of a read says nothing about the platform if a later
@@ -40,10 +42,40 @@
 // inGrace reports whether entries of live instances may be missing because they expired in an outage of the platform.
 func (s *State) inGrace(now time.Time) bool { return s.outage.inGrace(now, s.reading.OutageGrace) }
 
+// restore records that the platform was restored from a backup, and that the first response since then arrived at a time. This is
+// like the end of an outage: entries that were written since the backup are missing until they are written again.
+func (o *outage) restore(at time.Time) {
+	o.restored = at
+	o.failed, o.end = latest(o.failed, at), latest(o.end, at)
+}
+
+// recentlyRestored reports whether the platform may still show an earlier state of the node's own entry, since it was restored
+// from a backup.
+func (s *State) recentlyRestored(now time.Time) bool {
+	return !s.outage.restored.IsZero() && now.Sub(s.outage.restored) < s.reading.OutageGrace
+}
+
+// checkRestored looks whether the platform was restored from a backup. The node's own entry is then read at once.
+func (s *State) checkRestored(now time.Time) {
+	if s.reading.RestoredAt == nil {
+		return
+	}
+	at := s.reading.RestoredAt()
+	if !at.After(s.outage.restored) {
+		return
+	}
+	s.counters.PlatformRestores++
+	s.outage.restore(at)
+	if !s.listRequestedAt.IsZero() {
+		s.RequestListRead(now)
+	}
+}
+
 // recordReadResult records whether a read that began at a time reached the platform.
 func (s *State) recordReadResult(now, began time.Time, err error) {
 	if err != nil {
 		s.counters.PlatformFailures++
 	}
 	s.outage.record(now, began, err)
+	s.checkRestored(now)
 }
--- a/peers/ownentry.go
+++ b/peers/ownentry.go
@@ -100,6 +100,10 @@
 		s.ownMissingSince = began
 	}
 	s.listedAt = began
+	if s.recentlyRestored(now) {
+		// The entry may be that of the backup, so the list confirms nothing.
+		s.listedAt = time.Time{}
+	}
 	s.table.applyOwn(s.self.GetInstance(), entry, now)
 	if s.provesService(entry) {
 		s.enterService(now)
--- a/peers/publish.go
+++ b/peers/publish.go
@@ -12,8 +12,8 @@
 
 // publishedVersion identifies the state that a snapshot was built from.
 type publishedVersion struct {
-	revision, changes uint64
-	listedAt          time.Time
+	revision, manifest, changes uint64
+	listedAt                    time.Time
 	// own is the hash of the node's own record in force.
 	own uint64
 }
@@ -25,7 +25,7 @@
 	if now.Sub(e.publishedAt) >= delay || e.snapshot.Load() == nil {
 		return false
 	}
-	return seen.revision == e.published.revision && seen.listedAt.Equal(e.published.listedAt) && seen.own == e.published.own
+	return seen.revision == e.published.revision && seen.manifest == e.published.manifest && seen.listedAt.Equal(e.published.listedAt) && seen.own == e.published.own
 }
 
 // publish stores a new snapshot if the document or a member record changed.
@@ -40,6 +40,7 @@
 	e.firstProcess.Store(&first)
 	seen := publishedVersion{
 		revision: e.state.Revision(),
+		manifest: e.state.manifest(),
 		changes:  e.state.table.changes,
 		listedAt: e.state.listedAt,
 		own:      hashRecord(e.state.table.byName[e.state.self.GetInstance()].effective()),
--- a/peers/pull.go
+++ b/peers/pull.go
@@ -12,11 +12,10 @@
 	switch {
 	case revision < s.Revision() || revision == 0:
 		return
-	case revision == s.Revision():
-		if manifest == s.manifest() {
-			s.recordConfirmation(confirmedAt)
-			return
-		}
+	case revision == s.Revision() && manifest == s.manifest():
+		s.recordConfirmation(confirmedAt)
+		return
+	case revision == s.Revision() && !s.mayMerge(manifest):
 		s.recordConflict(manifest)
 		return
 	case revision == s.rejected.revision && manifest == s.rejected.manifest:
@@ -174,29 +173,32 @@
 
 // applyDocument validates a text and accepts or rejects it. A revision lower than the accepted one is never applied.
 func (s *State) applyDocument(now time.Time, revision uint64, text []byte, confirmedAt time.Time) {
-	candidate := newDocumentVersion(revision, text)
+	offered := newDocumentVersion(revision, text)
 	switch {
 	case revision < s.Revision():
 		s.counters.Lower++
 		return
-	case revision == s.Revision() && s.accepted != nil:
-		if candidate.manifest != s.accepted.manifest {
-			s.recordConflict(candidate.manifest)
-			return
-		}
-		s.recordConfirmation(confirmedAt)
+	case revision == s.rejected.revision && offered.manifest == s.rejected.manifest:
 		return
-	case revision == s.rejected.revision && candidate.manifest == s.rejected.manifest:
+	}
+	candidate, text := s.merge(offered, text)
+	unchanged := s.accepted != nil && candidate.manifest == s.accepted.manifest
+	switch {
+	case unchanged && revision == s.Revision():
+		s.recordConfirmation(confirmedAt)
 		return
-	case candidate.manifest == s.manifest():
+	case unchanged:
 		s.advanceRevision(revision, confirmedAt)
 		return
+	case s.accepted != nil && revision == s.Revision() && s.reading.Merge == nil:
+		s.recordConflict(candidate.manifest)
+		return
 	}
 	document, err := s.reading.Parse(text)
 	if err != nil {
 		s.counters.Rejected++
 		if revision >= s.rejected.revision {
-			s.rejected = rejectedVersion{revision: revision, manifest: candidate.manifest, faults: err, at: now}
+			s.rejected = rejectedVersion{revision: revision, manifest: offered.manifest, faults: err, at: now}
 		}
 		return
 	}
--- /dev/null
+++ b/peers/restore_test.go
@@ -0,0 +1,112 @@
+package peers
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenareel/schema"
+)
+
+// restorableState returns a state whose platform may be restored, at the time to which restored points. Of two texts, the one that
+// is greater in bytes holds.
+func restorableState(now time.Time, restored *time.Time) *State {
+	s := ownEntryState(now)
+	s.reading.RestoredAt = func() time.Time { return *restored }
+	s.reading.Merge = func(_ uint64, accepted []byte, _ uint64, candidate []byte) []byte {
+		if bytes.Compare(accepted, candidate) > 0 {
+			return accepted
+		}
+		return candidate
+	}
+	return s
+}
+
+// TestRestoredOwnEntry guards against a server that gets no more work because the backup does not have its entry yet, and
+// against a health check that is overruled by an entry of the backup.
+func TestRestoredOwnEntry(t *testing.T) {
+	now, restored := time.Unix(1_700_000_000, 0), time.Time{}
+	s := restorableState(now, &restored)
+	identify(s, now)
+	own := listed(ownName, "127.0.0.1:1", serving)
+	entry := func(m *schema.Member) { s.OwnEntryDone(now, ReadOwnEntry{Instance: ownName, sentAt: now}, m, nil) }
+	entry(own)
+	qt.Check(t, s.Snapshot().ListTime(), qt.Equals, now)
+
+	now = now.Add(time.Second)
+	restored = now
+	entry(nil)
+	checkState(t, s, ownName, serving)
+	qt.Check(t, s.counters.PlatformRestores, qt.Equals, uint64(1))
+	qt.Check(t, s.listRequestedAt, qt.Equals, now)
+	now = now.Add(time.Second)
+	entry(own)
+	checkState(t, s, ownName, serving)
+	qt.Check(t, s.Snapshot().ListTime().IsZero(), qt.IsTrue)
+	entry(listed(ownName, "127.0.0.1:1", leaving))
+	checkState(t, s, ownName, leaving)
+	now = now.Add(3 * time.Second)
+	entry(own)
+	qt.Check(t, s.Snapshot().ListTime(), qt.Equals, now)
+	now = now.Add(time.Second)
+	entry(nil)
+	checkState(t, s, ownName, leaving)
+	qt.Check(t, s.counters.PlatformRestores, qt.Equals, uint64(1))
+}
+
+// TestRestoredList guards against servers that are forgotten because the backup does not name them yet.
+func TestRestoredList(t *testing.T) {
+	now, restored := time.Unix(1_700_000_000, 0), time.Time{}
+	s := restorableState(now, &restored)
+	list := func(members ...*schema.Member) { s.MembersDone(now, ReadMembers{sentAt: now}, members, nil) }
+	list(listed("sheets-9", "127.0.0.1:9", serving))
+	restored = now
+	list()
+	checkState(t, s, "sheets-9", serving)
+	now = now.Add(3 * time.Second)
+	list()
+	qt.Check(t, s.Snapshot().Instance("sheets-9"), qt.IsNil)
+}
+
+// TestMergedDocuments guards against nodes that keep different texts under one revision, and against pulls without end between
+// them.
+func TestMergedDocuments(t *testing.T) {
+	now, restored := time.Unix(1_700_000_000, 0), time.Time{}
+	x, y := restorableState(now, &restored), restorableState(now, &restored)
+	low, high := testDocument(2, 3), testDocument(3, 3)
+	if bytes.Compare(low, high) > 0 {
+		low, high = high, low
+	}
+	x.applyDocument(now, 7, high, now)
+	y.applyDocument(now, 8, low, now)
+	for range 3 {
+		offerTo(now, y, x)
+		offerTo(now, x, y)
+	}
+	qt.Check(t, x.Revision(), qt.Equals, uint64(8))
+	qt.Check(t, y.Revision(), qt.Equals, uint64(8))
+	qt.Check(t, string(x.accepted.text()), qt.Equals, string(high))
+	qt.Check(t, string(y.accepted.text()), qt.Equals, string(high))
+	pulls := x.counters.Pulls + y.counters.Pulls
+	offerTo(now, y, x)
+	offerTo(now, x, y)
+	qt.Check(t, x.counters.Pulls+y.counters.Pulls, qt.Equals, pulls)
+	x.applyDocument(now, 9, low, now)
+	qt.Check(t, x.Revision(), qt.Equals, uint64(9))
+	qt.Check(t, string(x.accepted.text()), qt.Equals, string(high))
+}
+
+// offerTo passes the digest of one state to another one and performs the pull that follows.
+func offerTo(now time.Time, from, to *State) {
+	revision, manifest, confirmed := from.Digest(now)
+	to.TakeEffects()
+	to.HandleDigest(now, "127.0.0.1:5", revision, manifest, confirmed)
+	for _, e := range taken[FetchManifest](to) {
+		to.ManifestDone(now, e, from.HandleManifest(now, e.Request), nil)
+	}
+	for _, e := range taken[FetchSections](to) {
+		to.SectionsDone(now, e, from.HandleSections(now, e.Request), nil)
+	}
+}
--- a/peers/state.go
+++ b/peers/state.go
@@ -107,7 +107,7 @@
 	Pulls, PullsFailed                            uint64
 	Accepted, Rejected, Lower, Conflicts          uint64
 	PlatformCalls, PlatformFailures, PlatformHeld uint64
-	PlatformStale                                 uint64
+	PlatformStale, PlatformRestores, Merged       uint64
 	Pauses, Removed, Published, Dropped           uint64
 }
 
@@ -125,6 +125,8 @@
 	rejected         rejectedVersion
 	pull             *pull
 	conflictManifest uint64
+	// mergedManifest is the manifest of the text that was last merged with the accepted one.
+	mergedManifest uint64
 
 	startedAt   time.Time
 	lastTick    time.Time
@@ -224,6 +226,9 @@
 	// OutageGrace is the time after an outage of the platform during which instances that the list no longer names are kept:
 	// their entries may have expired during the outage.
 	OutageGrace time.Duration
+	// Merge and RestoredAt are those of core.Restorable. They are nil for a platform that is never restored from a backup.
+	Merge      func(inForce uint64, accepted []byte, revision uint64, candidate []byte) []byte
+	RestoredAt func() time.Time
 }
 
 // DefaultReadPolicy returns the settings for a platform that speaks this project's own protocol.
--- a/peers/status.go
+++ b/peers/status.go
@@ -57,7 +57,7 @@
 		"announcements": c.Announcements, "pulls": c.Pulls, "pulls_failed": c.PullsFailed,
 		"documents_accepted": c.Accepted, "documents_rejected": c.Rejected, "documents_lower": c.Lower,
 		"documents_conflicting": c.Conflicts, "platform_calls": c.PlatformCalls, "platform_failures": c.PlatformFailures,
-		"platform_held": c.PlatformHeld, "platform_stale": c.PlatformStale, "pauses": c.Pauses,
+		"platform_held": c.PlatformHeld, "platform_stale": c.PlatformStale, "platform_restores": c.PlatformRestores, "documents_merged": c.Merged, "pauses": c.Pauses,
 		"members_removed": c.Removed, "snapshots_published": c.Published, "dropped": c.Dropped,
 	}
 }
