io: no more connections to the backend server than it accepts

A call that must not run twice is not sent on a connection that was idle for over a second. A new connection was opened beside the idle ones, so that up to twice max_connections were open; a full server resets those beyond its maximum, and the calls were unknown. The idle connections used least recently are now closed first. TestConnectionLimit fails before (connection-lost) and passes now, 3 of 3 with -race. Ruled out by TestFullSilent: a connection on which a server ignored a request, whose caller then gave up or left, is not used again; it passes before too.

--- a/io/backend.go
+++ b/io/backend.go
@@ -254,6 +254,7 @@
 		}
 		b.closeConn(c)
 	}
+	b.makeRoom()
 	conn, err := b.dial(ctx)
 	if err != nil {
 		return nil, err
@@ -269,6 +270,18 @@
 	return c, nil
 }
 
+// makeRoom closes the idle connections for which there is no room beside those of the requests in progress. A server resets
+// connections beyond its maximum, and a reset does not tell what has run. b.idle is ordered by the time of the last use.
+func (b *Backend) makeRoom() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for len(b.idle) > 0 && len(b.idle) > b.semaphore.free() {
+		delete(b.open, b.idle[0])
+		_ = b.idle[0].Close()
+		b.idle = b.idle[1:]
+	}
+}
+
 func (b *Backend) dial(ctx context.Context) (*net.TCPConn, error) {
 	dialer := net.Dialer{Timeout: b.dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", b.address)
--- a/io/semaphore.go
+++ b/io/semaphore.go
@@ -68,6 +68,13 @@
 	return s.limit
 }
 
+// free returns the number of slots that are not in use.
+func (s *semaphore) free() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.limit - s.used
+}
+
 func (s *semaphore) grantWaiters() {
 	for s.used < s.limit && len(s.waiters) > 0 {
 		close(s.waiters[0])
