guard: a full server that resets connections is no crash, and gets fewer calls

Two resets within 100 ms counted as a restart, and a reset without a sign of life as a crash, also where a full server reset the connection of the probe. Requests became suspects and the server got the load of a cold one. Resets of calls that were sent are now judged after the check for a crash: an open idle connection, or a report since, shows that the server lives. After a report of a full server no crash is assumed for 1 s; signs of a crash confirm one as before.

Requests that wait at the server beyond two lower the limit: the guard sends no more than there are slots, so such a queue shows calls that were given up and still run. This takes effect only for servers that report a queue of more than two beside full slots.

--- a/guard/crash.go
+++ b/guard/crash.go
@@ -147,9 +147,12 @@
 	switch {
 	case isRefused(err), g.inLastCrash(held):
 		g.confirmCrash(now, g.crash.suspicions)
-	case !lives && len(g.running) == 0 && slices.ContainsFunc(held, (*call).impliesCrash):
+	case !lives && !g.recentlyFull(now) && len(g.running) == 0 && slices.ContainsFunc(held, (*call).impliesCrash):
 		g.crash.assumed = g.confirmCrash(now, g.crash.suspicions)
 	}
+	if g.restartAssumed(now, lives) {
+		g.treatAsCold(now, "several connections reset")
+	}
 	crashed = g.inLastCrash(held)
 	suspects, g.crash.unpushed = g.crash.unpushed, nil
 	if err != nil {
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -70,8 +70,10 @@
 	probes   int
 	down     error
 	openIdle bool
-	report   *core.ServerReport
-	send     func(ctx context.Context, request *core.Request, inFlight int) *core.Result
+	// probeError is the error of each probe.
+	probeError error
+	report     *core.ServerReport
+	send       func(ctx context.Context, request *core.Request, inFlight int) *core.Result
 }
 
 func (b *backend) Send(ctx context.Context, request *core.Request) *core.Result {
@@ -94,8 +96,11 @@
 func (b *backend) Probe(ctx context.Context) (*core.ServerReport, error) {
 	b.mu.Lock()
 	b.probes++
-	report := b.report
+	report, err := b.report, b.probeError
 	b.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
 	return report, b.Connect(ctx)
 }
 
--- a/guard/run.go
+++ b/guard/run.go
@@ -53,6 +53,8 @@
 	reportApplied  time.Time
 	lastReset      time.Time
 	resets         int
+	// fullAt is when the last report arrived if the server was full by it, or zero.
+	fullAt time.Time
 	// lastAnswered is the latest start time among the answered calls.
 	lastAnswered time.Time
 	// down is true while no connection can be opened. connectDue makes the next tick try to open one.
@@ -263,7 +265,7 @@
 		g.applyReport(now, c.admit.Started(), result.Report)
 	}
 	if result.ConnectionReset {
-		g.countReset(now)
+		g.countReset(now, reply.GetStatus() == schema.Status_STATUS_UNKNOWN)
 	}
 	if reply.GetStatus() == schema.Status_STATUS_NOT_RUN {
 		reason := reply.GetReason()
@@ -309,7 +311,8 @@
 // ramp of the limiter, and later ones restart the ramp only after it has ended.
 func (g *Guard) applyReport(now, asked time.Time, report *core.ServerReport) {
 	g.slots = report.Limit
-	g.limiter.SetReportedLimit(now, g.knee.limit(now, report.Limit, report.Cold))
+	g.limiter.SetReportedLimit(now, freeSlots(g.knee.limit(now, report.Limit, report.Cold), report))
+	g.recordFull(now, report)
 	if report.Pace > 0 {
 		g.pace.record(now, report.Pace)
 	}
@@ -386,14 +389,15 @@
 	g.refreshList()
 }
 
-// countReset counts a connection reset by the backend server. Several within a short time indicate a restart.
-func (g *Guard) countReset(now time.Time) {
+// countReset counts a connection reset by the backend server. Several within a short time indicate a restart. If the call was
+// sent, the check for a crash decides about it.
+func (g *Guard) countReset(now time.Time, sent bool) {
 	if now.Sub(g.server.lastReset) > resetWindow {
 		g.server.resets = 0
 	}
 	g.server.lastReset = now
 	g.server.resets++
-	if g.server.resets >= resetThreshold {
+	if g.server.resets >= resetThreshold && !sent {
 		g.treatAsCold(now, "several connections reset")
 	}
 }
