peers: a new process asks its peers before it follows a store that may be restored

A store without eras is read as before. Ruled out: waiting for all peers, which delays each start by the slowest.

TestHeldDocument shows each of the four ends.

--- a/node/node.go
+++ b/node/node.go
@@ -228,6 +228,7 @@
 	}
 	if restorable, ok := n.adapter.(core.Restorable); ok {
 		reading.Merge, reading.RestoredAt = restorable.Merge, restorable.RestoredAt
+		reading.AskPeers = restorable.MayBeRestored
 	}
 	return reading
 }
--- a/peers/pull.go
+++ b/peers/pull.go
@@ -130,6 +130,7 @@
 	}
 	s.pull = nil
 	s.applyDocument(now, p.revision, text, p.confirmedAt)
+	s.releaseHeld(now)
 	s.finishRecheck()
 }
 
--- a/peers/read.go
+++ b/peers/read.go
@@ -156,7 +156,7 @@
 }
 
 func (s *State) documentPending(now time.Time) bool {
-	return s.documentRead.pending(now, s.reading.WatchTimeout+readTimeout)
+	return s.held != nil || s.documentRead.pending(now, s.reading.WatchTimeout+readTimeout)
 }
 
 // confirmReadDue reports whether to read the document although a watch may be pending. The nodes of the fleet are
@@ -276,9 +276,9 @@
 	confirmedAt := sent.sentAt.Add(min(sent.Wait, now.Sub(sent.sentAt)))
 	switch {
 	case text != nil && (s.rechecking || sent.pauseCount != s.pauseCount):
-		s.applyDocument(now, revision, text, sent.sentAt)
+		s.applyRead(now, revision, text, sent.sentAt)
 	case text != nil:
-		s.applyDocument(now, revision, text, now)
+		s.applyRead(now, revision, text, now)
 	case revision < s.Revision():
 		s.counters.PlatformStale++
 	case sent.After >= s.Revision():
@@ -306,6 +306,8 @@
 		others = append(others, r)
 	}
 	s.table.applyOthers(others, now, s.self.GetInstance(), s.inGrace(now))
+	s.askPeers(now)
+	s.releaseHeld(now)
 	if s.reading.ReadOwnEntry {
 		s.countDiscovery(len(others))
 		if s.provesService(ownEntry) {
--- a/peers/restore_test.go
+++ b/peers/restore_test.go
@@ -110,3 +110,59 @@
 		to.SectionsDone(now, e, from.HandleSections(now, e.Request), nil)
 	}
 }
+
+// TestHeldDocument guards against a new process that follows a backup until it hears from its peers, and against one that waits for
+// peers that there are not.
+func TestHeldDocument(t *testing.T) {
+	low, high := testDocument(2, 3), testDocument(3, 3)
+	if bytes.Compare(low, high) > 0 {
+		low, high = high, low
+	}
+	start := time.Unix(1_700_000_000, 0)
+	restored := time.Time{}
+	for name, test := range map[string]func(*State){
+		"peer knows better": func(s *State) {
+			s.MembersDone(start, ReadMembers{sentAt: start}, listedOthers(), nil)
+			peer := restorableState(start, &restored)
+			peer.applyDocument(start, 5, high, start)
+			sent := taken[SendSync](s)
+			qt.Assert(t, sent, qt.HasLen, 3)
+			qt.Check(t, s.Snapshot(), qt.IsNil)
+			s.SyncDone(start, sent[0], peer.HandleSync(start, sent[0].Request), nil)
+			fetch := taken[FetchManifest](s)
+			qt.Assert(t, fetch, qt.HasLen, 1)
+			s.ManifestDone(start, fetch[0], peer.HandleManifest(start, fetch[0].Request), nil)
+			for _, e := range taken[FetchSections](s) {
+				s.SectionsDone(start, e, peer.HandleSections(start, e.Request), nil)
+			}
+			qt.Check(t, string(s.accepted.text()), qt.Equals, string(high))
+		},
+		"alone": func(s *State) { s.MembersDone(start, ReadMembers{sentAt: start}, nil, nil) },
+		"peers without a document": func(s *State) {
+			s.MembersDone(start, ReadMembers{sentAt: start}, listedOthers(), nil)
+			for _, sent := range taken[SendSync](s)[:enoughReplies] {
+				qt.Check(t, s.Snapshot(), qt.IsNil)
+				s.SyncDone(start, sent, &schema.SyncReply{}, nil)
+			}
+		},
+		"no answer": func(s *State) {
+			s.MembersDone(start, ReadMembers{sentAt: start}, listedOthers(), nil)
+			s.Tick(start.Add(maxHold / 2))
+			qt.Check(t, s.Snapshot(), qt.IsNil)
+			s.Tick(start.Add(maxHold))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := restorableState(start, &restored)
+			s.reading.StartSpread = 0
+			s.accepted = nil
+			s.reading.AskPeers = func() bool { return true }
+			s.DocumentDone(start, ReadDocument{sentAt: start}, 9, low, nil)
+			qt.Check(t, s.Snapshot(), qt.IsNil)
+			test(s)
+			qt.Assert(t, s.accepted, qt.IsNotNil)
+			qt.Check(t, s.Revision(), qt.Equals, uint64(9))
+			qt.Check(t, s.held, qt.IsNil)
+		})
+	}
+}
--- a/peers/state.go
+++ b/peers/state.go
@@ -125,6 +125,10 @@
 	rejected         rejectedVersion
 	pull             *pull
 	conflictManifest uint64
+	// held is the first document read from the platform while it is held back, or nil.
+	held *heldDocument
+	// startReplies counts the answers of peers before the first document was in force.
+	startReplies int
 	// mergedManifest is the manifest of the text that was last merged with the accepted one.
 	mergedManifest uint64
 
@@ -229,6 +233,9 @@
 	// Merge and RestoredAt are those of core.Restorable. They are nil for a platform that is never restored from a backup.
 	Merge      func(inForce uint64, accepted []byte, revision uint64, candidate []byte) []byte
 	RestoredAt func() time.Time
+	// AskPeers reports whether a new process must hear from its peers before a document that it reads takes effect, since the
+	// platform may just have been restored. nil means that it need not.
+	AskPeers func() bool
 }
 
 // DefaultReadPolicy returns the settings for a platform that speaks this project's own protocol.
@@ -342,6 +349,7 @@
 	s.raiseVersion(now)
 	s.announceRecords(now)
 	s.startSync(now)
+	s.releaseHeld(now)
 	s.startDueReads(now)
 	if now.Sub(s.lastExpiry) >= expireInterval {
 		s.lastExpiry = now
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -306,6 +306,7 @@
 		s.reannounceSelf(now, s.self.GetVersion()+1, s.self.GetState())
 	}
 	s.handleRevision(sent.To, reply.GetRevision(), reply.GetManifest(), confirmedAt)
+	s.countStartReply(now)
 	if len(sent.Request.GetBuckets()) > 0 {
 		s.repairBuckets(sent.To, reply.GetBuckets())
 	}
