--- a/node/node.go
+++ b/node/node.go
@@ -244,7 +244,7 @@
 	if n.adapter == nil {
 		return peers.DefaultReadPolicy()
 	}
-	return peers.ReadPolicy{
+	reading := peers.ReadPolicy{
 		Parse:              n.adapter.Parse,
 		WatchTimeout:       adapterWatchTimeout,
 		ReadersPerDomain:   adapterReaders,
@@ -257,6 +257,11 @@
 		Burst:              adapterBurst,
 		OutageGrace:        n.settings.GetListGrace().AsDuration(),
 	}
+	if restorable, ok := n.adapter.(core.Restorable); ok {
+		reading.Merge, reading.RestoredAt = restorable.Merge, restorable.RestoredAt
+		reading.AskPeers = restorable.MayBeRestored
+	}
+	return reading
 }
 
 // platform returns the platform client, or nil if no platform is configured.
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -307,6 +307,7 @@
 	}
 	s.recordStartAnswer(sent.To, reply.GetRevision())
 	s.handleRevision(sent.To, reply.GetRevision(), reply.GetManifest(), confirmedAt)
+	s.countStartReply(now)
 	if len(sent.Request.GetBuckets()) > 0 {
 		s.repairBuckets(sent.To, reply.GetBuckets())
 	}
