io: bound what callers make a node hold

Callers that pipeline requests without reading responses, send very many short header fields or large bodies in small chunks made a node hold gigabytes: only bodies above 64 KB counted, up to 64 requests of a connection were read whatever they held, and a parsed field costs some 200 bytes besides its text.

The budget now counts calls in progress, parsed fields, bodies (in segments while their length is unknown), large read buffers and responses that have not been taken. When it is full, the message with the most bytes times age is given up, and a reader waits until its memory is released. A response given by the server is never given up while its caller takes it. While responses wait, a connection is not read beyond a bound; under pressure it has one request at a time. A path without a rule reads no body above 4 KB. Bodies and responses have 5 s and 10 s for each 16 KB, in place of 5 s and 10 s in all: a 64 MB body on a 10 Mbit/s link was refused before. A new connection above the limit takes the place of one without progress. The soft limit of the heap is 112 MB in place of 192 MB.

--- a/cmd/verbenareel/memory.go
+++ b/cmd/verbenareel/memory.go
@@ -11,8 +11,9 @@
 	// heapShare is the divisor of the machine's memory that gives the soft limit of a node's heap. The machine also runs the
 	// backend server.
 	heapShare = 2
-	// maxHeap is the highest soft limit in bytes.
-	maxHeap = 192 << 20
+	// maxHeap is the highest soft limit in bytes. The budget for what callers make a node hold is at most 32 MB; twice that and
+	// the stacks of some thousand connections fit.
+	maxHeap = 112 << 20
 )
 
 // limitHeap makes the garbage collector run more often as a node approaches its share of the machine's memory, unless GOMEMLIMIT
--- a/core/core.go
+++ b/core/core.go
@@ -264,6 +264,12 @@
 	Handle(ctx context.Context, call *Call) *schema.ExecuteReply
 }
 
+// HeadGate is implemented by a Handler that knows from the header of a call whether it needs the body.
+type HeadGate interface {
+	// NeedsBody reports whether Handle may run the call. If it is false, Handle refuses the call whatever its body.
+	NeedsBody(call *Call) bool
+}
+
 // Call is a request from a caller or a nested call from the node's own backend server.
 type Call struct {
 	Method string
--- a/io/front.go
+++ b/io/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -33,11 +34,17 @@
 	// keepAlivesDisabled adds "Connection: close" to each response behind which no request has been passed on.
 	keepAlivesDisabled atomic.Bool
 	limits             atomic.Pointer[frontLimits]
+	callers            callerLimits
+	refusals           refusalLog
 
 	mutex    sync.Mutex
 	sessions map[*session]struct{}
-	draining bool
-	closed   bool
+	// closing is the number of sessions whose connection was closed for another one, and fromAddress that of the sessions of
+	// each IP address.
+	closing     int
+	fromAddress map[netip.Addr]int
+	draining    bool
+	closed      bool
 }
 
 // acceptLastWait is how long connections are accepted after a graceful shutdown has begun. They may have waited in the kernel's
@@ -66,6 +73,9 @@
 		listener:     listener,
 		done:         make(chan struct{}),
 		sessions:     make(map[*session]struct{}),
+		fromAddress:  make(map[netip.Addr]int),
+		callers:      newCallerLimits(&o),
+		refusals:     newRefusalLog(o.logger),
 	}
 	f.stopped, f.stop = context.WithCancel(context.Background())
 	f.Configure(nil)
@@ -129,11 +139,12 @@
 func (f *Front) startSession(conn net.Conn) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.closed || len(f.sessions) >= f.maxConnections {
-		f.errorCounter.inc(kindTooManyConns)
+	if f.closed || !f.admit(conn) {
 		_ = conn.Close()
 		return
 	}
+	address := addressOf(conn)
+	f.fromAddress[address]++
 	s := newSession(f, conn)
 	if f.draining {
 		s.drain(lastRequestWait)
@@ -143,10 +154,21 @@
 		s.serve()
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
-		delete(f.sessions, s)
+		f.remove(s, address)
 	})
 }
 
+// remove ends the session of a caller. The mutex must be held.
+func (f *Front) remove(s *session, address netip.Addr) {
+	delete(f.sessions, s)
+	if s.closed {
+		f.closing--
+	}
+	if f.fromAddress[address]--; f.fromAddress[address] <= 0 {
+		delete(f.fromAddress, address)
+	}
+}
+
 // DisableKeepAlives adds "Connection: close" to all responses from now on. New connections are still accepted.
 func (f *Front) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
 
@@ -185,8 +207,11 @@
 func (f *Front) drain() {
 	f.startDraining()
 	if tcp, ok := f.listener.(*net.TCPListener); ok {
-		_ = tcp.SetDeadline(time.Now().Add(acceptLastWait))
-		_ = f.accept()
+		// A deadline that passes before this goroutine runs makes Accept fail although connections wait.
+		for first := true; first || readable(tcp); first = false {
+			_ = tcp.SetDeadline(time.Now().Add(acceptLastWait))
+			_ = f.accept()
+		}
 	}
 	_ = f.listener.Close()
 }
--- a/io/memory.go
+++ b/io/memory.go
@@ -4,14 +4,20 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
 const (
-	// freeMessageBytes is the size up to which a body is not counted, so that small messages pass while large ones fill the
-	// budget.
-	freeMessageBytes = 64 << 10
+	// freeMessageBytes is the size up to which a message being read is not counted, and smallMessageBytes the size up to which
+	// it may use the reserve, so that small messages pass while large ones fill the budget.
+	freeMessageBytes  = 4 << 10
+	smallMessageBytes = 64 << 10
+	// reserveShare is the divisor of the budget that gives the reserve for small messages.
+	reserveShare = 2
+	// pressureShare is the divisor of the budget that gives the use above which a connection has one request at a time.
+	pressureShare = 2
 	// budgetShare is the divisor of the machine's memory that gives the budget. Buffers that grow leave several times the
 	// bytes that they hold as garbage.
 	budgetShare     = 16
@@ -19,18 +25,27 @@
 	maxMemoryBudget = 32 << 20
 	// defaultMachineMemory is assumed if the machine does not tell its memory.
 	defaultMachineMemory = 128 << 20
+	// scoreAge is added to the age of a message, so that among new messages the largest is given up.
+	scoreAge = 100 * time.Millisecond
+	// maxFreeWait limits the wait for the memory of messages that have been given up.
+	maxFreeWait = time.Second
 )
 
-// errMemoryFull is returned by reads of a body for which the node has no memory left.
-var errMemoryFull = errors.New("no memory left for large bodies")
+// errMemoryFull is returned by reads of a message for which the node has no memory left.
+var errMemoryFull = errors.New("no memory left for large requests")
 
-// Memory is the budget of bytes for the large bodies that a node holds: request bodies of callers and answers of the backend
-// server. When it is full, the largest body that is being read is given up.
+// Memory is the budget of bytes for what callers and the backend server make a node hold: requests being read, calls in
+// progress, and responses that have not been taken. When it is full, the message that holds most for longest is given up.
 type Memory struct {
-	mutex    sync.Mutex
-	limit    int
-	used     int
-	holdings map[*holding]struct{}
+	mutex sync.Mutex
+	limit int
+	used  int
+	// releasing is the part of used that belongs to messages that have been given up and not yet released.
+	releasing int
+	holdings  map[*holding]struct{}
+	// freed is closed when memory is released or a message is given up; nil if nobody waits.
+	freed   chan struct{}
+	evicted atomic.Int64
 }
 
 // NewMemory returns a budget of a number of bytes.
@@ -59,81 +74,63 @@
 	return m.used
 }
 
-// holding is the part of the budget that one message takes. Its methods are called by one goroutine.
-type holding struct {
-	memory *Memory
-	// bytes is the size of the message so far. Once the message counts, it is protected by the mutex of the budget.
-	bytes  int
-	counts bool
-	// prepaid is the part of a declared length that has not been read yet.
-	prepaid int
-	// abort ends the read of the message; nil if it cannot be given up. It is protected by the mutex of the budget.
-	abort func()
-	// evicted is set once the message has been given up.
-	evicted atomic.Bool
-}
+// Limit returns the size of the budget in bytes.
+func (m *Memory) Limit() int { return m.limit }
 
-// hold returns the holding of a new message. abort is called from another goroutine to end its reading.
-func (m *Memory) hold(abort func()) *holding { return &holding{memory: m, abort: abort} }
+// Evicted returns the number of messages that have been given up.
+func (m *Memory) Evicted() int64 { return m.evicted.Load() }
 
-// reserve counts a declared length before it is read: a buffer of that length is allocated at once.
-func (h *holding) reserve(n int) error {
-	if n <= 0 {
-		return nil
-	}
-	err := h.grow(n)
-	h.prepaid = n
-	return err
-}
+// pressed reports whether so much is in use that connections should not have several requests at a time.
+func (m *Memory) pressed() bool { return m.Used() > m.limit/pressureShare }
 
-// grow adds bytes to the message. It returns errMemoryFull if the message has to be given up.
-func (h *holding) grow(n int) error {
-	if h.evicted.Load() {
-		return errMemoryFull
-	}
-	paid := min(n, h.prepaid)
-	h.prepaid -= paid
-	if n -= paid; n == 0 {
-		return nil
-	}
-	if !h.counts && h.bytes+n <= freeMessageBytes {
-		h.bytes += n
-		return nil
+// take counts n more bytes of a message. If they do not fit, the message that holds most for longest is given up, which may
+// be this one, and take waits for its memory.
+func (m *Memory) take(h *holding, n int) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	deadline := time.Now().Add(maxFreeWait)
+	for {
+		if h.evicted.Load() {
+			return errMemoryFull
+		}
+		if m.fits(h, n) {
+			m.add(h, n)
+			return nil
+		}
+		if m.used-m.releasing+n > m.limit {
+			victim := m.victim(h)
+			if victim == nil || victim == h {
+				m.evict(h)
+				return errMemoryFull
+			}
+			m.evict(victim)
+			victim.abort()
+		}
+		if !m.waitFreed(time.Until(deadline)) {
+			m.evict(h)
+			return errMemoryFull
+		}
 	}
-	return h.memory.take(h, n)
 }
 
-// pin keeps the message, which has been read whole, from being given up. It returns errMemoryFull if it has been already.
-func (h *holding) pin() error {
-	if !h.counts {
-		return nil
+// fits reports whether a message may have n more bytes. A small message may use the reserve. A single request may exceed the
+// whole budget while nearly nothing else is held, since the document allows it.
+func (m *Memory) fits(h *holding, n int) bool {
+	if m.used+n <= m.limit {
+		return true
 	}
-	h.memory.mutex.Lock()
-	defer h.memory.mutex.Unlock()
-	if h.evicted.Load() {
-		return errMemoryFull
+	if h.bytes+n <= smallMessageBytes {
+		return m.used+n <= m.limit+m.limit/reserveShare
 	}
-	h.abort = nil
-	return nil
-}
-
-// release returns the bytes of the message to the budget.
-func (h *holding) release() {
-	if h == nil || !h.counts {
-		return
+	counted := 0
+	if h.counts {
+		counted = h.bytes
 	}
-	m := h.memory
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.used -= h.bytes
-	delete(m.holdings, h)
-	h.counts, h.bytes = false, 0
+	return h.mayExceed && h.bytes+n > m.limit/reserveShare && m.used-counted <= m.limit/budgetShare
 }
 
-// take counts n more bytes of a message. If they exceed the budget, the largest message is given up, which may be this one.
-func (m *Memory) take(h *holding, n int) error {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+// add counts n more bytes of a message, whatever the limit.
+func (m *Memory) add(h *holding, n int) {
 	if !h.counts {
 		h.counts = true
 		m.holdings[h] = struct{}{}
@@ -141,19 +138,59 @@
 	}
 	h.bytes += n
 	m.used += n
-	if m.used <= m.limit {
-		return nil
+}
+
+// victim returns the message that is to be given up for h, which may be nil: the one with the most bytes times age, which may
+// be h. It returns nil if there is none.
+func (m *Memory) victim(h *holding) *holding {
+	now := time.Now()
+	worst, worstScore := (*holding)(nil), 0.0
+	if h != nil && h.abort != nil {
+		worst, worstScore = h, h.score(now)
 	}
-	largest := h
 	for other := range m.holdings {
-		if other.abort != nil && !other.evicted.Load() && other.bytes > largest.bytes {
-			largest = other
+		if other == h || other.evicted.Load() || !other.expendable(now) {
+			continue
 		}
+		if score := other.score(now); score > worstScore {
+			worst, worstScore = other, score
+		}
+	}
+	return worst
+}
+
+func (m *Memory) evict(h *holding) {
+	if h.evicted.Swap(true) {
+		return
+	}
+	m.evicted.Add(1)
+	if h.counts {
+		m.releasing += h.bytes
+	}
+	m.signalFreed()
+}
+
+func (m *Memory) signalFreed() {
+	if m.freed != nil {
+		close(m.freed)
+		m.freed = nil
+	}
+}
+
+// waitFreed waits until memory is released, and reports false after the limit. The mutex is released meanwhile.
+func (m *Memory) waitFreed(limit time.Duration) bool {
+	if m.freed == nil {
+		m.freed = make(chan struct{})
 	}
-	largest.evicted.Store(true)
-	if largest == h {
-		return errMemoryFull
+	freed := m.freed
+	m.mutex.Unlock()
+	defer m.mutex.Lock()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-freed:
+		return true
+	case <-timer.C:
+		return false
 	}
-	largest.abort()
-	return nil
 }
--- a/io/option.go
+++ b/io/option.go
@@ -55,6 +55,7 @@
 	pingTimeout     time.Duration
 	wire            *core.WireFormat
 	memory          *Memory
+	callerLimits    CallerLimits
 }
 
 // Option configures a Server, Transport, Backend or Front. Options that do not apply to a component are ignored.
--- a/io/parse.go
+++ b/io/parse.go
@@ -43,7 +43,8 @@
 	errFraming        = errors.New("length of the body is ambiguous")
 )
 
-// readHeader returns the request line and header fields without consuming them from the reader.
+// readHeader returns the request line and header fields without consuming them from the reader. It returns bufio.ErrBufferFull if
+// they do not fit into its buffer.
 func readHeader(r *bufio.Reader, limit int) ([]byte, error) {
 	searched := 0
 	for {
@@ -61,6 +62,9 @@
 		if len(buffered) >= limit {
 			return nil, errHeaderTooLarge
 		}
+		if len(buffered) == r.Size() {
+			return nil, bufio.ErrBufferFull
+		}
 		searched = max(0, len(buffered)-len("\r\n\r"))
 		if _, err := r.Peek(len(buffered) + 1); err != nil {
 			return nil, err
@@ -178,7 +182,7 @@
 // Unwrap returns the underlying error.
 func (e *FieldError) Unwrap() error { return e.err }
 
-// newCall copies a request into a call, because the buffers of the request are reused.
+// newCall copies the header of a request into a call, because the buffers of the request are reused.
 func newCall(w *core.WireFormat, request *fasthttp.Request) (*core.Call, error) {
 	uri := originForm(string(request.Header.RequestURI()))
 	call := &core.Call{
@@ -186,7 +190,6 @@
 		URI:    uri,
 		Path:   pathOf(uri),
 		Host:   hostName(string(request.Header.Host())),
-		Body:   append([]byte(nil), request.Body()...),
 	}
 	headers := newHeaderCopier()
 	var fields callFields
@@ -293,7 +296,7 @@
 }
 
 // rejectionFor returns the response to a request that could not be read or parsed, or nil if the connection has failed.
-func (f *Front) rejectionFor(err error) *response {
+func (f *Front) rejectionFor(err error, conn net.Conn) *response {
 	reason := schema.Reason_REASON_MALFORMED
 	code := 0
 	var field *FieldError
@@ -313,7 +316,7 @@
 	case isNetError(err):
 		return nil
 	}
-	f.errorCounter.inc(core.ReasonName(reason))
+	f.refuse(core.ReasonName(reason), conn)
 	return newRejection(f.wire, reason, code, err)
 }
 
--- a/io/session.go
+++ b/io/session.go
@@ -7,7 +7,6 @@
 	stdio "io"
 	"net"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,30 +14,20 @@
 	"go.uber.org/zap"
 
 	"verbenareel/core"
-	"verbenareel/schema"
 )
 
 const (
-	// headerBufferSize is the size of a read buffer and the upper limit for the size of a header.
-	headerBufferSize = 32 << 10
-	// maxPipelined is the maximum number of concurrent requests of one connection. Further requests are not read until
-	// earlier ones have been answered.
-	maxPipelined = 64
 	// lingerTimeout is how long to wait for the caller to close the connection after this side has closed its writing end.
 	// Closing a socket with unread data resets the connection, and the caller may lose the last response.
 	lingerTimeout = time.Second
 	// lastRequestWait is how long a session still accepts a request after a graceful shutdown has begun: it may have been sent
 	// before the caller could notice.
 	lastRequestWait = 50 * time.Millisecond
-	// interimResponse requests the body from a caller that sent "Expect: 100-continue".
-	interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
 var (
-	headerReaderPool   = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, headerBufferSize) }}
-	responseWriterPool = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
-	errCallerClosed    = errors.New("caller closed the connection")
-	errLastRequest     = errors.New("no further requests on the connection")
+	errCallerClosed = errors.New("caller closed the connection")
+	errLastRequest  = errors.New("no further requests on the connection")
 )
 
 // session serves the connection of one caller.
@@ -51,6 +40,8 @@
 	// responses contains the pending responses in the order of their requests.
 	responses chan *pendingResponse
 	inFlight  atomic.Int64
+	// unwritten is the number of requests whose responses have not been written.
+	unwritten atomic.Int64
 	// drainEnd is the time in nanoseconds since the Unix epoch after which no further request is read; 0 means that there is
 	// none. reading is set while a request is being read, which is completed even after that time.
 	drainEnd atomic.Int64
@@ -63,21 +54,39 @@
 	reader     *bufio.Reader
 	pushedBack []byte
 	firstByte  [1]byte
-	// holding is the memory that the request takes that is being read, or nil.
-	holding *holding
+	// holding is the memory that the request takes that is being read, or nil. bufferHolding is that of a large read buffer.
+	holding       *holding
+	bufferHolding *holding
+	// progress counts the bytes of a body that have been read since its deadline was set; bodyTimeout is 0 outside of bodies.
+	progress    int
+	bodyTimeout time.Duration
+	// taken is signalled when a response has been written.
+	taken chan struct{}
+	// held is the number of bytes that the requests and responses in flight hold.
+	held atomic.Int64
+	// progressAt is the time in nanoseconds since the Unix epoch of the last progress of the caller. closed reports that the
+	// connection was closed for another one; it is protected by the mutex of the front.
+	progressAt atomic.Int64
+	closed     bool
+	// writingSince is the time in nanoseconds since the Unix epoch of the last progress of a write in progress; 0 if there is none.
+	writingSince atomic.Int64
 }
 
 // pendingResponse is the response to one request. It is complete when done is closed.
 type pendingResponse struct {
 	done     chan struct{}
 	response *response
-	// holding is the memory that the request and the response take; nil for a response that takes hardly any.
+	// holding is the memory that the request, and then the response takes; nil for a response that takes hardly any. held is its
+	// share of the bytes held by the session.
 	holding *holding
+	held    int
 }
 
 func newSession(f *Front, conn net.Conn) *session {
-	s := &session{front: f, conn: conn, responses: make(chan *pendingResponse, maxPipelined)}
+	s := &session{front: f, conn: conn, responses: make(chan *pendingResponse, f.callers.maxPipelined), taken: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(f.stopped)
+	s.bufferHolding = f.memory.hold(s.expireRead)
+	s.recordProgress()
 	return s
 }
 
@@ -107,6 +116,7 @@
 	}
 	_ = s.conn.Close()
 	s.releaseReader()
+	s.bufferHolding.release()
 }
 
 // closedChannel is a channel that is closed.
@@ -137,139 +147,67 @@
 // readRequests reads requests and starts a call for each. The returned error is the reason why it stopped.
 func (s *session) readRequests() error {
 	for {
+		s.awaitTaken()
 		if err := s.awaitRequest(); err != nil {
 			return err
 		}
 		s.reading.Store(true)
-		limits := s.front.limits.Load()
-		_ = s.conn.SetReadDeadline(time.Now().Add(limits.headerTimeout))
-		s.holding = s.front.memory.hold(func() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) })
+		s.holding = s.front.memory.hold(s.expireRead)
+		s.holding.mayExceed = true
 		request := fasthttp.AcquireRequest()
-		err := s.readRequest(request, limits)
-		if s.holding.evicted.Load() {
+		call, err := s.readRequest(request)
+		if s.evicted() {
 			err = errMemoryFull
 		}
 		s.reading.Store(false)
 		if err == nil {
-			err = s.startCall(request)
-		} else {
+			err = s.startCall(call, s.isLast(request, call))
+		}
+		if err != nil && !errors.Is(err, errLastRequest) {
+			s.holding.release()
 			err = s.reject(err)
 		}
 		fasthttp.ReleaseRequest(request)
 		if err != nil {
-			s.holding.release()
 			return err
 		}
 	}
 }
 
-// awaitRequest waits for the first byte of the next request, and detects if the caller closes the connection.
-func (s *session) awaitRequest() error {
-	if s.reader != nil && s.reader.Buffered() > 0 {
-		return nil
-	}
-	s.releaseReader()
-	idleSince := time.Now()
-	for {
-		_ = s.conn.SetReadDeadline(idleSince.Add(s.front.limits.Load().idleTimeout))
-		if end := s.drainEnd.Load(); end != 0 {
-			_ = s.conn.SetReadDeadline(time.Unix(0, end))
-		}
-		n, err := s.conn.Read(s.firstByte[:])
-		switch {
-		case n > 0:
-			s.pushedBack = s.firstByte[:]
-			s.reader = headerReaderPool.Get().(*bufio.Reader)
-			s.reader.Reset(s)
-			return nil
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return errCallerClosed
-		case s.draining():
-			return errLastRequest
-		case s.inFlight.Load() > 0:
-			idleSince = time.Now()
-		case time.Since(idleSince) >= s.front.limits.Load().idleTimeout:
-			return errLastRequest
-		}
-	}
-}
-
-// Read implements io.Reader. It returns the pushed-back byte first and then reads from the connection.
-func (s *session) Read(p []byte) (int, error) {
-	if len(s.pushedBack) > 0 {
-		n := copy(p, s.pushedBack)
-		s.pushedBack = s.pushedBack[n:]
-		return n, nil
-	}
-	n, err := s.conn.Read(p)
-	if full := s.holding.grow(n); full != nil {
-		return 0, full
-	}
-	return n, err
-}
-
-// readRequest reads and validates one request.
-func (s *session) readRequest(request *fasthttp.Request, limits *frontLimits) error {
-	header, err := readHeader(s.reader, limits.maxHeader)
-	if err != nil {
-		return err
-	}
-	if err := validateHeader(header); err != nil {
-		return err
-	}
-	request.Header.DisableNormalizing()
-	request.Header.SetNoDefaultContentType(true)
-	if err := request.Header.Read(s.reader); err != nil {
-		return &headerError{err: err}
-	}
-	_ = s.conn.SetReadDeadline(time.Now().Add(s.front.readTimeout))
-	if request.MayContinue() && s.inFlight.Load() == 0 {
-		if _, err := s.conn.Write([]byte(interimResponse)); err != nil {
-			return err
-		}
-	}
-	if length := request.Header.ContentLength(); length <= limits.maxBody {
-		if err := s.holding.reserve(length); err != nil {
-			return err
-		}
-	}
-	return request.ContinueReadBody(s.reader, limits.maxBody, false)
-}
-
 // startCall passes a request to the handler in a new goroutine.
-func (s *session) startCall(request *fasthttp.Request) error {
-	call, err := newCall(s.front.wire, request)
-	if err != nil {
-		return s.reject(err)
-	}
-	last := request.ConnectionClose() || !request.Header.IsHTTP11()
-	if err := s.holding.pin(); err != nil {
-		return s.reject(err)
+func (s *session) startCall(call *core.Call, last bool) error {
+	if err := s.holding.pin(callCost); err != nil {
+		return err
 	}
-	a := &pendingResponse{done: make(chan struct{}), holding: s.holding}
-	s.holding = s.front.memory.hold(nil)
+	a := &pendingResponse{done: make(chan struct{}), holding: s.holding, held: s.holding.bytes}
 	s.inFlight.Add(1)
+	s.unwritten.Add(1)
+	s.held.Add(int64(a.held))
+	s.recordProgress()
 	s.responses <- a
-	s.front.group.Go(func() {
-		defer close(a.done)
-		reply := s.front.handle(s, call)
-		if a.holding.grow(len(reply.GetBody())) != nil {
-			s.front.errorCounter.inc(core.ReasonName(schema.Reason_REASON_MEMORY))
-			reply = core.Unknown(schema.Reason_REASON_MEMORY)
-		}
-		a.response = newResponse(s.front.wire, call, reply)
-		a.response.close = last
-	})
+	s.front.group.Go(func() { s.runCall(a, call, last) })
 	if last {
 		return errLastRequest
 	}
 	return nil
 }
 
+// runCall calls the handler. From then on the response is held in place of the request.
+func (s *session) runCall(a *pendingResponse, call *core.Call, last bool) {
+	defer close(a.done)
+	reply := s.front.handle(s, call)
+	a.response = newResponse(s.front.wire, call, reply)
+	a.response.close = last
+	size := a.response.size()
+	s.held.Add(int64(size - a.held))
+	a.held = size
+	a.holding.replace(size, s.abort, s.stalled)
+}
+
 // reject responds to a request that could not be read or parsed, and ends the reading. It sends no response if the connection
 // has failed.
 func (s *session) reject(err error) error {
-	response := s.front.rejectionFor(err)
+	response := s.front.rejectionFor(err, s.conn)
 	if response == nil {
 		return errCallerClosed
 	}
@@ -278,37 +216,11 @@
 	a := &pendingResponse{done: make(chan struct{}), response: response}
 	close(a.done)
 	s.inFlight.Add(1)
+	s.unwritten.Add(1)
 	s.responses <- a
 	return errLastRequest
 }
 
-// writeResponses writes the responses in the order of their requests.
-func (s *session) writeResponses() {
-	w := responseWriterPool.Get().(*bufio.Writer)
-	w.Reset(s.conn)
-	defer responseWriterPool.Put(w)
-	stopped := false
-	for a := range s.responses {
-		<-a.done
-		s.inFlight.Add(-1)
-		if stopped {
-			a.holding.release()
-			continue
-		}
-		_ = s.conn.SetWriteDeadline(time.Now().Add(s.front.writeTimeout))
-		last := a.response.close
-		a.response.close = last || s.front.keepAlivesDisabled.Load() && !s.hasMoreRequests()
-		a.response.write(w)
-		err := w.Flush()
-		a.holding.release()
-		s.lastWritten = err == nil && a.response.close
-		if err != nil || last {
-			stopped = true
-			s.stopReading(err)
-		}
-	}
-}
-
 // hasMoreRequests reports whether requests behind the one that is answered have been passed on or are being read. A caller that
 // respects "Connection: close" would discard their responses.
 func (s *session) hasMoreRequests() bool { return s.inFlight.Load() > 0 || s.reading.Load() }
@@ -317,6 +229,9 @@
 func (s *session) stopReading(err error) {
 	if err != nil {
 		s.front.errorCounter.inc(kindWrite)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			s.front.refuse(kindStalled, s.conn)
+		}
 		s.cancel()
 		_ = s.conn.Close()
 	}
@@ -358,12 +273,3 @@
 		_, _ = stdio.Copy(stdio.Discard, s.conn)
 	}
 }
-
-// releaseReader puts the reader back into the pool.
-func (s *session) releaseReader() {
-	if s.reader != nil {
-		s.reader.Reset(nil)
-		headerReaderPool.Put(s.reader)
-		s.reader = nil
-	}
-}
--- a/router/call.go
+++ b/router/call.go
@@ -87,6 +87,12 @@
 	return reply
 }
 
+// NeedsBody implements core.HeadGate.
+func (r *Router) NeedsBody(input *core.Call) bool {
+	t := r.current(r.clock.Now())
+	return t.snapshot != nil && t.snapshot.Route(input.Method, input.Host, input.Path) != nil
+}
+
 // run executes an accepted call.
 func (r *Router) run(ctx context.Context, c *call) *schema.ExecuteReply {
 	switch {
