io, config, node: limits for callers, bound on the sum of frames

Settings in [callers]: memory, connections in total and for each address, pipelined requests, reserved file descriptors, timeouts for progress, and the sum of messages between nodes that a server reads at a time. check validates them by section, key and line and warns where they can't fit the machine. The status and readiness listeners read at most 1 KB of a body.

The reserve of the budget for small messages is a quarter, not a half: with a half TestEndlessAnswersTogether failed once, at 1,372,736 bytes.

--- a/cmd/verbenareel/commands.go
+++ b/cmd/verbenareel/commands.go
@@ -19,9 +19,11 @@
 	"github.com/urfave/cli/v3"
 
 	"verbenareel/config"
+	"verbenareel/io"
 	"verbenareel/load"
 	"verbenareel/node"
 	"verbenareel/platform"
+	"verbenareel/schema"
 	"verbenareel/trial"
 )
 
@@ -112,8 +114,11 @@
 		if err != nil {
 			return fmt.Errorf("read file: %w", err)
 		}
+		var warnings []string
 		if c.Bool("settings") {
-			_, err = config.ParseSettings(text)
+			var settings *schema.Settings
+			settings, err = config.ParseSettings(text)
+			warnings = config.CallerWarnings(settings, io.MachineMemory(), io.Descriptors())
 		} else {
 			_, err = config.ParseDocument(text)
 		}
@@ -122,6 +127,9 @@
 			_, _ = fmt.Fprintf(c.Root().Writer, "%s:\n%v\n", path, err)
 			continue
 		}
+		for _, warning := range warnings {
+			_, _ = fmt.Fprintf(c.Root().Writer, "%s: warning: %s\n", path, warning)
+		}
 		_, _ = fmt.Fprintf(c.Root().Writer, "%s: ok\n", path)
 	}
 	if invalid > 0 {
--- a/config/check.go
+++ b/config/check.go
@@ -436,6 +436,7 @@
 		c.report("", "log_level", "is %s; expected one of debug, info, warn, error", quote([]byte(s.GetLogLevel())))
 	}
 	c.checkDuration("", "drain_timeout", s.GetDrainTimeout(), 0, maxTimeout)
+	checkCallers(c, s.GetCallers())
 }
 
 func (c *checker) checkSettingsName(key, value string) {
--- a/crowd/stand.go
+++ b/crowd/stand.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -135,8 +136,12 @@
 }
 
 // Call sends one ordinary request and returns the status of the response, or 0 without one.
-func (s *Stand) Call(timeout time.Duration) int {
-	client := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+func (s *Stand) Call(timeout time.Duration) int { return s.CallFrom(&net.Dialer{}, timeout) }
+
+// CallFrom is like Call with connections of the dialer.
+func (s *Stand) CallFrom(dialer *net.Dialer, timeout time.Duration) int {
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+	client := http.Client{Timeout: timeout, Transport: transport}
 	response, err := client.Get("http://" + s.HTTP + EchoPath)
 	if err != nil {
 		return 0
--- a/io/memory.go
+++ b/io/memory.go
@@ -15,7 +15,7 @@
 	freeMessageBytes  = 4 << 10
 	smallMessageBytes = 64 << 10
 	// reserveShare is the divisor of the budget that gives the reserve for small messages.
-	reserveShare = 2
+	reserveShare = 4
 	// pressureShare is the divisor of the budget that gives the use above which a connection has one request at a time.
 	pressureShare = 2
 	// budgetShare is the divisor of the machine's memory that gives the budget. Buffers that grow leave several times the
--- a/io/option.go
+++ b/io/option.go
@@ -56,6 +56,7 @@
 	wire            *core.WireFormat
 	memory          *Memory
 	callerLimits    CallerLimits
+	frameMemory     int
 }
 
 // Option configures a Server, Transport, Backend or Front. Options that do not apply to a component are ignored.
@@ -123,6 +124,11 @@
 	return func(o *options) { o.memory = memory }
 }
 
+// WithFrameMemory sets the maximum sum in bytes of the messages that a Server is reading. The default is 32 MB.
+func WithFrameMemory(size int) Option {
+	return func(o *options) { o.frameMemory = size }
+}
+
 func newOptions(opts []Option, idleTimeout time.Duration, maxConnections int) options {
 	o := options{
 		logger:          zap.NewNop(),
--- a/io/server.go
+++ b/io/server.go
@@ -57,6 +57,7 @@
 	executor     core.Executor
 	peer         core.Peer
 	bodies       *bodyStore
+	frames       *frameBudget
 	listener     net.Listener
 	group        conc.WaitGroup
 	stopped      context.Context
@@ -84,6 +85,7 @@
 		executor:     executor,
 		peer:         peer,
 		bodies:       newBodyStore(o.clock, classBodies.maxMessageSize(o.maxBody)),
+		frames:       newFrameBudget(o.frameMemory),
 		listener:     listener,
 		stopped:      stopped,
 		stop:         stop,
@@ -319,7 +321,7 @@
 		return stdio.EOF
 	}
 	header := &c.request
-	if err := c.reader.read(header); err != nil {
+	if err := c.reader.readWithin(c.server.frames, c.conn, header); err != nil {
 		c.recordFrameError(err)
 		c.closeWithError(err)
 		return stdio.EOF
@@ -343,7 +345,7 @@
 	if !ok {
 		return c.checkRead(c.reader.skip())
 	}
-	return c.checkRead(c.reader.read(message))
+	return c.checkRead(c.reader.readWithin(c.server.frames, c.conn, message))
 }
 
 func (c *serverConn) checkRead(err error) error {
--- /dev/null
+++ b/node/callers.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"verbenareel/io"
+	"verbenareel/schema"
+)
+
+const (
+	// maxProbeBody is the size in bytes of the request bodies that the status and readiness listeners read; their paths need none.
+	maxProbeBody = 1 << 10
+	// maxProbeConnections is the number of connections that each of them serves at a time.
+	maxProbeConnections = 1024
+)
+
+// callerMemory returns the budget for what callers make the node hold.
+func callerMemory(s *schema.Callers) *io.Memory {
+	if s.GetMemory() > 0 {
+		return io.NewMemory(int(s.GetMemory()))
+	}
+	return io.DefaultMemory()
+}
+
+// callerLimits returns the limits of the listener for callers.
+func callerLimits(s *schema.Callers) io.CallerLimits {
+	return io.CallerLimits{
+		MaxConnections:  int(s.GetMaxConnections()),
+		MaxPerAddress:   int(s.GetMaxPerAddress()),
+		MaxPipelined:    int(s.GetMaxPipelined()),
+		Reserved:        int(s.GetReservedDescriptors()),
+		BodyTimeout:     s.GetBodyTimeout().AsDuration(),
+		ResponseTimeout: s.GetResponseTimeout().AsDuration(),
+	}
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -28,12 +28,13 @@
 		open          func(address string) error
 	}{
 		{"RPC", settings.GetRpcAddress(), func(address string) (err error) {
-			n.server, err = io.NewServer(address, n.guard, n.exchange, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
+			n.server, err = io.NewServer(address, n.guard, n.exchange, io.WithLogger(n.logger), io.WithRegisterer(n.registry),
+				io.WithFrameMemory(int(settings.GetCallers().GetFrameMemory())))
 			return err
 		}},
 		{"HTTP", settings.GetHttpAddress(), func(address string) (err error) {
 			n.front, err = io.NewFront(address, n.router, io.WithLogger(n.logger), io.WithRegisterer(n.registry),
-				io.WithWire(n.wire()), io.WithMemory(n.memory))
+				io.WithWire(n.wire()), io.WithMemory(n.memory), io.WithCallerLimits(callerLimits(settings.GetCallers())))
 			return err
 		}},
 		{"status", settings.GetStatusAddress(), func(address string) (err error) {
--- a/node/node.go
+++ b/node/node.go
@@ -155,7 +155,8 @@
 func (n *Node) buildComponents() {
 	n.self = n.newMember()
 	suspects := poison.New(suspectCapacity, suspectTTL)
-	n.memory = io.DefaultMemory()
+	n.memory = callerMemory(n.settings.GetCallers())
+	n.memory.Register(n.registry)
 	n.transport = io.NewTransport(n.clock, io.WithLogger(n.logger), io.WithRegisterer(n.registry))
 	n.backend = io.NewBackend(n.settings.GetBackendAddress(), io.WithLogger(n.logger), io.WithRegisterer(n.registry),
 		io.WithWire(n.wire()), io.WithMemory(n.memory))
--- a/node/ready.go
+++ b/node/ready.go
@@ -40,6 +40,9 @@
 			ReadTimeout:  statusTimeout,
 			WriteTimeout: statusTimeout,
 			GetOnly:      true,
+
+			MaxRequestBodySize: maxProbeBody,
+			Concurrency:        maxProbeConnections,
 		},
 	}, nil
 }
--- a/node/status.go
+++ b/node/status.go
@@ -40,6 +40,8 @@
 			ReadTimeout:           statusTimeout,
 			WriteTimeout:          statusTimeout,
 			GETOnly:               true,
+			BodyLimit:             maxProbeBody,
+			Concurrency:           maxProbeConnections,
 		}),
 	}
 	s.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(node.registry, promhttp.HandlerOpts{})))
