--- a/io/answer.go
+++ b/io/answer.go
@@ -65,6 +65,12 @@
 	}
 }
 
+// abortStalled closes the connection of a caller that does not take its response.
+func (s *session) abortStalled() {
+	s.front.refuse(kindStalled, s.conn)
+	s.abort()
+}
+
 // stalled reports whether the caller has taken nothing for a while of the response that is being written.
 func (s *session) stalled(now time.Time) bool {
 	since := s.writingSince.Load()
--- a/io/caller_test.go
+++ b/io/caller_test.go
@@ -95,3 +95,22 @@
 		qt.Check(t, body, qt.Equals, fmt.Sprintf("/%d %d", i, size))
 	}
 }
+
+// TestSingleLarge guards against a single request within the limits that is refused although nothing else is held.
+func TestSingleLarge(t *testing.T) {
+	const size = 16 * memoryLimit
+	front := newFront(t, func(call *core.Call) *schema.ExecuteReply {
+		return answeredReply(nil, fmt.Append(nil, len(call.Body)))
+	}, io.WithMaxBody(size), io.WithMemory(io.NewMemory(memoryLimit)))
+	body := strings.Repeat("x", size)
+	for _, request := range []string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, body),
+		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body),
+	} {
+		c := dial(t, front)
+		c.send(t, "POST / HTTP/1.1\r\nHost: h\r\n"+request)
+		response, text := c.receive(t)
+		qt.Check(t, response.code, qt.Equals, http.StatusOK)
+		qt.Check(t, text, qt.Equals, fmt.Sprint(size))
+	}
+}
--- a/io/session.go
+++ b/io/session.go
@@ -201,7 +201,7 @@
 	size := a.response.size()
 	s.held.Add(int64(size - a.held))
 	a.held = size
-	a.holding.replace(size, s.abort, s.stalled)
+	a.holding.replace(size, s.abortStalled, s.stalled)
 }
 
 // reject responds to a request that could not be read or parsed, and ends the reading. It sends no response if the connection
