--- a/crowd/limit_test.go
+++ b/crowd/limit_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// maxDescriptors bounds the open descriptors of a node whose callers may have 50 connections. It was fixed before the limit.
+// maxDescriptors bounds the open descriptors of a node whose callers may have 50 connections.
 const (
 	maxDescriptors  = 100
 	connectionLimit = "[callers]\nmax_connections = 50\n"
