io, router, peers, quota: faults found in review

An API key in a trailer could reach a 408 response and the log, since the parser wraps a timeout together with what it has read. A request whose body was not read, because no rule matched its head, ran with an empty body if a rule came into force in between; it gets 503 now. A resent ticket got 429 over the quota although its first attempt may have run; its outcome is unknown now. A connection that steadily took a response could be closed as a surplus one. A failed read of the list counted as a fleet of one, and peers with a document as peers without, so that a new process used the document of a restored store at once; answers of an earlier era count only once this node knows no later one. The number of nodes that share a quota was lowered at once after a quiet minute.

Tried and reverted: counting reserved arrivals toward what a node saves of the retry budget.

--- a/core/core.go
+++ b/core/core.go
@@ -290,6 +290,8 @@
 	ID string
 	// KeyHash is the HashKey of the caller's API key, or empty if the call carries none.
 	KeyHash string
+	// BodyUnread reports that the body was not read, since no rule matched the call. It must not run.
+	BodyUnread bool
 }
 
 // Quota limits the calls of each customer, summed over all nodes. It is safe for concurrent use.
--- a/io/answer.go
+++ b/io/answer.go
@@ -33,6 +33,7 @@
 	stopped := false
 	for a := range s.responses {
 		<-a.done
+		s.recordProgress()
 		s.inFlight.Add(-1)
 		if stopped {
 			s.finish(a)
@@ -98,6 +99,7 @@
 		if err != nil {
 			return written, err
 		}
+		s.recordProgress()
 	}
 	return written, nil
 }
--- a/io/parse.go
+++ b/io/parse.go
@@ -337,9 +337,13 @@
 
 // concealContent replaces an error of the body parser that may quote the request, since a trailer may hold an API key.
 func concealContent(err error) error {
-	switch {
-	case err == nil, errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errMemoryFull), errors.Is(err, os.ErrDeadlineExceeded),
-		isNetError(err):
+	for _, plain := range []error{fasthttp.ErrBodyTooLarge, errMemoryFull, os.ErrDeadlineExceeded} {
+		// The parser may wrap it together with a part of the trailer.
+		if errors.Is(err, plain) {
+			return plain
+		}
+	}
+	if err == nil || isNetError(err) {
 		return err
 	}
 	return errBodySyntax
--- a/io/request.go
+++ b/io/request.go
@@ -148,6 +148,7 @@
 		return nil, err
 	}
 	if !s.needsBody(request, call) {
+		call.BodyUnread = true
 		return call, nil
 	}
 	s.bodyTimeout, s.progress = s.front.callers.bodyTimeout, 0
--- a/peers/hold.go
+++ b/peers/hold.go
@@ -37,12 +37,15 @@
 	}
 }
 
-// countStartReply counts the answers of peers before the first document is in force.
-func (s *State) countStartReply(now time.Time) {
-	if s.accepted == nil {
+// countStartReply counts the peers that answered without a document before the first document is in force.
+func (s *State) countStartReply(now time.Time, revision uint64) {
+	if s.accepted != nil {
+		return
+	}
+	if revision == 0 {
 		s.startReplies++
-		s.releaseHeld(now)
 	}
+	s.releaseHeld(now)
 }
 
 // releaseHeld applies the held document once a peer's document is in force, peers have none, there are no peers, or they do not
@@ -51,7 +54,7 @@
 	if s.held == nil {
 		return
 	}
-	alone := len(s.table.sorted) <= 1 && len(s.seeds) == 0 && !s.membersRead.endedAt.IsZero()
+	alone := len(s.table.sorted) <= 1 && len(s.seeds) == 0 && !s.membersRead.endedAt.IsZero() && s.membersRead.failures == 0
 	answered := s.pull == nil && s.startReplies >= enoughReplies
 	late := now.Sub(s.startedAt) >= maxHold+s.reading.StartSpread
 	if s.accepted == nil && !alone && !answered && !late {
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -305,9 +305,11 @@
 		s.lastReannounce = now
 		s.reannounceSelf(now, s.self.GetVersion()+1, s.self.GetState())
 	}
-	s.recordStartAnswer(sent.To, reply.GetRevision())
 	s.handleRevision(sent.To, reply.GetRevision(), reply.GetManifest(), confirmedAt)
-	s.countStartReply(now)
+	if reply.GetRevision() >= s.Revision() {
+		s.recordStartAnswer(sent.To, reply.GetRevision())
+	}
+	s.countStartReply(now, reply.GetRevision())
 	if len(sent.Request.GetBuckets()) > 0 {
 		s.repairBuckets(sent.To, reply.GetBuckets())
 	}
--- a/quota/node.go
+++ b/quota/node.go
@@ -75,6 +75,7 @@
 // Update applies the customers and members of a snapshot.
 func (n *Node) Update(now time.Time, v *View) {
 	n.accrueOwn(now)
+	n.known.note(now, n.view.members, memberHold)
 	n.view = v
 	n.known.note(now, v.members, memberHold)
 	n.start(now)
--- a/router/call.go
+++ b/router/call.go
@@ -102,6 +102,10 @@
 func (r *Router) runWithinQuota(ctx context.Context, c *call, start time.Time) *schema.ExecuteReply {
 	snapshot := r.snapshots.Snapshot()
 	if refusal := r.chargeQuota(ctx, snapshot, c.customer); refusal != nil {
+		if c.ticket != nil {
+			// An earlier attempt with this ticket, through another router, may have run.
+			return core.Unknown(schema.Reason_REASON_QUOTA)
+		}
 		return refusal
 	}
 	c.group.budgets.recordCall(start, c.rule.GetRepeatable(), r.nestedRepeat(start, c))
@@ -138,6 +142,10 @@
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_DEPTH))
 	}
 	rule := t.snapshot.Route(input.Method, input.Host, input.Path)
+	if rule != nil && input.BodyUnread {
+		// The rule came into force after the head of the request had been read.
+		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_CONFIGURATION))
+	}
 	identity, refusal := authenticate(t.snapshot, rule, input)
 	if refusal != nil {
 		return nil, refusal
--- a/router/quota_test.go
+++ b/router/quota_test.go
@@ -55,3 +55,28 @@
 	r.refundQuota(snapshot, "limited", core.NotRun(schema.Reason_REASON_BUSY))
 	c.Check(q.refunds, qt.Equals, 1)
 }
+
+// TestQuotaOfTicket guards against the promise that a resent ticket has not run, when its quota is used up: the first attempt,
+// through another router, may have run.
+func TestQuotaOfTicket(t *testing.T) {
+	c := qt.New(t)
+	r, _, snapshots := newTestRouter(1, func(context.Context, *schema.ExecuteRequest) *schema.ExecuteReply { return answer(200) })
+	d := document(nil)
+	hash := core.HashKey("key")
+	d.SetCustomers(map[string]*schema.Customer{"limited": schema.Customer_builder{Rate: 5, KeyHashes: []string{hash}}.Build()})
+	snapshots.Store(core.NewSnapshot(2, d, members(1)))
+	r.quota = &fixedQuota{}
+	order := &core.Call{Method: "POST", URI: "/order", Path: "/order", KeyHash: hash}
+	assertOutcome(c, r.Handle(context.Background(), order), schema.Status_STATUS_NOT_RUN, schema.Reason_REASON_QUOTA)
+	order.Ticket = schema.Ticket_builder{Instance: "sheets-1", Service: "sheets", Incarnation: 1}.Build()
+	assertOutcome(c, r.Handle(context.Background(), order), schema.Status_STATUS_UNKNOWN, schema.Reason_REASON_QUOTA)
+}
+
+// TestBodyUnread guards against a call that runs with an empty body, since its rule came into force after the front had decided
+// not to read the body.
+func TestBodyUnread(t *testing.T) {
+	c := qt.New(t)
+	r, _, _ := newTestRouter(1, func(context.Context, *schema.ExecuteRequest) *schema.ExecuteReply { return answer(200) })
+	reply := r.Handle(context.Background(), &core.Call{Method: "GET", URI: "/look", Path: "/look", BodyUnread: true})
+	assertOutcome(c, reply, schema.Status_STATUS_NOT_RUN, schema.Reason_REASON_NO_CONFIGURATION)
+}
