io: small requests beside a body above the memory budget, and while the budget is full

Found in review: a request below 4 KB is not counted until it runs, and was then refused with 503 while more than 1.25 budgets were in use, without giving up anything for it. One caller that announced 64 MB and sent it slowly, or took an answer of that size slowly, shut out all ordinary callers of a node for as long as it took. A single message counts for at most half of the budget against small requests now, and if the budget is full anyway, the message that holds most for longest is given up, as for large ones.

--- a/io/holding.go
+++ b/io/holding.go
@@ -89,7 +89,7 @@
 func (h *holding) pin(cost int) error {
 	h.memory.mutex.Lock()
 	defer h.memory.mutex.Unlock()
-	if h.evicted.Load() || !h.fitsCall(cost) {
+	if h.evicted.Load() || !h.fitsCall(cost) && !h.memory.makeRoom() {
 		return errMemoryFull
 	}
 	h.abort = nil
@@ -100,7 +100,31 @@
 // fitsCall reports whether there is memory for the call of the message. A message that counts has been admitted already.
 func (h *holding) fitsCall(cost int) bool {
 	m := h.memory
-	return h.counts || m.used+h.bytes+cost <= m.limit+m.limit/reserveShare
+	return h.counts || m.cappedUse()+h.bytes+cost <= m.limit+m.limit/reserveShare
+}
+
+// cappedUse returns the bytes in use, of which a single message counts for at most half of the budget. A message above the budget is
+// admitted while there is no other, and must not keep small requests out for as long as it takes.
+func (m *Memory) cappedUse() int {
+	total := m.used - m.releasing
+	if total <= m.limit {
+		return total
+	}
+	for h := range m.holdings {
+		total -= max(0, h.bytes-m.limit/2)
+	}
+	return total
+}
+
+// makeRoom gives up the message that holds most for longest, so that a small request can run. It reports whether there was one.
+func (m *Memory) makeRoom() bool {
+	victim := m.victim(nil)
+	if victim == nil {
+		return false
+	}
+	m.evict(victim)
+	victim.abort()
+	return true
 }
 
 // replace makes the holding that of a response of n bytes. A response has been given by the server, so it always fits; it may
