config: settings ignore lines whose placeholders were not filled in

The settings template names bounds that an older platform, or a stand-in of one, does not fill in: those of quotas and of the retry budget. A node then refused its settings and did not start. Such lines are ignored now, and a retry budget without any key counts as not set. go test -race ./config passes.

--- a/config/config.go
+++ b/config/config.go
@@ -39,7 +39,11 @@
 // *ValidationErrors.
 func ParseSettings(text []byte) (*schema.Settings, error) {
 	settings := &schema.Settings{}
-	err := parse(text, settings, func(c *checker) {
+	filled := dropUnfilled(text)
+	err := parse(filled, settings, func(c *checker) {
+		if len(filled) != len(text) {
+			dropEmptyBudget(settings)
+		}
 		applySettingsDefaults(settings)
 		applyQuotaDefaults(settings, c.present)
 		checkSettings(c, settings)
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -150,9 +150,7 @@
 		"platform.address": f.store.address, "bounds.grace": "6s", "bounds.warmup_factor": "1.5", "bounds.warmup_slack": "5",
 	}
 	section := regexp.MustCompile(`(?s)\{\{#zones\}\}(.*?)\{\{/zones\}\}`)
-	// The bounds of the stand-in have no quotas, so their section is left out.
-	quotas := regexp.MustCompile(`(?s)\{\{#bounds\.quota_window\}\}.*?\{\{/bounds\.quota_window\}\}`)
-	text := section.ReplaceAllStringFunc(quotas.ReplaceAllString(f.template, ""), func(match string) string {
+	text := section.ReplaceAllStringFunc(f.template, func(match string) string {
 		body := section.FindStringSubmatch(match)[1]
 		all := ""
 		for _, zone := range zones {
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -137,9 +136,7 @@
 		"listen.readiness": m.readiness, "app": m.app, "platform.address": m.storeAddress, "bounds.grace": m.fleet.grace,
 		"bounds.warmup_factor": "1.5", "bounds.warmup_slack": "5",
 	}
-	// The bounds of the stand-in have no quotas, so their section is left out.
-	quotas := regexp.MustCompile(`(?s)\{\{#bounds\.quota_window\}\}.*?\{\{/bounds\.quota_window\}\}`)
-	rendered := quotas.ReplaceAllString(string(text), "")
+	rendered := string(text)
 	head, rest, _ := strings.Cut(rendered, "{{#zones}}")
 	section, tail, _ := strings.Cut(rest, "{{/zones}}")
 	for _, zone := range m.fleet.zones {
