node: the status and readiness listeners leave file descriptors to the others

Found in review: callers may use five eighths of the descriptors, and these two listeners 1,024 connections each, which together is more than the 4,100 of the smallest machine. They serve a sixteenth of the descriptors each now, at most 1,024. go test -race ./node and TestOtherListeners pass.

--- a/node/ready.go
+++ b/node/ready.go
@@ -42,7 +42,7 @@
 			GetOnly:      true,
 
 			MaxRequestBodySize: maxProbeBody,
-			Concurrency:        maxProbeConnections,
+			Concurrency:        probeConnections(),
 		},
 	}, nil
 }
--- a/node/status.go
+++ b/node/status.go
@@ -41,7 +41,7 @@
 			WriteTimeout:          statusTimeout,
 			GETOnly:               true,
 			BodyLimit:             maxProbeBody,
-			Concurrency:           maxProbeConnections,
+			Concurrency:           probeConnections(),
 		}),
 	}
 	s.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(node.registry, promhttp.HandlerOpts{})))
