io, router, peers: a 4xx of a node can be traced to its cause

Nothing told apart why a node ended a request with a 4xx: a request that could not be read or parsed was a count in ten seconds, a response without the signature of its server passed as a success and was not logged, and a 404 named a revision but neither the configuration nor its age.

Now each response is counted by code and source (verbenareel_io_responses_total). 'request rejected' names the request, its path, the error, how long it was read and whether the node was stopping; 'response without the signature of its server' names the others; 'request refused' has the configuration that decided, the time since it was last confirmed, and whether a rule of it or of the one before matches. No decision changes.

--- a/core/core.go
+++ b/core/core.go
@@ -182,6 +182,13 @@
 	Snapshot() *Snapshot
 }
 
+// Confirmer is implemented by Snapshots that know when the document in force was last known to be the current one.
+type Confirmer interface {
+	// ConfirmedAt returns the last time at which the platform was known to hold no later document, or the zero time. It is safe
+	// for concurrent use.
+	ConfirmedAt() time.Time
+}
+
 // Platform reads the configuration service and the instance list. It never writes to them.
 type Platform interface {
 	// Document blocks until the revision of the document is greater than after or until wait has elapsed, and returns the
--- a/io/front.go
+++ b/io/front.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -36,6 +37,7 @@
 	limits             atomic.Pointer[frontLimits]
 	callers            callerLimits
 	refusals           refusalLog
+	responses          *prometheus.CounterVec
 
 	mutex    sync.Mutex
 	sessions map[*session]struct{}
@@ -76,6 +78,7 @@
 		fromAddress:  make(map[netip.Addr]int),
 		callers:      newCallerLimits(&o),
 		refusals:     newRefusalLog(o.logger),
+		responses:    newResponseCounter(o.registerer),
 	}
 	f.stopped, f.stop = context.WithCancel(context.Background())
 	f.Configure(nil)
--- a/io/parse.go
+++ b/io/parse.go
@@ -310,8 +310,9 @@
 	return uint32(number), nil
 }
 
-// rejectionFor returns the response to a request that could not be read or parsed, or nil if the connection has failed.
-func (f *Front) rejectionFor(err error, conn net.Conn) *response {
+// rejectionFor returns the reason and the response to a request that could not be read or parsed. The response is nil if the
+// connection has failed.
+func (f *Front) rejectionFor(err error, conn net.Conn) (schema.Reason, *response) {
 	reason := schema.Reason_REASON_MALFORMED
 	code := 0
 	var field *FieldError
@@ -329,10 +330,10 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason, code = schema.Reason_REASON_DEADLINE, fasthttp.StatusRequestTimeout
 	case isNetError(err):
-		return nil
+		return reason, nil
 	}
 	f.refuse(core.ReasonName(reason), conn)
-	return newRejection(f.wire, reason, code, err)
+	return reason, newRejection(f.wire, reason, code, err)
 }
 
 // concealContent replaces an error of the body parser that may quote the request, since a trailer may hold an API key.
--- a/io/session.go
+++ b/io/session.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"go.uber.org/zap"
 
 	"verbenareel/core"
 )
@@ -60,6 +59,8 @@
 	// progress counts the bytes of a body that have been read since its deadline was set; bodyTimeout is 0 outside of bodies.
 	progress    int
 	bodyTimeout time.Duration
+	// requestBegan is when the first byte of the request that is being read arrived.
+	requestBegan time.Time
 	// taken is signalled when a response has been written.
 	taken chan struct{}
 	// held is the number of bytes that the requests and responses in flight hold.
@@ -152,6 +153,7 @@
 			return err
 		}
 		s.reading.Store(true)
+		s.requestBegan = time.Now()
 		s.holding = s.front.memory.hold(s.expireRead)
 		s.holding.mayExceed = true
 		request := fasthttp.AcquireRequest()
@@ -165,7 +167,7 @@
 		}
 		if err != nil && !errors.Is(err, errLastRequest) {
 			s.holding.release()
-			err = s.reject(err)
+			err = s.reject(request, err)
 		}
 		fasthttp.ReleaseRequest(request)
 		if err != nil {
@@ -198,6 +200,7 @@
 	reply := s.front.handle(s, call)
 	a.response = newResponse(s.front.wire, call, reply)
 	a.response.close = last
+	s.front.recordResponse(call, a.response.code, sourceOf(s.front.wire, reply))
 	size := a.response.size()
 	s.held.Add(int64(size - a.held))
 	a.held = size
@@ -206,12 +209,12 @@
 
 // reject responds to a request that could not be read or parsed, and ends the reading. It sends no response if the connection
 // has failed.
-func (s *session) reject(err error) error {
-	response := s.front.rejectionFor(err, s.conn)
+func (s *session) reject(request *fasthttp.Request, err error) error {
+	reason, response := s.front.rejectionFor(err, s.conn)
 	if response == nil {
 		return errCallerClosed
 	}
-	s.front.logger.Debug("rejected request", zap.Error(err))
+	s.recordRejection(request, reason, response.code, err)
 	response.close = true
 	a := &pendingResponse{done: make(chan struct{}), response: response}
 	close(a.done)
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -304,6 +304,14 @@
 	return s.revision, s.manifest, age
 }
 
+// ConfirmedAt implements core.Confirmer.
+func (e *Exchange) ConfirmedAt() time.Time {
+	if s := e.digest.Load(); s != nil {
+		return s.confirmedAt
+	}
+	return time.Time{}
+}
+
 // HandleDigest processes the digest received from the node at an address, like State.HandleDigest. Digests without news
 // are not passed to the control loop.
 func (e *Exchange) HandleDigest(from string, revision, manifest uint64, confirmed uint32) {
--- a/router/log.go
+++ b/router/log.go
@@ -124,15 +124,37 @@
 	return "call without an answer"
 }
 
-// logRefusal logs a request that was refused before it was routed to an instance.
+// logRefusal logs a request that was refused before it was routed to an instance, with the configuration that decided: its
+// version, its age, and whether a rule of it or of the one before matches.
 func (r *Router) logRefusal(input *core.Call, reply *schema.ExecuteReply) {
+	var snapshot *core.Snapshot
+	if t := r.table.Load(); t != nil {
+		snapshot = t.snapshot
+	}
 	r.logger.Info("request refused",
 		zap.String("request", input.ID),
 		zap.String("host", input.Host),
 		zap.String("path", input.Path),
 		zap.String("key", core.ShortKeyHash(input.KeyHash)),
 		zap.String("reason", core.ReasonName(reply.GetReason())),
-		zap.Uint64("revision", r.revision()))
+		zap.Uint64("revision", snapshot.Revision()),
+		zap.String("deployment", snapshot.Document().GetDeployment()),
+		r.documentAge(),
+		zap.Bool("rule_matches", matches(snapshot, input)),
+		zap.Bool("rule_matched_before", matches(r.documentBefore.Load(), input)))
+}
+
+// documentAge returns the field with the time since the document in force was last confirmed, if that is known.
+func (r *Router) documentAge() zap.Field {
+	confirmer, ok := r.snapshots.(core.Confirmer)
+	if !ok || confirmer.ConfirmedAt().IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration("document_age", r.clock.Now().Sub(confirmer.ConfirmedAt()))
+}
+
+func matches(s *core.Snapshot, input *core.Call) bool {
+	return s != nil && s.Route(input.Method, input.Host, input.Path) != nil
 }
 
 // revision returns the revision of the current configuration, or 0 if there is none.
--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -9,6 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 
 	"verbenareel/core"
@@ -282,3 +284,39 @@
 		})
 	}
 }
+
+// confirmedSnapshots is a core.Snapshots that knows when its document was confirmed.
+type confirmedSnapshots struct {
+	fixedSnapshots
+	at time.Time
+}
+
+func (c *confirmedSnapshots) ConfirmedAt() time.Time { return c.at }
+
+// TestRefusalNamesDocument guards against a 404 whose log line does not tell which configuration decided, how old it was, and
+// whether the one before had a rule for the request.
+func TestRefusalNamesDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		snapshots := &confirmedSnapshots{at: clock.Now().Add(-3 * time.Second)}
+		logged, logs := observer.New(zap.InfoLevel)
+		self := schema.Member_builder{Instance: "self", Service: "sheets", Domain: "a", Address: "127.0.0.100:1"}.Build()
+		r := New(self, snapshots, nil, nil, clock, WithLogger(zap.New(logged)))
+		before := document(nil)
+		before.SetRules(append(before.GetRules(), schema.Rule_builder{Host: "h.example", Path: "/gone/", Service: "sheets"}.Build()))
+		after := document(nil)
+		after.SetDeployment("version 7")
+		after.SetRules([]*schema.Rule{schema.Rule_builder{Host: "h.example", Path: "/kept/", Service: "sheets"}.Build()})
+		for i, d := range []*schema.Document{before, after} {
+			snapshots.Store(core.NewSnapshot(uint64(i+1), d, nil))
+			r.current(clock.Now())
+		}
+		reply := r.Handle(t.Context(), &core.Call{Method: "GET", Host: "h.example", Path: "/gone/1"})
+		qt.Check(t, core.ReasonName(reply.GetReason()), qt.Equals, "no-rule")
+		fields := logs.FilterMessage("request refused").All()[0].ContextMap()
+		qt.Check(t, fields["deployment"], qt.Equals, "version 7")
+		qt.Check(t, fields["document_age"], qt.Equals, 3*time.Second)
+		qt.Check(t, fields["rule_matches"], qt.Equals, false)
+		qt.Check(t, fields["rule_matched_before"], qt.Equals, true)
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -51,14 +51,16 @@
 	stopped bool
 	tasks   conc.WaitGroup
 
-	splits      splits
-	leaving     *leaving
-	table       atomic.Pointer[table]
-	mu          sync.Mutex
-	viewsByName map[string]*picker.View
-	budgets     map[string]*budgets
-	retryBudget *schema.RetryBudget
-	repeatShare func(now time.Time) float64
+	splits  splits
+	leaving *leaving
+	table   atomic.Pointer[table]
+	// documentBefore is the snapshot with the document before the one in force, or nil.
+	documentBefore atomic.Pointer[core.Snapshot]
+	mu             sync.Mutex
+	viewsByName    map[string]*picker.View
+	budgets        map[string]*budgets
+	retryBudget    *schema.RetryBudget
+	repeatShare    func(now time.Time) float64
 	// withoutDepth reports that the wire format does not carry the nesting depth of calls.
 	withoutDepth bool
 }
@@ -232,6 +234,9 @@
 	snapshot := r.snapshots.Snapshot()
 	t = r.table.Load()
 	if t == nil || t.snapshot != snapshot {
+		if t != nil && t.snapshot.Document() != snapshot.Document() {
+			r.documentBefore.Store(t.snapshot)
+		}
 		t = r.build(now, snapshot)
 		r.table.Store(t)
 	}
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -71,6 +71,7 @@
 	"memory":            "the node had no memory left for large bodies",
 	"too-large":         "the request or its response exceeds a size limit of the service",
 	"depth":             "the chain of nested calls is too deep",
+	"malformed":         "its header or body could not be parsed",
 	"ticket-required":   "a call that is not repeatable needs a ticket",
 }
 
