io: an incomplete request is not malformed

Callers saw 400, after which they do not try again, for a request whose body did not arrive as a whole: the connection ended in one direction, or, with chunked encoding, the read deadline passed behind a chunk size, a chunk or the last chunk. The second case needs no fault of the caller: the deadline also passes while the process is paused or the path is cut. The request has not run.

Cause: rejectionFor began with 400, so that each error it did not know blamed the caller, and concealContent made any error of the body parser a syntax error. The parser wraps an error of the connection in a type without Unwrap, so neither recognized it.

Now the session keeps the error of its connection, which tells whether the bytes arrived at all; only a body whose bytes arrived can be malformed. An incomplete body gets 408 (not run), a 400 needs a syntax error that is known to be one, and an unknown error is 503. Ruled out: matching the parser's text or its type, which the next version may change.

--- /dev/null
+++ b/io/caller_fault_test.go
@@ -0,0 +1,65 @@
+package io_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenareel/io"
+)
+
+// stallTimeout is the time after which a front gives up a request that does not arrive in the tests below.
+const stallTimeout = 200 * time.Millisecond
+
+const (
+	chunkedHead = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	lengthHead  = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"
+)
+
+// brokenOff are requests whose body breaks off at each kind of place.
+var brokenOff = map[string]string{
+	"length":          lengthHead + "abc",
+	"before a chunk":  chunkedHead,
+	"in a chunk size": chunkedHead + "3",
+	"extension":       chunkedHead + "3;a=b",
+	"after a size":    chunkedHead + "3\r",
+	"in a chunk":      chunkedHead + "3\r\nab",
+	"after a chunk":   chunkedHead + "3\r\nabc",
+	"last chunk":      chunkedHead + "3\r\nabc\r\n0\r\n",
+	"in a trailer":    chunkedHead + "3\r\nabc\r\n0\r\nX: a",
+}
+
+// TestStalledBody guards against a 400, after which callers do not try again, to a request whose body stopped arriving in time:
+// it did not run and may be sent again, so it gets a 408 wherever the body stopped.
+func TestStalledBody(t *testing.T) {
+	for name, request := range brokenOff {
+		t.Run(name, func(t *testing.T) {
+			front := newFront(t, echoCall, io.WithReadTimeout(stallTimeout))
+			c := dial(t, front)
+			c.send(t, request)
+			checkIncomplete(t, c)
+		})
+	}
+}
+
+// TestEndedBody guards against a 400 to a request whose connection ended in one direction before its body was complete.
+func TestEndedBody(t *testing.T) {
+	for name, request := range brokenOff {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, newFront(t, echoCall))
+			c.send(t, request)
+			qt.Assert(t, c.CloseWrite(), qt.IsNil)
+			checkIncomplete(t, c)
+		})
+	}
+}
+
+// checkIncomplete checks that the request on a connection is answered with a 408 and the connection closed.
+func checkIncomplete(t *testing.T, c *callerConn) {
+	t.Helper()
+	response, _ := c.receive(t)
+	qt.Check(t, response.code, qt.Equals, http.StatusRequestTimeout)
+	qt.Check(t, response.close, qt.IsTrue)
+}
--- a/io/parse.go
+++ b/io/parse.go
@@ -42,7 +42,8 @@
 	errHostCount      = errors.New("request has not exactly one Host field")
 	errFraming        = errors.New("length of the body is ambiguous")
 	errHeaderSyntax   = errors.New("header cannot be parsed")
-	errBodySyntax     = errors.New("body or its trailer is malformed or incomplete")
+	errBodySyntax     = errors.New("body or its trailer is malformed")
+	errBodyEnded      = errors.New("connection ended before the body was complete")
 )
 
 // readHeader returns the request line and header fields without consuming them from the reader. It returns bufio.ErrBufferFull if
@@ -311,16 +312,18 @@
 }
 
 // rejectionFor returns the reason and the response to a request that could not be read or parsed. The response is nil if the
-// connection has failed.
+// connection has failed. Callers do not repeat a request after a 4xx other than 408, so each of them needs a fault of the caller; an
+// error that is not known to be one means that the request did not run.
 func (f *Front) rejectionFor(err error, conn net.Conn) (schema.Reason, *response) {
-	reason := schema.Reason_REASON_MALFORMED
+	reason := schema.Reason_REASON_NODE_LOST
 	code := 0
 	var field *FieldError
 	var header *headerError
 	switch {
 	case errors.As(err, &field):
 		reason = field.reason
-	case errors.As(err, &header):
+	case errors.As(err, &header), errors.Is(err, errBodySyntax):
+		reason = schema.Reason_REASON_MALFORMED
 	case errors.Is(err, errHeaderTooLarge):
 		reason, code = schema.Reason_REASON_TOO_LARGE, fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errMemoryFull):
@@ -329,6 +332,8 @@
 		reason = schema.Reason_REASON_TOO_LARGE
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason, code = schema.Reason_REASON_DEADLINE, fasthttp.StatusRequestTimeout
+	case errors.Is(err, errBodyEnded):
+		reason, code = schema.Reason_REASON_CONNECTION_LOST, fasthttp.StatusRequestTimeout
 	case isNetError(err):
 		return reason, nil
 	}
--- a/io/request.go
+++ b/io/request.go
@@ -123,6 +123,7 @@
 		return 0, errMemoryFull
 	}
 	n, err := s.conn.Read(p)
+	s.readErr = err
 	s.progress += n
 	if s.bodyTimeout > 0 && s.progress >= minProgress {
 		s.progress = 0
@@ -160,7 +161,20 @@
 		}
 	}
 	call.Body, err = s.readBody(request, limits.maxBody)
-	return call, concealContent(err)
+	return call, s.bodyError(err)
+}
+
+// bodyError returns the cause of a body that could not be read. Only a body whose bytes arrived can be malformed.
+func (s *session) bodyError(err error) error {
+	switch {
+	case err == nil, errors.Is(err, errMemoryFull), errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return concealContent(err)
+	case errors.Is(s.readErr, stdio.EOF):
+		return errBodyEnded
+	case s.readErr != nil:
+		return s.readErr
+	}
+	return concealContent(err)
 }
 
 // readHeader returns the request line and header fields without consuming them from the reader. A header that does not fit into
--- a/io/session.go
+++ b/io/session.go
@@ -59,6 +59,9 @@
 	// progress counts the bytes of a body that have been read since its deadline was set; bodyTimeout is 0 outside of bodies.
 	progress    int
 	bodyTimeout time.Duration
+	// readErr is the error of the connection within the request that is being read, or nil. The parser may wrap it beyond
+	// recognition.
+	readErr error
 	// requestBegan is when the first byte of the request that is being read arrived.
 	requestBegan time.Time
 	// taken is signalled when a response has been written.
@@ -153,7 +156,7 @@
 			return err
 		}
 		s.reading.Store(true)
-		s.requestBegan = time.Now()
+		s.requestBegan, s.readErr = time.Now(), nil
 		s.holding = s.front.memory.hold(s.expireRead)
 		s.holding.mayExceed = true
 		request := fasthttp.AcquireRequest()
