io: a caller without time left is not malformed

Callers saw 400 for a request whose remaining time was 0, negative or below a millisecond, as a server sends it with a nested call at the end of its own deadline, for a time with a fraction, and for one above 2^31 ms. None is malformed: the first can't be served in time, the others can.

Now no time left is refused as not run (503, reason deadline), a fraction counts, and a time above the maximum is lowered to it. Text that is no number stays a 400.

--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -63,3 +63,17 @@
 	qt.Check(t, response.code, qt.Equals, http.StatusRequestTimeout)
 	qt.Check(t, response.close, qt.IsTrue)
 }
+
+// TestNoTimeLeft guards against a 400 to a caller that has used up its time, such as a server that makes a nested call in the last
+// millisecond of its own: the request is refused, but it is not malformed.
+func TestNoTimeLeft(t *testing.T) {
+	for value, code := range map[string]int{
+		"0": 503, "0.4": 503, "-3": 503, "12.5": 200, "3000000000": 200, "99999999999999999999": 200, "soon": 400, "": 400, "1e3": 400, "1,5": 400,
+	} {
+		t.Run(value, func(t *testing.T) {
+			front := newFront(t, echoCall)
+			response := roundTrip(t, front.Addr(), "GET / HTTP/1.1\r\nHost: h\r\nVerbenareel-Timeout: "+value+"\r\n\r\n")
+			qt.Check(t, response.code, qt.Equals, code)
+		})
+	}
+}
--- a/io/parse.go
+++ b/io/parse.go
@@ -279,6 +279,9 @@
 		err = errDuplicateField
 	}
 	*seen = true
+	if errors.Is(err, errNoTimeLeft) {
+		reason = schema.Reason_REASON_DEADLINE
+	}
 	if err != nil {
 		return &FieldError{name: name, reason: reason, err: err}
 	}
@@ -295,12 +298,33 @@
 	c.key = true
 }
 
+// errNoTimeLeft is the error of a caller whose time is up. Its request is refused, but it is not malformed.
+var errNoTimeLeft = errors.New("no time left")
+
+// parseTimeout parses a number of milliseconds, which may have a fraction. Times above the maximum are lowered to it.
 func parseTimeout(value string) (time.Duration, error) {
-	number, err := strconv.ParseUint(value, 10, 31)
-	if err != nil || number == 0 {
-		return 0, fmt.Errorf("expected milliseconds from 1 to %d", math.MaxInt32)
+	digits := strings.TrimPrefix(value, "-")
+	whole, fraction, _ := strings.Cut(digits, ".")
+	if !isDigits(whole) || strings.Contains(value, ".") && !isDigits(fraction) {
+		return 0, errors.New("expected a number of milliseconds")
+	}
+	number, err := strconv.ParseFloat(value, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, fmt.Errorf("parse milliseconds: %w", err)
+	}
+	if number < 1 {
+		return 0, errNoTimeLeft
+	}
+	return time.Duration(min(number, math.MaxInt32) * float64(time.Millisecond)), nil
+}
+
+func isDigits(text string) bool {
+	for _, b := range text {
+		if b < '0' || b > '9' {
+			return false
+		}
 	}
-	return time.Duration(number) * time.Millisecond, nil
+	return text != ""
 }
 
 func parseDepth(value string) (uint32, error) {
