io: an empty line before a request is ignored

Callers saw 400 for the next request on a kept connection if they sent an empty line behind a body, as some HTTP clients do; RFC 9112, section 2.2, asks a server to ignore at least one. The parser took the empty line for the request line.

Now up to four empty lines are skipped while a connection waits for its next request. The connection counts as idle meanwhile, so a trailing empty line neither starts the header timeout nor keeps a stopping node from closing it. More of them are still a 400.

--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +78,29 @@
 		})
 	}
 }
+
+// TestEmptyLines guards against a 400 to a request behind an empty line, which some clients send after a body (RFC 9112, section
+// 2.2), and against a connection that counts as busy because of one.
+func TestEmptyLines(t *testing.T) {
+	front := newFront(t, echoCall, io.WithReadTimeout(stallTimeout))
+	c := dial(t, front)
+	for _, request := range []string{
+		"\r\n" + getRequest("/"),
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi\r\n" + getRequest("/"),
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi\r\n",
+	} {
+		c.send(t, request)
+		for range strings.Count(request, "HTTP/1.1") {
+			response, _ := c.receive(t)
+			qt.Check(t, response.code, qt.Equals, http.StatusOK)
+		}
+	}
+	time.Sleep(2 * stallTimeout)
+	c.send(t, getRequest("/"))
+	response, _ := c.receive(t)
+	qt.Check(t, response.code, qt.Equals, http.StatusOK)
+	many := dial(t, front)
+	many.send(t, strings.Repeat("\r\n", 100))
+	response, _ = many.receive(t)
+	qt.Check(t, response.code, qt.Equals, http.StatusBadRequest)
+}
--- a/io/request.go
+++ b/io/request.go
@@ -34,6 +34,8 @@
 	maxSegment   = 256 << 10
 	// declaredStart is the part of a body of known length that must arrive before a buffer for all of it is allocated.
 	declaredStart = 64 << 10
+	// maxEmptyLines is the number of empty lines before a request that are ignored. Some clients send one after a body.
+	maxEmptyLines = 4
 	// interimResponse requests the body from a caller that sent "Expect: 100-continue".
 	interimResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
@@ -90,6 +92,8 @@
 		}
 		n, err := s.conn.Read(s.firstByte[:])
 		switch {
+		case n > 0 && isLineEnd(s.firstByte[0]) && s.skipped < maxLineEnds:
+			s.skipped++
 		case n > 0:
 			s.pushedBack = s.firstByte[:]
 			s.reader = headerReaderPool.Get().(*bufio.Reader)
@@ -110,6 +114,21 @@
 	}
 }
 
+// maxLineEnds is the number of bytes in maxEmptyLines.
+const maxLineEnds = maxEmptyLines * len("\r\n")
+
+// skipLineEnds discards the empty lines before the next request that have been read already.
+func (s *session) skipLineEnds() {
+	for s.skipped = 0; s.reader != nil && s.reader.Buffered() > 0 && s.skipped < maxLineEnds; s.skipped++ {
+		if next, _ := s.reader.Peek(1); !isLineEnd(next[0]) {
+			return
+		}
+		_, _ = s.reader.Discard(1)
+	}
+}
+
+func isLineEnd(b byte) bool { return b == '\r' || b == '\n' }
+
 // Read implements io.Reader. It returns the pushed-back byte first and then reads from the connection. Each time that enough of a
 // body has arrived, its deadline is set anew.
 func (s *session) Read(p []byte) (int, error) {
--- a/io/session.go
+++ b/io/session.go
@@ -53,6 +53,8 @@
 	reader     *bufio.Reader
 	pushedBack []byte
 	firstByte  [1]byte
+	// skipped is the size of the empty lines before the next request that have been ignored.
+	skipped int
 	// holding is the memory that the request takes that is being read, or nil. bufferHolding is that of a large read buffer.
 	holding       *holding
 	bufferHolding *holding
@@ -151,6 +153,7 @@
 // readRequests reads requests and starts a call for each. The returned error is the reason why it stopped.
 func (s *session) readRequests() error {
 	for {
+		s.skipLineEnds()
 		s.awaitTaken()
 		if err := s.awaitRequest(); err != nil {
 			return err
