io: a method that this project does not know is forwarded

Callers saw 400 for a valid method outside of the nine that an HTTP framework lists, such as PROPFIND. Methods are forwarded unchanged and the server decides, so only text that is no token (RFC 9110, section 9.1) is malformed. Rules that name a method match it as before.

Before: TestMethods got 400 for PROPFIND, QUERY, M-SEARCH and x.

--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -8,7 +8,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenareel/core"
 	"verbenareel/io"
+	"verbenareel/schema"
 )
 
 // stallTimeout is the time after which a front gives up a request that does not arrive in the tests below.
@@ -104,3 +106,17 @@
 	response, _ = many.receive(t)
 	qt.Check(t, response.code, qt.Equals, http.StatusBadRequest)
 }
+
+// TestMethods guards against a 400 to a request whose method is valid and only unknown to this project: the server decides.
+func TestMethods(t *testing.T) {
+	front := newFront(t, func(call *core.Call) *schema.ExecuteReply { return answeredReply(nil, []byte(call.Method)) })
+	for _, method := range []string{"PROPFIND", "QUERY", "M-SEARCH", "x"} {
+		response := roundTrip(t, front.Addr(), method+" / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")
+		qt.Check(t, response.code, qt.Equals, http.StatusOK)
+		qt.Check(t, response.body, qt.Equals, method)
+	}
+	for _, method := range []string{"GE(T", "", "GET\t", "G\x00T"} {
+		response := roundTrip(t, front.Addr(), method+" / HTTP/1.1\r\nHost: h\r\n\r\n")
+		qt.Check(t, response.code, qt.Equals, http.StatusBadRequest)
+	}
+}
--- a/io/parse.go
+++ b/io/parse.go
@@ -8,12 +8,10 @@
 	"math"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/gofiber/fiber/v2"
 	"github.com/valyala/fasthttp"
 
 	"verbenareel/core"
@@ -36,7 +34,7 @@
 	errHeaderTooLarge = errors.New("header is too large")
 	errLineEnd        = errors.New("line does not end with CR LF")
 	errRequestLine    = errors.New("request line is not a method, a target and HTTP/1.x")
-	errMethod         = errors.New("unknown method")
+	errMethod         = errors.New("method is not a token")
 	errFieldName      = errors.New("field line has no valid name")
 	errFieldValue     = errors.New("field value has a control character")
 	errHostCount      = errors.New("request has not exactly one Host field")
@@ -101,7 +99,7 @@
 func validateRequestLine(line []byte) error {
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, version, _ := bytes.Cut(rest, []byte(" "))
-	if !slices.Contains(fiber.DefaultMethods, string(method)) {
+	if !isToken(method) {
 		return errMethod
 	}
 	validVersion := bytes.Equal(version, []byte("HTTP/1.1")) || bytes.Equal(version, []byte("HTTP/1.0"))
