io: a status below 500 without the signature of its server is no answer

Callers got a 3xx or 4xx that their server had not signed as the answer of their server; it ends a request for good, and counts as one of the node's own. Only a 2xx was checked for the signature, and since an answer below 500 counts as a success nothing was logged. A server in trouble that sends a status of its own, or another process at its address, is enough.

Now each status below 500 needs the signature where servers sign their responses; without it the outcome is unknown (garbled): idempotent requests are sent to another instance, others get 502. Ruled out: checking statuses of 500 and above too. An unsigned failure promises nothing and ends nothing for good.

Before: TestUnsignedStatus got 301, 304, 400, 401, 404, 409, 413 and 499 as answers; 204 was refused already.

--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -415,11 +415,12 @@
 		headers.add(name, value)
 	}
 	result.Headers = removeHopByHop(headers.finish(), keepLength)
-	success := result.Code < fasthttp.StatusMultipleChoices
+	// Callers take a status below 500 for the server's decision on their request. A failure that is not signed decides nothing.
+	decides := result.Code < fasthttp.StatusInternalServerError && result.Reason != schema.Reason_REASON_SHED
 	switch {
 	case w.Target != "" && result.Code == fasthttp.StatusMisdirectedRequest:
 		result.Reason = schema.Reason_REASON_WRONG_INSTANCE
-	case success && !hasSeal && request.ID != "":
+	case decides && !hasSeal && request.ID != "":
 		result.Reason = schema.Reason_REASON_GARBLED
 	}
 	if result.Reason == schema.Reason_REASON_GARBLED {
--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -1,6 +1,9 @@
 package io_test
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -120,3 +123,41 @@
 		qt.Check(t, response.code, qt.Equals, http.StatusBadRequest)
 	}
 }
+
+// TestUnsignedStatus guards against a status that reaches the caller as the answer of its server although the server did not
+// sign it: a 3xx or 4xx ends the request for good.
+func TestUnsignedStatus(t *testing.T) {
+	for _, code := range []int{204, 301, 304, 400, 401, 404, 409, 413, 499} {
+		for _, signed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d signed %v", code, signed), func(t *testing.T) {
+				backend := newBackend(t, newSigningServer(t, code, signed), io.WithWire(customWire()))
+				result := sendOnce(t, backend, "a")
+				want, reason := 0, schema.Reason_REASON_GARBLED
+				if signed {
+					want, reason = code, schema.Reason_REASON_NONE
+				}
+				qt.Check(t, result.Code, qt.Equals, want)
+				qt.Check(t, result.Written, qt.IsTrue)
+				qt.Check(t, core.ReasonName(result.Reason), qt.Equals, core.ReasonName(reason))
+			})
+		}
+	}
+}
+
+// newSigningServer starts a backend server that responds to each request with a code, and signs the response if signed is set.
+func newSigningServer(t *testing.T, code int, signed bool) string {
+	seal := ""
+	if signed {
+		seal = "X-Seal: s\r\n"
+	}
+	return newTCPServer(t, func(conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Odd\r\nX-Id: %s\r\n%sContent-Length: 0\r\n\r\n", code, r.Header.Get("X-Id"), seal)
+		}
+	})
+}
