io: the limit of the header fields does not count the request line

Callers saw 431 for a request whose header fields are exactly within the limit of the document, since the request line and the empty line behind the fields counted as well. The limit now holds for the field lines, and for the request line by itself. A header that does not fit into the large buffer is 431 as before.

Before: TestHeaderLimit got 431 for 200 with fields of 16,384 bytes.

--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -124,6 +124,25 @@
 	}
 }
 
+// TestHeaderLimit guards against a 431 to a request whose header fields are within the limit of the document, because the request
+// line counted as well.
+func TestHeaderLimit(t *testing.T) {
+	const limit, readBuffer = 16 << 10, 4 << 10
+	front := newFront(t, echoCall)
+	front.Configure(schema.Limits_builder{MaxHeader: limit}.Build())
+	for _, size := range []int{readBuffer - 1, readBuffer, readBuffer + 1, limit, limit + 1} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			fields := "Host: h\r\nX: "
+			fields += strings.Repeat("x", size-len(fields)-len("\r\n")) + "\r\n"
+			code := http.StatusOK
+			if size > limit {
+				code = http.StatusRequestHeaderFieldsTooLarge
+			}
+			qt.Check(t, roundTrip(t, front.Addr(), "GET /"+strings.Repeat("p", 100)+" HTTP/1.1\r\n"+fields+"\r\n").code, qt.Equals, code)
+		})
+	}
+}
+
 // TestUnsignedStatus guards against a status that reaches the caller as the answer of its server although the server did not
 // sign it: a 3xx or 4xx ends the request for good.
 func TestUnsignedStatus(t *testing.T) {
--- a/io/parse.go
+++ b/io/parse.go
@@ -44,7 +44,8 @@
 	errBodyEnded      = errors.New("connection ended before the body was complete")
 )
 
-// readHeader returns the request line and header fields without consuming them from the reader. It returns bufio.ErrBufferFull if
+// readHeader returns the request line and header fields without consuming them from the reader. limit is the maximum size of the
+// fields, and of the request line. It returns bufio.ErrBufferFull if
 // they do not fit into its buffer.
 func readHeader(r *bufio.Reader, limit int) ([]byte, error) {
 	searched := 0
@@ -52,7 +53,7 @@
 		buffered, _ := r.Peek(r.Buffered())
 		if at := bytes.Index(buffered[searched:], []byte("\r\n\r\n")); at >= 0 {
 			end := searched + at + len("\r\n\r\n")
-			if end > limit {
+			if fieldBytes(buffered[:end-len("\r\n")]) > limit {
 				return nil, errHeaderTooLarge
 			}
 			return buffered[:end], nil
@@ -60,7 +61,7 @@
 		if bytes.Contains(buffered[searched:], []byte("\n\n")) {
 			return nil, &headerError{err: errLineEnd}
 		}
-		if len(buffered) >= limit {
+		if fieldBytes(buffered) > limit {
 			return nil, errHeaderTooLarge
 		}
 		if len(buffered) == r.Size() {
@@ -73,6 +74,16 @@
 	}
 }
 
+// fieldBytes returns the size of the field lines that a part of a header has, or of its request line if that is incomplete. The
+// limit of the document is for the header fields.
+func fieldBytes(header []byte) int {
+	_, fields, found := bytes.Cut(header, []byte("\r\n"))
+	if !found {
+		return len(header)
+	}
+	return len(fields)
+}
+
 // validateHeader rejects headers that other HTTP implementations may parse differently (RFC 9112, sections 5 and 6). This
 // prevents request smuggling, where a request is hidden in the body of another one.
 func validateHeader(header []byte) error {
--- a/io/request.go
+++ b/io/request.go
@@ -211,7 +211,11 @@
 	s.putReader()
 	s.reader = largeReaderPool.Get().(*bufio.Reader)
 	s.reader.Reset(s)
-	return readHeader(s.reader, limit)
+	header, err = readHeader(s.reader, limit)
+	if errors.Is(err, errBufferFull) {
+		return nil, errHeaderTooLarge
+	}
+	return header, err
 }
 
 // parseHeader validates and consumes the header, and counts what its fields cost.
