--- a/io/parse.go
+++ b/io/parse.go
@@ -45,8 +45,7 @@
 )
 
 // readHeader returns the request line and header fields without consuming them from the reader. limit is the maximum size of the
-// fields, and of the request line. It returns bufio.ErrBufferFull if
-// they do not fit into its buffer.
+// fields, and of the request line. It returns bufio.ErrBufferFull if they do not fit into its buffer.
 func readHeader(r *bufio.Reader, limit int) ([]byte, error) {
 	searched := 0
 	for {
