--- a/soak/check.go
+++ b/soak/check.go
@@ -17,6 +17,9 @@
 // maxListedCalls limits the example calls listed for each violation.
 const maxListedCalls = 5
 
+// callerFaults are the reasons with which a node ends a call for good, because of a fault of its caller. The calls of a run have none.
+var callerFaults = []string{"no-rule", "malformed", "too-large", "depth", "unknown-key"}
+
 // executions returns how often each call was executed, by call ID, summed over all backend servers.
 func (r *run) executions() (map[string]int, error) {
 	total := make(map[string]int)
@@ -34,10 +37,12 @@
 
 // violation describes the guarantee that a call violated, given how often it was executed, or "" if it violated none. A
 // non-repeatable call is executed at most once, not at all if its caller was told "not run", and at least once if it was
-// answered. An answer always belongs to its own call.
+// answered. An answer always belongs to its own call, and no call is refused as a fault of its caller.
 func violation(c load.Call, runs int) string {
 	once := c.Class == "order" || c.Class == "deposit"
 	switch {
+	case c.Outcome == load.OutcomeNotRun && slices.Contains(callerFaults, c.Reason):
+		return "a call within the rules and limits of the document was refused as a fault of its caller"
 	case c.Outcome == load.OutcomeWrongAnswer:
 		return "an answer belonged to another call"
 	case once && runs > 1:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,6 +71,8 @@
 		{call("6", "deposit", load.OutcomeNotRun, "busy"), 1},
 		{call("6", "order", load.OutcomeAnswered, ""), 0},
 		{call("6", "lookup", load.OutcomeWrongAnswer, ""), 1},
+		{call("6", "lookup", load.OutcomeNotRun, "no-rule"), 0},
+		{call("6", "order", load.OutcomeNotRun, "malformed"), 0},
 	} {
 		executions["6"] = test.runs
 		qt.Check(t, checkCalls(append(permitted, test.call), executions), qt.HasLen, 1, qt.Commentf("%+v", test))
