router: a split keeps its shares after a document without weights

Callers saw all calls of a traffic split go to one service, also long after the document that caused it was replaced. With a document that gives no service of the split a weight above 0, nextService divided by a total of 0, and the credits became NaN. They are kept while the rule is in the document. No later credit is greater than NaN, so the service that comes first got each call.

TestSplitAfterZeroWeights before the change: 'sheets: 40 of 40 calls, its share is 20.0', and with weights of -1 and 1 'sheets: 0 of 40 calls, its share is 20.0'. A share without a weight above 0 now takes no part: it adds nothing to the total and its credit does not change. If no share takes part, no credit is charged.

Ruled out: resetting NaN credits when the next document arrives, which would leave the division in place. The parser of the project's own documents rejects such a split; an adapter's parser does not look.

--- a/router/split.go
+++ b/router/split.go
@@ -21,7 +21,8 @@
 	service            string
 }
 
-// nextService returns the service for the next call of a rule, which may be nil.
+// nextService returns the service for the next call of a rule, or an empty string if no service of the split has a weight above
+// 0.
 func (s *splits) nextService(rule *schema.Rule) string {
 	if len(rule.GetSplit()) == 0 {
 		return rule.GetService()
@@ -33,10 +34,13 @@
 	}
 	total := 0.0
 	for _, share := range rule.GetSplit() {
-		total += share.GetWeight()
+		total += max(0, share.GetWeight())
 	}
 	best := splitKey{}
 	for _, share := range rule.GetSplit() {
+		if share.GetWeight() <= 0 {
+			continue
+		}
 		key := splitKey{rule.GetMethod(), rule.GetHost(), rule.GetPath(), share.GetService()}
 		credit, ok := s.credits[key]
 		if !ok {
@@ -45,11 +49,13 @@
 		}
 		credit += share.GetWeight() / total
 		s.credits[key] = credit
-		if share.GetWeight() > 0 && (best.service == "" || credit > s.credits[best]) {
+		if best.service == "" || credit > s.credits[best] {
 			best = key
 		}
 	}
-	s.credits[best]--
+	if best.service != "" {
+		s.credits[best]--
+	}
 	return best.service
 }
 
--- a/router/split_test.go
+++ b/router/split_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"verbenareel/schema"
@@ -34,6 +35,34 @@
 	})
 }
 
+// TestSplitAfterZeroWeights guards against a traffic split that sends all calls to one service for good, since a document in
+// between gave no service a weight above 0.
+func TestSplitAfterZeroWeights(t *testing.T) {
+	rule := func(weights ...float64) *schema.Rule {
+		var shares []*schema.Share
+		for i, weight := range weights {
+			shares = append(shares, schema.Share_builder{Service: []string{"sheets", "fittings"}[i], Weight: weight}.Build())
+		}
+		return schema.Rule_builder{Path: "/a", Split: shares}.Build()
+	}
+	for name, without := range map[string]*schema.Rule{"zero": rule(0, 0), "sum of zero": rule(-1, 1)} {
+		t.Run(name, func(t *testing.T) {
+			var s splits
+			_ = s.nextService(without)
+			split, counts := rule(1, 1), make(map[string]int)
+			s.retain([]*schema.Rule{split})
+			const calls = 40
+			for range calls {
+				counts[s.nextService(split)]++
+			}
+			checkShares(t, split, counts, calls)
+			for key, credit := range s.credits {
+				qt.Check(t, math.IsNaN(credit), qt.IsFalse, qt.Commentf("%v", key))
+			}
+		})
+	}
+}
+
 // drawSplits returns rules with different paths, each split among all services.
 func drawSplits(t *rapid.T, services []string) []*schema.Rule {
 	var rules []*schema.Rule
@@ -53,7 +82,7 @@
 	return rules
 }
 
-func checkShares(t *rapid.T, rule *schema.Rule, counts map[string]int, calls int) {
+func checkShares(t rapid.TB, rule *schema.Rule, counts map[string]int, calls int) {
 	const slack = 2
 	total := 0.0
 	for _, share := range rule.GetSplit() {
