router: a rule that leads to no service is not answered 404

Callers of a path that the document allows were told 404, which is final, if the rule led to no service: no service of its traffic split had a weight above 0, or the document did not define the service. The cause is that accept looked only at the group of the service, which is missing without a rule and also without a service.

TestRuleWithoutService before the change: got REASON_NO_RULE, want REASON_NO_INSTANCE, in each of the three cases. The call is now refused as not run with no-instance, a 503, and with the time after which it may be sent again: a later document may name a service for it. Without a rule the answer is 404 as before.

Ruled out: no-configuration, since the node has a configuration; for operators no-instance already stands for a service without anyone to run the call. Another service of the split does not take the call over: it would get more than its weight.

--- a/router/call.go
+++ b/router/call.go
@@ -150,10 +150,14 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if rule == nil {
+		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_RULE))
+	}
 	service := r.splits.nextService(rule)
 	g := t.groups[service]
 	if g == nil {
-		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_RULE))
+		// The document allows the call, so its caller is to send it again: a later document may name a service for it.
+		return nil, refuseForNow(schema.Reason_REASON_NO_INSTANCE)
 	}
 	if bound := g.settings.GetMaxBody(); bound > 0 && len(input.Body) > int(bound) {
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_TOO_LARGE))
@@ -181,6 +185,13 @@
 	return c, nil
 }
 
+// refuseForNow returns the refusal of a call for a reason that may not last. Its caller is told when to send it again.
+func refuseForNow(reason schema.Reason) *schema.ExecuteReply {
+	refusal := withoutFurtherRetry(core.NotRun(reason))
+	refusal.SetRetryAfterUs(retryAfter(reason).Microseconds())
+	return refusal
+}
+
 // once reports whether the call must not be sent again after an attempt that may have run, and is protected by this
 // rule setting instead of a ticket.
 func (c *call) once() bool {
--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -320,3 +320,38 @@
 		qt.Check(t, fields["rule_matched_before"], qt.Equals, true)
 	})
 }
+
+// TestRuleWithoutService guards against a final 404 for a call that a rule allows, since the document gives the rule no service
+// to run it.
+func TestRuleWithoutService(t *testing.T) {
+	rule := schema.Rule_builder{Path: "/look", Repeatable: true}
+	split := func(service string, weight float64) schema.Rule_builder {
+		b := rule
+		b.Split = []*schema.Share{schema.Share_builder{Service: service, Weight: weight}.Build()}
+		return b
+	}
+	missing := rule
+	missing.Service = "missing"
+	for name, b := range map[string]schema.Rule_builder{
+		"no weight above 0":          split("sheets", 0),
+		"split to a missing service": split("missing", 1),
+		"missing service":            missing,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _, snapshots := newTestRouter(1, nil)
+			d := document(nil)
+			d.SetRules([]*schema.Rule{b.Build()})
+			snapshots.Store(core.NewSnapshot(2, d, members(1)))
+			assertComeBack(qt.New(t), lookup(r), schema.Reason_REASON_NO_INSTANCE)
+		})
+	}
+}
+
+// assertComeBack asserts that a call was refused with a reason that does not last, and that its caller is told when to send it
+// again.
+func assertComeBack(c *qt.C, reply *schema.ExecuteReply, reason schema.Reason) {
+	c.Helper()
+	assertOutcome(c, reply, schema.Status_STATUS_NOT_RUN, reason)
+	c.Assert(reply.GetRetryAfterUs() > 0, qt.IsTrue)
+	c.Assert(reply.GetRetried(), qt.IsTrue)
+}
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -51,7 +51,7 @@
 	"no-configuration":  "the node had no configuration yet",
 	"no-rule":           "no rule of the configuration matches its host, method and path",
 	"unknown-key":       "its rule needs the API key of a customer, and it carried none that the configuration lists",
-	"no-instance":       "no instance of the service could accept work",
+	"no-instance":       "no instance of the service could accept work, or its rule leads to no service",
 	"quota":             "the customer had used up its quota over all nodes",
 	"retry-budget":      "every instance that was tried refused it, and the retry budget of the service was exhausted",
 	"connect":           "no connection to the backend server could be opened",
