router: no 404 by a document that may be outdated

Callers at a node that was cut off from the platform, and from the nodes that read it, were told 404 for a path that a later document allows. A 404 is final: they do not send the call again. The router knew only the document, not whether it was still the current one.

A call without a rule is now refused for good only if the document was confirmed within 3 s (core.Confirmer). A document must be in force everywhere within 4 s, so a later one with a rule for the call need not be in force yet; the remaining 1 s is for the way of the confirmation. Otherwise the call is refused as not run with no-configuration, a 503, and with the time after which it may be sent again. The confirmation is read before the document, since a later document may replace it, and be confirmed, in between. Calls with a rule are served as before, whatever the age. NeedsBody is unchanged: a call whose body was not read has no rule, or is refused if it has got one meanwhile.

TestRuleUnknownYet and TestRuleAddedMeanwhile before the change: got REASON_NO_RULE, want REASON_NO_CONFIGURATION ('confirmed long ago', 'never confirmed', and a document that is replaced while the call is routed).

Ruled out: a bound that calm nodes reach.

--- a/router/call.go
+++ b/router/call.go
@@ -20,6 +20,9 @@
 	// maxCrashesPerCall limits the backend servers that one call may crash. After the first crash the call is sent once
 	// more, marked as a suspect, and then no more.
 	maxCrashesPerCall = 2
+	// maxDocumentAge is the age of the document's last confirmation up to which the document decides that a call has no rule. A
+	// document must be in force everywhere within 4 s of its acceptance, and a confirmation may take 1 s to reach the node.
+	maxDocumentAge = 3 * time.Second
 )
 
 // call holds the state of one call in the router.
@@ -134,6 +137,8 @@
 
 // accept validates the input and returns the state of the call, or the reply that refuses it.
 func (r *Router) accept(now time.Time, input *core.Call) (*call, *schema.ExecuteReply) {
+	// The age is that of this document or of an earlier one, since a later document may replace it at any moment.
+	mayBeOld := r.documentMayBeOld(now)
 	t := r.current(now)
 	if t.snapshot == nil {
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_CONFIGURATION))
@@ -142,7 +147,12 @@
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_DEPTH))
 	}
 	rule := t.snapshot.Route(input.Method, input.Host, input.Path)
-	if rule != nil && input.BodyUnread {
+	switch {
+	case rule == nil && mayBeOld:
+		return nil, refuseForNow(schema.Reason_REASON_NO_CONFIGURATION)
+	case rule == nil:
+		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_RULE))
+	case input.BodyUnread:
 		// The rule came into force after the head of the request had been read.
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_CONFIGURATION))
 	}
@@ -150,9 +160,6 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	if rule == nil {
-		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_RULE))
-	}
 	service := r.splits.nextService(rule)
 	g := t.groups[service]
 	if g == nil {
@@ -185,6 +192,12 @@
 	return c, nil
 }
 
+// documentMayBeOld reports whether a later document, with further rules, may have to be in force.
+func (r *Router) documentMayBeOld(now time.Time) bool {
+	confirmer, ok := r.snapshots.(core.Confirmer)
+	return ok && now.Sub(confirmer.ConfirmedAt()) > maxDocumentAge
+}
+
 // refuseForNow returns the refusal of a call for a reason that may not last. Its caller is told when to send it again.
 func refuseForNow(reason schema.Reason) *schema.ExecuteReply {
 	refusal := withoutFurtherRetry(core.NotRun(reason))
--- a/router/customer.go
+++ b/router/customer.go
@@ -14,12 +14,8 @@
 	priority schema.Priority
 }
 
-// authenticate returns the customer of a call, or the reply that refuses the call. A call without a rule has no identity; it
-// is refused later.
+// authenticate returns the customer of a call, or the reply that refuses the call.
 func authenticate(s *core.Snapshot, rule *schema.Rule, input *core.Call) (identity, *schema.ExecuteReply) {
-	if rule == nil {
-		return identity{}, nil
-	}
 	id := identity{name: s.CustomerByKey(input.KeyHash), priority: rule.GetPriority()}
 	needed := s.NeedsKey(rule)
 	if needed && id.name == "" {
--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -355,3 +355,85 @@
 	c.Assert(reply.GetRetryAfterUs() > 0, qt.IsTrue)
 	c.Assert(reply.GetRetried(), qt.IsTrue)
 }
+
+// TestRuleUnknownYet guards against a final 404 from a node that does not know whether its document is the current one, and
+// against a refusal of a call that the document allows.
+func TestRuleUnknownYet(t *testing.T) {
+	const never = time.Duration(-1)
+	for _, test := range []struct {
+		name, path string
+		age        time.Duration
+		reason     schema.Reason
+	}{
+		{"confirmed", "/new", time.Second, schema.Reason_REASON_NO_RULE},
+		{"confirmed long ago", "/new", 4 * time.Second, schema.Reason_REASON_NO_CONFIGURATION},
+		{"never confirmed", "/new", never, schema.Reason_REASON_NO_CONFIGURATION},
+		{"allowed, confirmed long ago", "/look", time.Hour, schema.Reason_REASON_NONE},
+		{"allowed, never confirmed", "/look", never, schema.Reason_REASON_NONE},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r, snapshots := confirmedRouter()
+				if test.age != never {
+					snapshots.at = time.Now().Add(-test.age)
+				}
+				input := &core.Call{Method: "GET", URI: test.path, Path: test.path}
+				allowed := test.reason == schema.Reason_REASON_NONE
+				c.Check(r.NeedsBody(input), qt.Equals, allowed)
+				input.BodyUnread = !allowed
+				assertVerdict(c, r.Handle(t.Context(), input), test.reason)
+			})
+		})
+	}
+}
+
+// TestRuleAddedMeanwhile guards against a final 404 by a document that is replaced, and its successor confirmed, while a call is
+// routed.
+func TestRuleAddedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, snapshots := confirmedRouter()
+		r.current(time.Now())
+		r.snapshots = &replacedSnapshots{confirmedSnapshots: snapshots, next: core.NewSnapshot(3, document(nil), members(1))}
+		reply := r.Handle(t.Context(), &core.Call{Method: "GET", URI: "/new", Path: "/new"})
+		assertVerdict(qt.New(t), reply, schema.Reason_REASON_NO_CONFIGURATION)
+	})
+}
+
+// confirmedRouter returns a router whose document allows only calls below /look, and its snapshots. The document was never
+// confirmed.
+func confirmedRouter() (*Router, *confirmedSnapshots) {
+	r, _, _ := newTestRouter(1, func(context.Context, *schema.ExecuteRequest) *schema.ExecuteReply { return answer(200) })
+	d := document(nil)
+	d.SetRules(d.GetRules()[:1])
+	snapshots := &confirmedSnapshots{}
+	snapshots.Store(core.NewSnapshot(2, d, members(1)))
+	r.snapshots = snapshots
+	return r, snapshots
+}
+
+// replacedSnapshots is a confirmedSnapshots whose document is replaced by a confirmed one after it was read.
+type replacedSnapshots struct {
+	*confirmedSnapshots
+	next *core.Snapshot
+}
+
+func (r *replacedSnapshots) Snapshot() *core.Snapshot {
+	before := r.Load()
+	r.Store(r.next)
+	r.at = time.Now()
+	return before
+}
+
+// assertVerdict asserts that a call was answered, refused for good since no rule matches, or refused for now.
+func assertVerdict(c *qt.C, reply *schema.ExecuteReply, reason schema.Reason) {
+	c.Helper()
+	switch reason {
+	case schema.Reason_REASON_NONE:
+		assertOutcome(c, reply, schema.Status_STATUS_ANSWERED, reason)
+	case schema.Reason_REASON_NO_RULE:
+		assertOutcome(c, reply, schema.Status_STATUS_NOT_RUN, reason)
+	default:
+		assertComeBack(c, reply, reason)
+	}
+}
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -48,7 +48,7 @@
 	"shed":              "the backend server rejected the call itself (load shedding)",
 	"poisoned":          "the same request has crashed backend servers before",
 	"suspect":           "the request is suspected of crashing a backend server and could not run in isolation in time",
-	"no-configuration":  "the node had no configuration yet",
+	"no-configuration":  "the node had no configuration yet, or none that allows it while a later one may be in force",
 	"no-rule":           "no rule of the configuration matches its host, method and path",
 	"unknown-key":       "its rule needs the API key of a customer, and it carried none that the configuration lists",
 	"no-instance":       "no instance of the service could accept work, or its rule leads to no service",
