crowd: a legal body to a server beside another node gets no 413, with nodes as processes

A node beside no server of the service sends all calls to another node. Answers above 1 MB from another node still fail with 502, which is not this incident.

--- a/crowd/denied_test.go
+++ b/crowd/denied_test.go
@@ -38,6 +38,27 @@
 	qt.Check(t, s.Serves(callTime), qt.IsTrue)
 }
 
+// TestLegalBodyToOtherNode guards against a 413 to a body within the limit of the document because its server is beside another node.
+func TestLegalBodyToOtherNode(t *testing.T) {
+	const limit = 8 << 20
+	s, err := NewStand(program, t.TempDir(), limit, "")
+	qt.Assert(t, err, qt.IsNil)
+	defer s.Close()
+	n, err := s.NewNeighbor(program, t.TempDir())
+	qt.Assert(t, err, qt.IsNil)
+	defer n.Close()
+	for _, size := range []int{1 << 20, 2 << 20, limit} {
+		for framing, request := range map[string]string{
+			"length":  fmt.Sprintf("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size)),
+			"chunked": fmt.Sprintf("POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("b", size)),
+		} {
+			t.Run(fmt.Sprintf("%d %s", size, framing), func(t *testing.T) {
+				checkNotDenied(t, map[int]int{sendPart(n.HTTP, request, false): 1})
+			})
+		}
+	}
+}
+
 // sendParts sends a request without its last bytes, up to a number of them, each on a connection of its own, and returns how many
 // connections got each status, or 0 for none. With ends, the caller closes its direction of the connection.
 func sendParts(address, request string, most int, ends bool) map[int]int {
@@ -79,6 +100,7 @@
 // checkNotDenied checks that no response is a 3xx, or a 4xx that does not promise that the request may be sent again.
 func checkNotDenied(t *testing.T, counts map[int]int) {
 	t.Helper()
+	t.Logf("responses by status: %v", counts)
 	for code, count := range counts {
 		final := code >= 300 && code < 500 && code != http.StatusRequestTimeout && code != http.StatusMisdirectedRequest && code != http.StatusTooManyRequests
 		qt.Check(t, final, qt.IsFalse, qt.Commentf("%d responses of status %d", count, code))
--- a/crowd/stand.go
+++ b/crowd/stand.go
@@ -67,6 +67,8 @@
 	cancel   context.CancelFunc
 	commands []*exec.Cmd
 	log      bytes.Buffer
+	// platform is the URL of the platform.
+	platform string
 }
 
 // NewStand starts the processes of a program and waits until the node is ready. Bodies may have maxBody bytes. settings is
@@ -80,19 +82,13 @@
 			return nil, err
 		}
 	}
-	platform, err := s.startPlatform(maxBody)
-	if err != nil {
+	if err := s.startPlatform(maxBody); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf("instance = %q\nservice = \"sheets\"\ndomain = \"one\"\nhttp_address = %q\nrpc_address = %q\n"+
-		"status_address = %q\nready_address = %q\nbackend_address = %q\nplatform_url = %q\nlog_level = \"error\"\n%s",
-		instanceName, s.HTTP, s.RPC, s.Status, s.Ready, backend, platform, settings)
-	file := filepath.Join(directory, "settings.toml")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return nil, fmt.Errorf("write settings: %w", err)
+	node, err := s.nodeCommand(program, directory, instanceName, "sheets", backend, settings, environment...)
+	if err != nil {
+		return nil, err
 	}
-	node := exec.Command(program, "node", "--settings", file)
-	node.Env = append(os.Environ(), environment...)
 	node.Stderr = &s.log
 	server := exec.Command(program, "fake", "backend", "--name", instanceName, "--address", backend, "--warm-time", "1ms")
 	for _, command := range []*exec.Cmd{node, server} {
@@ -109,18 +105,60 @@
 	return s, nil
 }
 
-// startPlatform starts the platform and returns its URL.
-func (s *Stand) startPlatform(maxBody int) (string, error) {
+// nodeCommand returns the command of a node at the addresses of the stand.
+func (s *Stand) nodeCommand(program, directory, instance, service, backend, settings string, environment ...string) (*exec.Cmd, error) {
+	text := fmt.Sprintf("instance = %q\nservice = %q\ndomain = \"one\"\nhttp_address = %q\nrpc_address = %q\n"+
+		"status_address = %q\nready_address = %q\nbackend_address = %q\nplatform_url = %q\nlog_level = \"error\"\n%s",
+		instance, service, s.HTTP, s.RPC, s.Status, s.Ready, backend, s.platform, settings)
+	file := filepath.Join(directory, instance+".toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	node := exec.Command(program, "node", "--settings", file)
+	node.Env = append(os.Environ(), environment...)
+	return node, nil
+}
+
+// NewNeighbor starts a node of a stand beside no backend server, and waits until it is ready. It sends all calls to the node of the
+// stand.
+func (s *Stand) NewNeighbor(program, directory string) (*Stand, error) {
+	n := &Stand{platform: s.platform, cancel: func() {}}
+	var backend string
+	for _, address := range []*string{&n.HTTP, &n.RPC, &n.Status, &n.Ready, &backend} {
+		var err error
+		if *address, err = fakes.NewAddress(); err != nil {
+			return nil, err
+		}
+	}
+	node, err := n.nodeCommand(program, directory, "cutting-1", "cutting", backend, "")
+	if err != nil {
+		return nil, err
+	}
+	node.Stderr = &n.log
+	if err := node.Start(); err != nil {
+		return nil, fmt.Errorf("start process: %w", err)
+	}
+	n.commands = append(n.commands, node)
+	if !n.Serves(readyTimeout) {
+		n.Close()
+		return nil, fmt.Errorf("%w: %s", ErrNotReady, n.log.String())
+	}
+	return n, nil
+}
+
+// startPlatform starts the platform.
+func (s *Stand) startPlatform(maxBody int) error {
 	platform, err := fakes.NewPlatform("127.0.0.1:0", 0)
 	if err != nil {
-		return "", fmt.Errorf("start platform: %w", err)
+		return fmt.Errorf("start platform: %w", err)
 	}
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(context.Background())
 	s.group.Go(func() { _ = platform.Serve(ctx) })
 	platform.Publish(fmt.Appendf(nil, document, maxBody, maxBody))
 	platform.List([]fakes.Entry{{Instance: instanceName, Service: "sheets", Domain: "one", Address: s.RPC, State: "live"}})
-	return platform.URL(), nil
+	s.platform = platform.URL()
+	return nil
 }
 
 // Serves reports whether an ordinary request is answered within the limit. It may be refused before.
