peers, platform: an old copy of the document is not taken as confirmed

Callers were told 404, which is final, for a path that the platform had accepted, by a node whose document was confirmed by a platform that did not know better: a store that was restored from a backup, until what was written since is written again (list_grace), and a platform that serves stale data to a new process. The read of an old copy counted as a confirmation like any other.

Exchange.ConfirmedAt now reports no confirmation while the document may be an old copy. With the project's own platform it is so in a new process until three other nodes have told their revision, for at most 1 s: the condition under which a document with customers is held back. The router then refuses a call without a rule as no-configuration. Gossip and the schedule of reads keep using the time of the confirmation itself.

Without Settled in the read policy: TestUnknownPathAfterRestore 'not within 10 s' (the node never answers 503).

Ruled out: waiting for peers with an adapter too. Confirmations from before a pause already count for nothing (confirmationTime).

--- a/core/core.go
+++ b/core/core.go
@@ -184,8 +184,8 @@
 
 // Confirmer is implemented by Snapshots that know when the document in force was last known to be the current one.
 type Confirmer interface {
-	// ConfirmedAt returns the last time at which the platform was known to hold no later document, or the zero time. It is safe
-	// for concurrent use.
+	// ConfirmedAt returns the last time at which the platform was known to hold no later document, or the zero time if that is not
+	// known or the document may lack what was accepted before. It is safe for concurrent use.
 	ConfirmedAt() time.Time
 }
 
--- a/core/restore.go
+++ b/core/restore.go
@@ -11,4 +11,6 @@
 	MayBeRestored() bool
 	// RestoredAt returns when the first response after the last restoration arrived, or the zero time.
 	RestoredAt() time.Time
+	// Settled reports whether the document with a revision has all that was accepted before the platform was last restored.
+	Settled(revision uint64) bool
 }
--- a/node/node.go
+++ b/node/node.go
@@ -260,7 +260,7 @@
 	}
 	if restorable, ok := n.adapter.(core.Restorable); ok {
 		reading.Merge, reading.RestoredAt = restorable.Merge, restorable.RestoredAt
-		reading.AskPeers = restorable.MayBeRestored
+		reading.AskPeers, reading.Settled = restorable.MayBeRestored, restorable.Settled
 	}
 	return reading
 }
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -78,6 +78,8 @@
 type digest struct {
 	revision, manifest uint64
 	confirmedAt        time.Time
+	// currentAt is that of State.currentAt.
+	currentAt time.Time
 }
 
 type initialDocument struct {
@@ -129,7 +131,7 @@
 		e.state.applyDocument(now, e.initial.revision, e.initial.text, time.Time{})
 	}
 	e.publish()
-	e.storeDigest()
+	e.storeDigest(now)
 	e.storeStatus(now)
 	return e
 }
@@ -194,7 +196,7 @@
 // apply publishes changes of the state and starts the effects it requested.
 func (e *Exchange) apply(ctx context.Context, now time.Time) {
 	e.publish()
-	e.storeDigest()
+	e.storeDigest(now)
 	e.fresh.Store(e.state.Fresh(now))
 	for _, effect := range e.state.TakeEffects() {
 		e.startEffect(ctx, effect)
@@ -227,10 +229,13 @@
 }
 
 // storeDigest updates the copy of the state's digest if it changed.
-func (e *Exchange) storeDigest() {
-	now := digest{revision: e.state.Revision(), manifest: e.state.manifest(), confirmedAt: e.state.confirmedAt}
-	if before := e.digest.Load(); before == nil || *before != now {
-		e.digest.Store(&now)
+func (e *Exchange) storeDigest(now time.Time) {
+	d := digest{
+		revision: e.state.Revision(), manifest: e.state.manifest(),
+		confirmedAt: e.state.confirmedAt, currentAt: e.state.currentAt(now),
+	}
+	if before := e.digest.Load(); before == nil || *before != d {
+		e.digest.Store(&d)
 	}
 }
 
@@ -307,7 +312,7 @@
 // ConfirmedAt implements core.Confirmer.
 func (e *Exchange) ConfirmedAt() time.Time {
 	if s := e.digest.Load(); s != nil {
-		return s.confirmedAt
+		return s.currentAt
 	}
 	return time.Time{}
 }
--- a/peers/restore_test.go
+++ b/peers/restore_test.go
@@ -111,6 +111,26 @@
 	}
 }
 
+// TestUnsettledDocument guards against a request that is refused for good by a document from a backup, which may lack what the platform
+// had accepted before. Nodes confirm the document to each other as before.
+func TestUnsettledDocument(t *testing.T) {
+	now, restored := time.Unix(1_700_000_000, 0), time.Time{}
+	s := restorableState(now.Add(-time.Minute), &restored)
+	const settledFrom = 100
+	s.reading.Settled = func(revision uint64) bool { return revision >= settledFrom }
+	read := func(revision uint64) {
+		now = now.Add(time.Second)
+		s.DocumentDone(now, ReadDocument{After: s.Revision(), sentAt: now}, revision, testDocument(1, 3), nil)
+		qt.Check(t, s.confirmedAt, qt.Equals, now)
+	}
+	read(settledFrom - 2)
+	qt.Check(t, s.currentAt(now).IsZero(), qt.IsTrue)
+	read(settledFrom - 1)
+	qt.Check(t, s.currentAt(now).IsZero(), qt.IsTrue)
+	read(settledFrom)
+	qt.Check(t, s.currentAt(now), qt.Equals, now)
+}
+
 // TestHeldDocument guards against a new process that follows a backup until it hears from its peers, and against one that waits for
 // peers that there are not.
 func TestHeldDocument(t *testing.T) {
--- a/peers/startup.go
+++ b/peers/startup.go
@@ -5,23 +5,43 @@
 	"time"
 )
 
-// startHold is the longest time for which a new process holds back a document that lists customers. It covers the first
-// exchanges with other nodes and the transfer of a document; without any answer by then, an old document is better than none.
+// startHold is the longest time for which a new process takes its first document for an old one. It covers the first exchanges with
+// other nodes and the transfer of a document; without any answer by then, an old document is better than none.
 const startHold = time.Second
 
-// heldBack reports whether the accepted document must not be published yet. The first copy that a new process gets may be an
-// old one, from a platform that serves stale data or from a node that was cut off, and list a key that was revoked meanwhile.
-// The process therefore waits until other nodes have told which revision they have, also if it has read the platform itself: the
-// platform may have been restored from a backup. A document without customers is not held back, and no document once one was
-// published.
+// heldBack reports whether the accepted document must not be published yet: the first copy that a new process gets may list a key
+// that was revoked meanwhile. A document without customers is not held back, and no document once one was published.
 func (s *State) heldBack(now time.Time) bool {
-	switch {
-	case s.accepted == nil, s.published, len(s.accepted.document.GetCustomers()) == 0, now.Sub(s.startedAt) >= startHold:
+	return s.accepted != nil && !s.published && len(s.accepted.document.GetCustomers()) > 0 && s.awaitsPeers(now)
+}
+
+// awaitsPeers reports whether a new process has not heard enough yet to take its document for the current one. The first copy that it
+// gets may be an old one, from a platform that serves stale data or from a node that was cut off. The process therefore waits until
+// other nodes have told which revision they have, also if it has read the platform itself: the platform may have been restored from
+// a backup.
+func (s *State) awaitsPeers(now time.Time) bool {
+	if now.Sub(s.startedAt) >= startHold {
 		return false
-	case s.pull != nil:
-		return true
 	}
-	return len(s.startSources) < s.startAnswersNeeded()
+	return s.pull != nil || len(s.startSources) < s.startAnswersNeeded()
+}
+
+// currentAt returns the last time at which the accepted document was known to be the current one, or the zero time if the document
+// may lack what was accepted before.
+func (s *State) currentAt(now time.Time) time.Time {
+	if s.mayBeOldCopy(now) {
+		return time.Time{}
+	}
+	return s.confirmedAt
+}
+
+// mayBeOldCopy reports whether the platform may have confirmed a document that is older than what was accepted. A platform that tells
+// when it is restored from a backup gives no old copies at other times.
+func (s *State) mayBeOldCopy(now time.Time) bool {
+	if s.reading.Settled != nil {
+		return !s.reading.Settled(s.Revision())
+	}
+	return s.awaitsPeers(now)
 }
 
 // startAnswersNeeded returns the number of other nodes that must have told their revision: initialPeers, or all if there are
--- a/peers/startup_test.go
+++ b/peers/startup_test.go
@@ -41,6 +41,42 @@
 	}
 }
 
+// TestOldDocumentAtStart guards against a new process that refuses requests for good by its first document, while other nodes have a
+// later one but are slow to answer.
+func TestOldDocumentAtStart(t *testing.T) {
+	const (
+		restarted = 4
+		// resumeTick is when the other nodes answer again.
+		resumeTick = int(400 * time.Millisecond / TickInterval)
+	)
+	for seed := range uint64(20) {
+		m := newModel(5, seed, t.Fatalf)
+		m.put(true)
+		m.run(int(2 * time.Second / TickInterval))
+		m.put(true)
+		m.run(int(4 * time.Second / TickInterval))
+		p := m.processes[restarted]
+		p.path, p.staleRevision = pathStale, 1
+		m.restart(restarted, 0)
+		p = m.processes[restarted]
+		for _, q := range m.processes[:restarted] {
+			q.paused = true
+		}
+		for tick := range int(2 * startHold / TickInterval) {
+			m.run(1)
+			if tick == resumeTick {
+				for _, q := range m.processes[:restarted] {
+					m.resume(q)
+				}
+			}
+			if !p.currentAt(m.now).IsZero() {
+				qt.Assert(t, p.Revision(), qt.Equals, uint64(2), qt.Commentf("seed %d, %v after the start", seed, m.now.Sub(p.startedAt)))
+			}
+		}
+		qt.Assert(t, p.currentAt(m.now).IsZero(), qt.IsFalse)
+	}
+}
+
 func checkRevokedAtStart(t *testing.T, seed uint64, reading ReadPolicy, oldCopy func(*model, *process)) {
 	const (
 		restarted = 4
--- a/peers/state.go
+++ b/peers/state.go
@@ -235,9 +235,10 @@
 	// OutageGrace is the time after an outage of the platform during which instances that the list no longer names are kept:
 	// their entries may have expired during the outage.
 	OutageGrace time.Duration
-	// Merge and RestoredAt are those of core.Restorable. They are nil for a platform that is never restored from a backup.
+	// Merge, RestoredAt and Settled are those of core.Restorable. They are nil for a platform that is never restored from a backup.
 	Merge      func(inForce uint64, accepted []byte, revision uint64, candidate []byte) []byte
 	RestoredAt func() time.Time
+	Settled    func(revision uint64) bool
 	// AskPeers reports whether a new process must hear from its peers before a document that it reads takes effect, since the
 	// platform may just have been restored. nil means that it need not.
 	AskPeers func() bool
