router: no 401 for a key that a later document may list

Callers with a key that had just been added were told 401, which is final, by a node that was cut off from the platform and from the nodes that read it, or that had a document from a backup. Like the 404 by such a document, the refusal rested on a document that was not known to be the current one.

While the document may be old, a call whose key it does not list is refused as not run with no-configuration, a 503, and with the time after which it may be sent again. The call does not run either way, and a key that was revoked gains nothing. A call without a key, with an empty one or with two is refused with 401 as before: by docs/design/customers.md such a key is unknown whatever the document lists.

TestKeyUnknownYet before the change: got REASON_UNKNOWN_KEY, want REASON_NO_CONFIGURATION ('confirmed long ago').

Ruled out: a longer hold of the first document of a new process (peers.State.heldBack), which would make each restart in an outage of the platform a loss of the instance.

--- a/router/call.go
+++ b/router/call.go
@@ -156,7 +156,7 @@
 		// The rule came into force after the head of the request had been read.
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_CONFIGURATION))
 	}
-	identity, refusal := authenticate(t.snapshot, rule, input)
+	identity, refusal := authenticate(t.snapshot, rule, input, mayBeOld)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/router/customer.go
+++ b/router/customer.go
@@ -14,10 +14,14 @@
 	priority schema.Priority
 }
 
-// authenticate returns the customer of a call, or the reply that refuses the call.
-func authenticate(s *core.Snapshot, rule *schema.Rule, input *core.Call) (identity, *schema.ExecuteReply) {
+// authenticate returns the customer of a call, or the reply that refuses the call. If the document may be old, a later one may list
+// the key, so the refusal of an unknown key is not final. A call without a key is refused for good.
+func authenticate(s *core.Snapshot, rule *schema.Rule, input *core.Call, mayBeOld bool) (identity, *schema.ExecuteReply) {
 	id := identity{name: s.CustomerByKey(input.KeyHash), priority: rule.GetPriority()}
 	needed := s.NeedsKey(rule)
+	if needed && id.name == "" && mayBeOld && input.KeyHash != "" {
+		return id, refuseForNow(schema.Reason_REASON_NO_CONFIGURATION)
+	}
 	if needed && id.name == "" {
 		return id, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_UNKNOWN_KEY))
 	}
--- a/router/customer_test.go
+++ b/router/customer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -102,3 +103,27 @@
 	reply := r.Handle(context.Background(), callWithKey("/order", acmeKey))
 	qt.Check(t, reply.GetReason(), qt.Equals, schema.Reason_REASON_NO_CONFIGURATION)
 }
+
+// TestKeyUnknownYet guards against a final 401 for a key that a later document lists, and against a call that runs without a valid
+// key since the node does not know whether its document is the current one.
+func TestKeyUnknownYet(t *testing.T) {
+	for _, test := range []struct {
+		name, key string
+		age       time.Duration
+		reason    schema.Reason
+	}{
+		{"confirmed", revokedKey, time.Second, schema.Reason_REASON_UNKNOWN_KEY},
+		{"confirmed long ago", revokedKey, time.Hour, schema.Reason_REASON_NO_CONFIGURATION},
+		{"no key, confirmed long ago", "", time.Hour, schema.Reason_REASON_UNKNOWN_KEY},
+		{"known key, confirmed long ago", acmeKey, time.Hour, schema.Reason_REASON_NONE},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, snapshots, sent := customerRouter()
+			confirmed := &confirmedSnapshots{at: time.Now().Add(-test.age)}
+			confirmed.Store(snapshots.Load())
+			r.snapshots = confirmed
+			assertVerdict(qt.New(t), r.Handle(t.Context(), callWithKey("/order", test.key)), test.reason)
+			qt.Check(t, len(*sent) == 1, qt.Equals, test.reason == schema.Reason_REASON_NONE)
+		})
+	}
+}
--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -425,13 +425,13 @@
 	return before
 }
 
-// assertVerdict asserts that a call was answered, refused for good since no rule matches, or refused for now.
+// assertVerdict asserts that a call was answered, refused for good, or refused for now.
 func assertVerdict(c *qt.C, reply *schema.ExecuteReply, reason schema.Reason) {
 	c.Helper()
 	switch reason {
 	case schema.Reason_REASON_NONE:
 		assertOutcome(c, reply, schema.Status_STATUS_ANSWERED, reason)
-	case schema.Reason_REASON_NO_RULE:
+	case schema.Reason_REASON_NO_RULE, schema.Reason_REASON_UNKNOWN_KEY:
 		assertOutcome(c, reply, schema.Status_STATUS_NOT_RUN, reason)
 	default:
 		assertComeBack(c, reply, reason)
