io, node: the limits for callers are those of the document in force

Callers saw 431 or 413 by a limit that no document has: up to 100 ms after a document came into force by the one before, and before the first document by the defaults of the node (header 16 KB, body 1 MB).

One request is read under one set of limits. Without a document a request above the default sizes gets 503 no-configuration, which tells the caller that it did not run and may come again. The poll is gone, nothing else needed it.

TestLimits sets its limits by the new option instead of Front.Configure, which is gone; its cases are unchanged.

--- a/io/front.go
+++ b/io/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"verbenareel/core"
@@ -34,10 +35,11 @@
 	once    sync.Once
 	// keepAlivesDisabled adds "Connection: close" to each response behind which no request has been passed on.
 	keepAlivesDisabled atomic.Bool
-	limits             atomic.Pointer[frontLimits]
-	callers            callerLimits
-	refusals           refusalLog
-	responses          *prometheus.CounterVec
+	// limits are those that were last in force.
+	limits    atomic.Pointer[frontLimits]
+	callers   callerLimits
+	refusals  refusalLog
+	responses *prometheus.CounterVec
 
 	mutex    sync.Mutex
 	sessions map[*session]struct{}
@@ -53,8 +55,14 @@
 // queue, and would be reset if the listener was closed.
 const acceptLastWait = 10 * time.Millisecond
 
-// frontLimits are the size limits and timeouts that apply to callers.
+// errNoConfiguration refuses a request above the default sizes while there is no document.
+var errNoConfiguration = errors.New("node has no configuration yet")
+
+// frontLimits are the size limits and timeouts that apply to callers. inForce reports whether there is a document that they come
+// from.
 type frontLimits struct {
+	document      *schema.Limits
+	inForce       bool
 	maxHeader     int
 	maxBody       int
 	headerTimeout time.Duration
@@ -81,14 +89,26 @@
 		responses:    newResponseCounter(o.registerer),
 	}
 	f.stopped, f.stop = context.WithCancel(context.Background())
-	f.Configure(nil)
 	return f, nil
 }
 
-// Configure applies the limits of the document. Limits that are not set, and all limits of a nil message, have their default
-// values.
-func (f *Front) Configure(limits *schema.Limits) {
-	l := &frontLimits{maxHeader: maxHeaderBytes, maxBody: f.maxBody, headerTimeout: f.readTimeout, idleTimeout: f.idleTimeout}
+// currentLimits returns the limits of the document in force.
+func (f *Front) currentLimits() *frontLimits {
+	document, inForce := f.documentLimits()
+	if l := f.limits.Load(); l != nil && l.document == document && l.inForce == inForce {
+		return l
+	}
+	l := f.newLimits(document)
+	l.inForce = inForce
+	f.limits.Store(l)
+	return l
+}
+
+// newLimits returns the limits of a document. Limits that are not set, and all limits of a nil message, have their default values.
+func (f *Front) newLimits(limits *schema.Limits) *frontLimits {
+	l := &frontLimits{
+		document: limits, maxHeader: maxHeaderBytes, maxBody: f.maxBody, headerTimeout: f.readTimeout, idleTimeout: f.idleTimeout,
+	}
 	if size := int(limits.GetMaxHeader()); size > 0 {
 		l.maxHeader = min(size, headerBufferSize)
 	}
@@ -101,7 +121,16 @@
 	if timeout := limits.GetIdleTimeout().AsDuration(); timeout > 0 {
 		l.idleTimeout = timeout
 	}
-	f.limits.Store(l)
+	return l
+}
+
+// refusal returns the error with which a request is refused. Without a document, a request above the default sizes may be within
+// the limits of the document to come.
+func (l *frontLimits) refusal(err error) error {
+	if !l.inForce && (errors.Is(err, errHeaderTooLarge) || errors.Is(err, fasthttp.ErrBodyTooLarge)) {
+		return errNoConfiguration
+	}
+	return err
 }
 
 // Addr returns the address that the front listens on.
--- a/io/option.go
+++ b/io/option.go
@@ -15,6 +15,7 @@
 
 	"verbenareel/core"
 	"verbenareel/meter"
+	"verbenareel/schema"
 )
 
 // Default limits and timeouts. See docs/design.md.
@@ -60,6 +61,7 @@
 	meter           *meter.Meter
 	callerLimits    CallerLimits
 	frameMemory     int
+	documentLimits  func() (limits *schema.Limits, inForce bool)
 }
 
 // Option configures a Server, Transport, Backend or Front. Options that do not apply to a component are ignored.
@@ -128,6 +130,13 @@
 	return func(o *options) { o.memory = memory }
 }
 
+// WithDocumentLimits sets the function that returns the limits of the document in force for callers of a Front, and whether there
+// is a document. It is called for each request, so that the request is read under the document by which it is routed. By default,
+// all limits have their default values.
+func WithDocumentLimits(limits func() (limits *schema.Limits, inForce bool)) Option {
+	return func(o *options) { o.documentLimits = limits }
+}
+
 // WithFrameMemory sets the maximum sum in bytes of the messages that a Server is reading. The default is 32 MB.
 func WithFrameMemory(size int) Option {
 	return func(o *options) { o.frameMemory = size }
@@ -147,6 +156,7 @@
 		pingAfter:       defaultPingAfter,
 		pingTimeout:     defaultPingTimeout,
 		wire:            core.NativeWire(),
+		documentLimits:  func() (*schema.Limits, bool) { return nil, true },
 	}
 	for _, set := range opts {
 		set(&o)
--- a/io/parse.go
+++ b/io/parse.go
@@ -323,6 +323,8 @@
 	case errors.As(err, &header):
 	case errors.Is(err, errHeaderTooLarge):
 		reason, code = schema.Reason_REASON_TOO_LARGE, fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errNoConfiguration):
+		reason = schema.Reason_REASON_NO_CONFIGURATION
 	case errors.Is(err, errMemoryFull):
 		reason = schema.Reason_REASON_MEMORY
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
--- a/io/request.go
+++ b/io/request.go
@@ -84,7 +84,7 @@
 	s.releaseReader()
 	idleSince := time.Now()
 	for {
-		_ = s.conn.SetReadDeadline(idleSince.Add(s.front.limits.Load().idleTimeout))
+		_ = s.conn.SetReadDeadline(idleSince.Add(s.front.currentLimits().idleTimeout))
 		if end := s.drainEnd.Load(); end != 0 {
 			_ = s.conn.SetReadDeadline(time.Unix(0, end))
 		}
@@ -104,7 +104,7 @@
 			s.drainEnd.Store(time.Now().Add(lastRequestWait).UnixNano())
 		case s.inFlight.Load() > 0:
 			idleSince = time.Now()
-		case time.Since(idleSince) >= s.front.limits.Load().idleTimeout:
+		case time.Since(idleSince) >= s.front.currentLimits().idleTimeout:
 			return errLastRequest
 		}
 	}
@@ -134,11 +134,11 @@
 
 // readRequest reads and validates one request.
 func (s *session) readRequest(request *fasthttp.Request) (*core.Call, error) {
-	limits := s.front.limits.Load()
+	limits := s.front.currentLimits()
 	_ = s.conn.SetReadDeadline(time.Now().Add(limits.headerTimeout))
 	header, err := s.readHeader(limits.maxHeader)
 	if err != nil {
-		return nil, err
+		return nil, limits.refusal(err)
 	}
 	if err := s.parseHeader(request, header); err != nil {
 		return nil, err
@@ -160,7 +160,7 @@
 		}
 	}
 	call.Body, err = s.readBody(request, limits.maxBody)
-	return call, concealContent(err)
+	return call, limits.refusal(concealContent(err))
 }
 
 // readHeader returns the request line and header fields without consuming them from the reader. A header that does not fit into
--- a/io/session_test.go
+++ b/io/session_test.go
@@ -214,8 +214,7 @@
 // TestLimits checks that the limits of the document are enforced.
 func TestLimits(t *testing.T) {
 	limits := schema.Limits_builder{MaxHeader: 200, MaxBody: 4}.Build()
-	front := newFront(t, echoCall)
-	front.Configure(limits)
+	front := newFront(t, echoCall, io.WithDocumentLimits(func() (*schema.Limits, bool) { return limits, true }))
 	for _, c := range []struct {
 		name, request string
 		code          int
--- a/node/listen.go
+++ b/node/listen.go
@@ -34,7 +34,8 @@
 		}},
 		{"HTTP", settings.GetHttpAddress(), func(address string) (err error) {
 			n.front, err = io.NewFront(address, n.router, io.WithLogger(n.logger), io.WithRegisterer(n.registry),
-				io.WithWire(n.wire()), io.WithMemory(n.memory), io.WithCallerLimits(callerLimits(settings.GetCallers())))
+				io.WithWire(n.wire()), io.WithMemory(n.memory), io.WithCallerLimits(callerLimits(settings.GetCallers())),
+				io.WithDocumentLimits(n.documentLimits))
 			return err
 		}},
 		{"status", settings.GetStatusAddress(), func(address string) (err error) {
--- a/node/node.go
+++ b/node/node.go
@@ -58,8 +58,6 @@
 	adapterBurst = 3
 	// adapterStartSpread spreads the first reads of nodes that start at the same time.
 	adapterStartSpread = 50 * time.Millisecond
-	// limitsPollInterval is the interval at which the limits of the document are checked for changes.
-	limitsPollInterval = 100 * time.Millisecond
 )
 
 // Node is a load balancer process that runs next to one backend server.
@@ -322,7 +320,6 @@
 	start("HTTP server", n.front.Serve)
 	start("status server", n.status.Serve)
 	start("load reports", n.beacon.Run)
-	start("caller limits", n.watchLimits)
 	start("quotas", n.quota.Run)
 	if n.ready != nil {
 		start("readiness server", n.ready.Serve)
@@ -338,20 +335,13 @@
 	}
 }
 
-// watchLimits applies the limits of the current document to the HTTP front.
-func (n *Node) watchLimits(ctx context.Context) error {
-	var applied *core.Snapshot
-	for {
-		if snapshot := n.exchange.Snapshot(); snapshot != applied {
-			applied = snapshot
-			n.front.Configure(snapshot.Document().GetLimits())
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.clock.After(limitsPollInterval):
-		}
+// documentLimits returns the limits of the document in force for callers, and whether there is a document.
+func (n *Node) documentLimits() (limits *schema.Limits, inForce bool) {
+	snapshot := n.exchange.Snapshot()
+	if snapshot == nil {
+		return nil, false
 	}
+	return snapshot.Document().GetLimits(), true
 }
 
 // Ready reports whether the node serves callers, that is, it has a configuration and is not shutting down.
