router: the verdict of another node does not end an accepted call with a 4xx

Callers saw 413, 400, 404 or 428, which they do not send again, for a call that their node's router had accepted by its own document.

A call that the transport could not send because of its size ended in the same way, and put its instance into connection backoff.

Before the fix, for each of the five reasons:

The router has checked the call, so such a verdict is a disagreement between two nodes. It becomes other-configuration, which is retried at another instance within the retry budget, and is 503 with a Retry-After if no instance runs the call. The guard's checks stay, its counter tells its own reason, and verdicts about the ticket of a call stay final, since only the executor of the ticket can give them. A reply that leaves open whether the call ran is not changed.

Ruled out: depth and ticket-required between nodes of this version. The router's bounds are not above the guard's, and each request that it sends is repeatable, at most once, or has a ticket. They remain possible between versions.

--- a/router/call.go
+++ b/router/call.go
@@ -419,7 +419,8 @@
 		schema.Reason_REASON_GARBLED,
 		schema.Reason_REASON_COLD,
 		schema.Reason_REASON_SLOW,
-		schema.Reason_REASON_CRASHED:
+		schema.Reason_REASON_CRASHED,
+		schema.Reason_REASON_OTHER_CONFIGURATION:
 		return true
 	case schema.Reason_REASON_MEMORY:
 		// With another status, the response was too large, and would be so again.
--- a/router/send.go
+++ b/router/send.go
@@ -129,15 +129,15 @@
 // execute sends the request to the guard and waits for the reply.
 func (r *Router) execute(ctx context.Context, view *picker.View, request *schema.ExecuteRequest) sendResult {
 	if r.isLocal(view) {
-		return guardReply(r.local.Execute(ctx, request))
+		return guardReply(request, r.local.Execute(ctx, request))
 	}
 	reply, err := r.transport.Execute(ctx, view.Instance(), request)
 	if err == nil {
-		return guardReply(reply)
+		return guardReply(request, reply)
 	}
 	reason, sent := r.recordTransportError(view, err)
 	if !sent {
-		return sendResult{reply: core.NotRun(reason)}
+		return sendResult{reply: overrule(request, core.NotRun(reason))}
 	}
 	if ctx.Err() == nil {
 		return sendResult{reply: core.Unknown(reason), sent: true}
@@ -149,16 +149,42 @@
 	return view.Instance().Address() == r.self.GetAddress()
 }
 
-// guardReply wraps a reply of a guard. A reply with an unknown status does not tell whether the call ran, and neither does an
+// guardReply wraps the reply of a guard to a request. A reply with an unknown status does not tell whether the call ran, and neither does an
 // answer without a valid status code.
-func guardReply(reply *schema.ExecuteReply) sendResult {
+func guardReply(request *schema.ExecuteRequest, reply *schema.ExecuteReply) sendResult {
 	switch reply.GetStatus() {
 	case schema.Status_STATUS_ANSWERED, schema.Status_STATUS_NOT_RUN, schema.Status_STATUS_UNKNOWN:
-		return sendResult{reply: status.CheckReply(reply), sent: true, replied: true}
+		return sendResult{reply: overrule(request, status.CheckReply(reply)), sent: true, replied: true}
 	}
 	return sendResult{reply: core.Unknown(schema.Reason_REASON_MALFORMED), sent: true}
 }
 
+// overrule returns the reply, with the reason OTHER_CONFIGURATION if it refuses the request for a fault of the caller. The router has
+// accepted the call by its own configuration, so the two nodes disagree, and another instance may run the call.
+func overrule(request *schema.ExecuteRequest, reply *schema.ExecuteReply) *schema.ExecuteReply {
+	if reply.GetStatus() != schema.Status_STATUS_NOT_RUN || !blamesCaller(request, reply.GetReason()) {
+		return reply
+	}
+	overruled := shallowCopy(reply)
+	overruled.SetReason(schema.Reason_REASON_OTHER_CONFIGURATION)
+	if !request.HasTicket() {
+		overruled.ClearNextTicket()
+	}
+	return overruled
+}
+
+// blamesCaller reports whether a reason to refuse a request means that its caller must not send it again as it is. Reasons about
+// the ticket of a request are not meant: only the executor of the ticket can give them.
+func blamesCaller(request *schema.ExecuteRequest, reason schema.Reason) bool {
+	switch reason {
+	case schema.Reason_REASON_TOO_LARGE, schema.Reason_REASON_DEPTH, schema.Reason_REASON_MALFORMED, schema.Reason_REASON_NO_RULE:
+		return true
+	case schema.Reason_REASON_TICKET_REQUIRED:
+		return !request.HasTicket()
+	}
+	return false
+}
+
 // recordTransportError records a transport error and returns its reason, and whether the request may have reached the
 // node.
 func (r *Router) recordTransportError(view *picker.View, err error) (schema.Reason, bool) {
@@ -167,7 +193,8 @@
 		return schema.Reason_REASON_NODE_LOST, true
 	}
 	switch transportError.Reason() {
-	case schema.Reason_REASON_DEADLINE, schema.Reason_REASON_CANCELLED:
+	case schema.Reason_REASON_DEADLINE, schema.Reason_REASON_CANCELLED, schema.Reason_REASON_TOO_LARGE:
+		// The reason is the call, not the node.
 	default:
 		view.RecordConnectFailure(r.clock.Now())
 	}
