--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -128,8 +128,8 @@
 // line counted as well.
 func TestHeaderLimit(t *testing.T) {
 	const limit, readBuffer = 16 << 10, 4 << 10
-	front := newFront(t, echoCall)
-	front.Configure(schema.Limits_builder{MaxHeader: limit}.Build())
+	limits := schema.Limits_builder{MaxHeader: limit}.Build()
+	front := newFront(t, echoCall, io.WithDocumentLimits(func() (*schema.Limits, bool) { return limits, true }))
 	for _, size := range []int{readBuffer - 1, readBuffer, readBuffer + 1, limit, limit + 1} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			fields := "Host: h\r\nX: "
