peers: a node that knows of a later document does not say 404

Callers were told 404, which is final, for a path that a later document allows, by a node that knew of that document: it was still pulling it from another node, or it had rejected it. Behind a link of 10 Mbit/s a configuration of 1 MB takes more than a second; a platform that accepts only valid documents has one in force elsewhere that this node can't read.

While a pull is in progress, or, with such a platform, while a later revision is rejected, the document in force counts as unconfirmed, so a path without a rule gets 503 and may be asked for again. With the project's own platform an invalid document changes nothing, as before: no node applies it.

Before: TestLaterDocumentKnown 'value is not true' in both cases.

--- a/peers/restore_test.go
+++ b/peers/restore_test.go
@@ -131,6 +131,34 @@
 	qt.Check(t, s.currentAt(now), qt.Equals, now)
 }
 
+// TestLaterDocumentKnown guards against a request that is refused for good by a document of which the node knows that a later one
+// exists: it is still being pulled, or this node can't read what the platform has accepted.
+func TestLaterDocumentKnown(t *testing.T) {
+	now, restored := time.Unix(1_700_000_000, 0), time.Time{}
+	newState := func() *State {
+		s := restorableState(now.Add(-time.Minute), &restored)
+		s.reading.Settled = func(uint64) bool { return true }
+		s.DocumentDone(now, ReadDocument{sentAt: now}, 7, testDocument(1, 3), nil)
+		qt.Assert(t, s.currentAt(now), qt.Equals, now)
+		return s
+	}
+	t.Run("pull", func(t *testing.T) {
+		s, later := newState(), newDocumentVersion(8, testDocument(2, 3))
+		s.HandleDigest(now, "127.0.0.1:5", later.revision, later.manifest, 1)
+		qt.Check(t, s.currentAt(now).IsZero(), qt.IsTrue)
+		s.applyDocument(now, later.revision, testDocument(2, 3), now)
+		qt.Check(t, s.currentAt(now), qt.Equals, now)
+	})
+	t.Run("rejected", func(t *testing.T) {
+		s := newState()
+		s.DocumentDone(now, ReadDocument{After: 7, sentAt: now}, 8, []byte("no document"), nil)
+		s.DocumentDone(now, ReadDocument{After: 8, sentAt: now}, 8, nil, nil)
+		qt.Check(t, s.currentAt(now).IsZero(), qt.IsTrue)
+		s.DocumentDone(now, ReadDocument{After: 8, sentAt: now}, 9, testDocument(2, 3), nil)
+		qt.Check(t, s.currentAt(now), qt.Equals, now)
+	})
+}
+
 // TestHeldDocument guards against a new process that follows a backup until it hears from its peers, and against one that waits for
 // peers that there are not.
 func TestHeldDocument(t *testing.T) {
--- a/peers/startup.go
+++ b/peers/startup.go
@@ -35,11 +35,15 @@
 	return s.confirmedAt
 }
 
-// mayBeOldCopy reports whether the platform may have confirmed a document that is older than what was accepted. A platform that tells
-// when it is restored from a backup gives no old copies at other times.
+// mayBeOldCopy reports whether the accepted document may be older than what the platform has accepted: a later one is being pulled, or
+// the platform may have confirmed an old one. A platform that tells when it is restored from a backup gives no old copies at other
+// times, and accepts only valid documents, so one that this node rejects is in force elsewhere.
 func (s *State) mayBeOldCopy(now time.Time) bool {
-	if s.reading.Settled != nil {
-		return !s.reading.Settled(s.Revision())
+	switch {
+	case s.pull != nil:
+		return true
+	case s.reading.Settled != nil:
+		return !s.reading.Settled(s.Revision()) || s.rejected.revision > s.Revision()
 	}
 	return s.awaitsPeers(now)
 }
