--- a/peers/expiry_test.go
+++ b/peers/expiry_test.go
@@ -179,11 +179,16 @@
 	if m.down == down {
 		return
 	}
+	// An outage without duration affects nobody, so no instance renews its entry later because of it.
+	short := !down && m.changed.Equal(m.now)
 	m.down, m.changed = down, m.now
 	if down {
 		m.outageSeen = false
 		return
 	}
+	if short {
+		return
+	}
 	for _, e := range m.instances {
 		e.renewsFrom = m.now.Add(time.Duration(rapid.IntRange(0, int(maxRenewalDelay/time.Millisecond)).Draw(m.T, "renewed after")) * time.Millisecond)
 	}
