io, schema, router: a request that is not UTF-8 reaches other nodes

Callers saw 413 for a request with a byte above 0x7f in its path or query, or in its ID, if the router chose an instance other than the node's own. The node's own server got the same request unchanged.

Cause: a proto3 string has to be valid UTF-8, and the transport took each error of the encoder for one about size. The failed call also put its instance into connection backoff, so such a request kept other calls away from sound instances.

Before the fix:

The target and the ID are bytes fields now, which have the same encoding as strings, so nodes of both versions understand each other. An older node still cannot decode a request that is not UTF-8: it answers with an error, as it does for any message that it cannot read. Any other error of the encoder has the reason malformed, which the router does not pass on to the caller of an accepted call. An error about the message alone does not count against its node any more.

Ruled out: the other strings of a request. Methods and names of fields are checked to be ASCII when the request is read, and services, customers and rules come from the document.

--- a/core/error.go
+++ b/core/error.go
@@ -28,7 +28,7 @@
 // Unwrap returns the underlying error.
 func (e *TransportError) Unwrap() error { return e.err }
 
-// Reason returns UNREACHABLE, NODE_LOST, CONNECTION_SILENT, DEADLINE, CANCELLED or TOO_LARGE.
+// Reason returns UNREACHABLE, NODE_LOST, CONNECTION_SILENT, DEADLINE, CANCELLED, BUSY, TOO_LARGE or MALFORMED.
 func (e *TransportError) Reason() schema.Reason { return e.reason }
 
 // MaybeSent reports whether any byte of the request may have reached the node.
--- a/guard/call.go
+++ b/guard/call.go
@@ -47,7 +47,7 @@
 func newCall(now time.Time, request *schema.ExecuteRequest, timeout time.Duration) *call {
 	c := &call{
 		request: request,
-		fingerprints: core.SuspectFingerprints(request.GetService(), request.GetCaller(), request.GetMethod(), request.GetUri(),
+		fingerprints: core.SuspectFingerprints(request.GetService(), request.GetCaller(), request.GetMethod(), string(request.GetUri()),
 			request.GetBody()),
 		outcome: make(chan *schema.ExecuteReply, 1),
 	}
@@ -133,7 +133,7 @@
 	g.storeMu.Lock()
 	defer g.storeMu.Unlock()
 	r := c.request
-	fingerprint := core.Fingerprint(r.GetService(), r.GetMethod(), r.GetUri(), r.GetBody())
+	fingerprint := core.Fingerprint(r.GetService(), r.GetMethod(), string(r.GetUri()), r.GetBody())
 	return g.store.Begin(g.clock.Now(), r.GetTicket(), fingerprint)
 }
 
--- a/guard/cold.go
+++ b/guard/cold.go
@@ -163,7 +163,7 @@
 	if float64(sends) > g.coldBound {
 		g.metrics.coldOver.Inc()
 	}
-	g.logger.Info("call sent to a cold server", zap.String("request", c.request.GetRequestId()),
+	g.logger.Info("call sent to a cold server", zap.ByteString("request", c.request.GetRequestId()),
 		zap.String("server", g.member().GetInstance()), zap.Int("sends", sends), zap.Int("unsent", g.controller.Unsent()),
 		zap.Float64("bound", g.coldBound), zap.Duration("delay", delay), zap.Bool("known", g.server.coldState.known),
 		zap.Duration("report_age", g.reportAge(now)), zap.Duration("guard_age", now.Sub(g.epoch)))
--- a/guard/crash_test.go
+++ b/guard/crash_test.go
@@ -123,7 +123,7 @@
 	request := func(caller, uri string) *schema.ExecuteRequest {
 		r := lookup()
 		r.SetCaller(caller)
-		r.SetUri(uri)
+		r.SetUri([]byte(uri))
 		return r
 	}
 	crash := func(b *crashHarness, uri string) {
@@ -167,10 +167,10 @@
 			result.Written, result.ConnectionEnded = true, true
 			b.backend.send = func(context.Context, *core.Request, int) *core.Result { return &result }
 			request := lookup()
-			request.SetUri("/" + ending)
+			request.SetUri([]byte("/" + ending))
 			_ = b.Execute(b.Context(), request)
 			crashes := func() int {
-				return b.table.Crashes(b.clock.Now(), core.SuspectFingerprints("sheets", "", "GET", request.GetUri(), nil)[0])
+				return b.table.Crashes(b.clock.Now(), core.SuspectFingerprints("sheets", "", "GET", string(request.GetUri()), nil)[0])
 			}
 			b.Check(crashes(), qt.Equals, count)
 			request.SetSuspect(true)
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -204,7 +204,7 @@
 
 func lookup() *schema.ExecuteRequest {
 	return schema.ExecuteRequest_builder{
-		Instance: "sheets-1", Service: "sheets", Method: "GET", Uri: "/sheets/7",
+		Instance: "sheets-1", Service: "sheets", Method: "GET", Uri: []byte("/sheets/7"),
 		TimeoutUs: time.Second.Microseconds(), Repeatable: true, Depth: 1,
 	}.Build()
 }
@@ -500,7 +500,7 @@
 	})
 	uri := func(uri string) *schema.ExecuteRequest {
 		request := lookup()
-		request.SetUri(uri)
+		request.SetUri([]byte(uri))
 		return request
 	}
 	run(t, []guard.Option{guard.WithSuspects(table), push}, func(b *harness) {
@@ -645,7 +645,7 @@
 				return answered()
 			}
 			hang := lookup()
-			hang.SetUri("/hang")
+			hang.SetUri([]byte("/hang"))
 			for range slots / 2 {
 				b.start(b.Context(), hang)
 			}
--- a/guard/pace.go
+++ b/guard/pace.go
@@ -152,7 +152,7 @@
 	if slow {
 		c.abandoned, c.withdrawn = true, true
 		g.metrics.aborted.Inc()
-		g.logger.Info("breaking off a call that started in a slow phase", zap.String("request", c.request.GetRequestId()),
+		g.logger.Info("breaking off a call that started in a slow phase", zap.ByteString("request", c.request.GetRequestId()),
 			zap.String("server", g.member().GetInstance()), zap.Int("pace_percent", g.pace.percent), zap.Duration("after", after))
 	}
 	g.mu.Unlock()
--- a/guard/run.go
+++ b/guard/run.go
@@ -112,7 +112,7 @@
 	}
 	c.message = core.Request{
 		Method:     r.GetMethod(),
-		URI:        r.GetUri(),
+		URI:        string(r.GetUri()),
 		Headers:    r.GetHeaders(),
 		Body:       r.GetBody(),
 		Depth:      r.GetDepth(),
@@ -120,7 +120,7 @@
 		Instance:   r.GetInstance(),
 		Caller:     r.GetCaller(),
 		Customer:   r.GetCustomer(),
-		ID:         r.GetRequestId(),
+		ID:         string(r.GetRequestId()),
 		AtMostOnce: r.GetOnce(),
 		BeforeSend: func() schema.Reason { return g.checkPauseBeforeSend(c) },
 		OnSent:     func() { g.recordSend(c) },
--- a/io/body_test.go
+++ b/io/body_test.go
@@ -149,3 +149,26 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, <-left < timeout-400*time.Millisecond, qt.IsTrue, qt.Commentf("the whole call took %v", time.Since(start)))
 }
+
+// TestBytesOfRequest guards against a request that is refused by every node but the own one since its target or ID is not valid UTF-8,
+// or that arrives changed.
+func TestBytesOfRequest(t *testing.T) {
+	const target, id = "/sheets/caf\xe9?q=\xff\x00", "id-\xfe"
+	server := newServer(t, func(_ context.Context, r *schema.ExecuteRequest) *schema.ExecuteReply {
+		return answeredReply(nil, []byte(string(r.GetUri())+" "+string(r.GetRequestId())))
+	})
+	request := newExecuteRequest("")
+	request.SetUri([]byte(target))
+	request.SetRequestId([]byte(id))
+	reply, err := newTransport(t).Execute(t.Context(), newInstance(server.Addr()), request)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(reply.GetBody()), qt.Equals, target+" "+id)
+}
+
+// TestUnencodable guards against a message that is reported as too large because it cannot be encoded.
+func TestUnencodable(t *testing.T) {
+	request := newExecuteRequest("")
+	request.SetCustomer("\xff")
+	_, err := newTransport(t).Execute(t.Context(), newInstance("127.0.0.1:9"), request)
+	checkError(t, err, schema.Reason_REASON_MALFORMED, false)
+}
--- a/io/io_test.go
+++ b/io/io_test.go
@@ -123,7 +123,7 @@
 }
 
 func newExecuteRequest(body string) *schema.ExecuteRequest {
-	return schema.ExecuteRequest_builder{Method: "POST", Uri: "/sheets", Body: []byte(body)}.Build()
+	return schema.ExecuteRequest_builder{Method: "POST", Uri: []byte("/sheets"), Body: []byte(body)}.Build()
 }
 
 // checkError asserts that err is a TransportError with the given reason and Sent value.
--- a/io/transport.go
+++ b/io/transport.go
@@ -189,8 +189,7 @@
 func (t *Transport) start(ctx context.Context, class trafficClass, address, method string, request, reply proto.Message) (*outgoingCall, error) {
 	x := &pendingCall{reply: reply, cause: requestCause(method)}
 	if err := x.encode(request, class.maxMessageSize(t.maxBody)); err != nil {
-		t.errorCounter.inc("oversize")
-		return nil, core.NewTransportError(address, schema.Reason_REASON_TOO_LARGE, false, err)
+		return nil, t.encodeError(address, err)
 	}
 	e, c, err := t.acquire(ctx, endpointKey{address, class})
 	if err != nil {
@@ -201,6 +200,17 @@
 	return &outgoingCall{transport: t, address: address, request: x, endpoint: e, connection: c, pending: pending}, nil
 }
 
+// encodeError converts the error of a message that could not be encoded.
+func (t *Transport) encodeError(address string, err error) error {
+	var oversize *FrameError
+	if errors.As(err, &oversize) {
+		t.errorCounter.inc(oversize.Kind())
+		return core.NewTransportError(address, schema.Reason_REASON_TOO_LARGE, false, err)
+	}
+	t.errorCounter.inc("encode")
+	return core.NewTransportError(address, schema.Reason_REASON_MALFORMED, false, err)
+}
+
 // wait waits for the reply or until ctx is done.
 func (o *outgoingCall) wait(ctx context.Context) error {
 	select {
--- a/router/entry_test.go
+++ b/router/entry_test.go
@@ -87,7 +87,7 @@
 	t.Helper()
 	sends := map[string]int{}
 	r, _, snapshots := newTestRouter(4, func(_ context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
-		sends[request.GetUri()]++
+		sends[string(request.GetUri())]++
 		return core.NotRun(schema.Reason_REASON_SHED)
 	})
 	withRules(snapshots, 4, func(s *schema.Service) {
--- a/router/once_test.go
+++ b/router/once_test.go
@@ -48,7 +48,7 @@
 			r, _, snapshots := newTestRouter(3, func(_ context.Context, request *schema.ExecuteRequest) *schema.ExecuteReply {
 				sends++
 				qt.Check(t, request.GetOnce(), qt.IsTrue)
-				qt.Check(t, request.GetRequestId(), qt.Equals, "id-1")
+				qt.Check(t, string(request.GetRequestId()), qt.Equals, "id-1")
 				if sends == 1 {
 					return c.first
 				}
--- a/router/send.go
+++ b/router/send.go
@@ -40,7 +40,7 @@
 		Instance:    view.Instance().Name(),
 		Service:     c.service,
 		Method:      c.input.Method,
-		Uri:         c.input.URI,
+		Uri:         []byte(c.input.URI),
 		Headers:     c.input.Headers,
 		Body:        c.input.Body,
 		TimeoutUs:   remaining.Microseconds(),
@@ -54,7 +54,7 @@
 		Once:        c.once(),
 		Caller:      caller,
 		Customer:    c.customerName,
-		RequestId:   c.input.ID,
+		RequestId:   []byte(c.input.ID),
 		TargetUs:    c.targetLeft(now).Microseconds(),
 		Eager:       c.eager,
 		Rule:        c.rule.GetName(),
@@ -193,7 +193,8 @@
 		return schema.Reason_REASON_NODE_LOST, true
 	}
 	switch transportError.Reason() {
-	case schema.Reason_REASON_DEADLINE, schema.Reason_REASON_CANCELLED, schema.Reason_REASON_TOO_LARGE:
+	case schema.Reason_REASON_DEADLINE, schema.Reason_REASON_CANCELLED,
+		schema.Reason_REASON_TOO_LARGE, schema.Reason_REASON_MALFORMED:
 		// The reason is the call, not the node.
 	default:
 		view.RecordConnectFailure(r.clock.Now())
--- a/router/verdict_test.go
+++ b/router/verdict_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -48,15 +49,21 @@
 	}
 }
 
-// TestUnsentVerdict guards against a 4xx for a call that could not be sent to another node.
+// TestUnsentVerdict guards against a 4xx for a call that could not be sent to another node, and against an instance that other
+// calls avoid because of it.
 func TestUnsentVerdict(t *testing.T) {
-	r, network, _ := newTestRouter(1, nil)
-	network.fail = func(to *core.Instance, _ func() *schema.ExecuteReply) (*schema.ExecuteReply, error) {
-		return nil, lostError(to, schema.Reason_REASON_TOO_LARGE, false)
+	for _, reason := range []schema.Reason{schema.Reason_REASON_TOO_LARGE, schema.Reason_REASON_MALFORMED} {
+		t.Run(core.ReasonName(reason), func(t *testing.T) {
+			r, network, _ := newTestRouter(1, nil)
+			network.fail = func(to *core.Instance, _ func() *schema.ExecuteReply) (*schema.ExecuteReply, error) {
+				return nil, lostError(to, reason, false)
+			}
+			reply := lookup(r)
+			qt.Check(t, reply.GetStatus(), qt.Equals, schema.Status_STATUS_NOT_RUN)
+			qt.Check(t, core.ReasonName(reply.GetReason()), qt.Equals, "other-configuration")
+			qt.Check(t, r.viewByName("sheets-1").InBackoff(time.Now()), qt.IsFalse)
+		})
 	}
-	reply := lookup(r)
-	qt.Check(t, reply.GetStatus(), qt.Equals, schema.Status_STATUS_NOT_RUN)
-	qt.Check(t, core.ReasonName(reply.GetReason()), qt.Equals, "other-configuration")
 }
 
 // TestKeptVerdicts guards against the loss of verdicts that only the executor of a ticket can give, and of outcomes that are open.
