io: a 431 does not depend on how a header is split into packets

Callers saw 431, after which they do not try again, for a header that the document allows: if its fields were as long as the limit and the last byte of the header came in a packet of its own, or if its request line was longer than the limit and did not arrive at once. The same bytes in one packet got 200.

Cause: the check of an incomplete header counted the CR of the empty line as a part of the fields, and compared an incomplete request line with the limit of the fields.

Before the fix (TestHeaderInPieces; 200 in the other cases):

path 1 rest 1 got 431, want 200 path 2000 rest 1 got 431, want 200 path 2000 rest 1006 got 431, want 200

An incomplete header is now refused only if its fields with that CR exceed the limit, which no allowed header does; a complete one is measured exactly as before.

--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -143,6 +143,30 @@
 	}
 }
 
+// TestHeaderInPieces guards against a 431 that depends on how a header is split into packets: with its last bytes still to come, or
+// with a part of a request line that is longer than the limit of the fields.
+func TestHeaderInPieces(t *testing.T) {
+	const limit = 1000
+	limits := schema.Limits_builder{MaxHeader: limit}.Build()
+	front := newFront(t, echoCall, io.WithDocumentLimits(func() (*schema.Limits, bool) { return limits, true }))
+	fields := "Host: h\r\nX: "
+	fields += strings.Repeat("x", limit-len(fields)-len("\r\n")) + "\r\n"
+	for _, pathSize := range []int{1, 2 * limit} {
+		request := "GET /" + strings.Repeat("p", pathSize-1) + " HTTP/1.1\r\n" + fields + "\r\n"
+		for _, rest := range []int{1, 2, 3, 4, limit, limit + len("\r\n"), limit + 3*len("\r\n")} {
+			t.Run(fmt.Sprintf("path %d rest %d", pathSize, rest), func(t *testing.T) {
+				t.Parallel()
+				c := dial(t, front)
+				c.send(t, request[:len(request)-rest])
+				time.Sleep(stallTimeout / 10)
+				c.send(t, request[len(request)-rest:])
+				response, _ := c.receive(t)
+				qt.Check(t, response.code, qt.Equals, http.StatusOK)
+			})
+		}
+	}
+}
+
 // TestUnsignedStatus guards against a status that reaches the caller as the answer of its server although the server did not
 // sign it: a 3xx or 4xx ends the request for good.
 func TestUnsignedStatus(t *testing.T) {
--- a/io/parse.go
+++ b/io/parse.go
@@ -45,7 +45,7 @@
 )
 
 // readHeader returns the request line and header fields without consuming them from the reader. limit is the maximum size of the
-// fields, and of the request line. It returns bufio.ErrBufferFull if they do not fit into its buffer.
+// fields. It returns bufio.ErrBufferFull if the header does not fit into the buffer of the reader, which limits the request line.
 func readHeader(r *bufio.Reader, limit int) ([]byte, error) {
 	searched := 0
 	for {
@@ -60,7 +60,8 @@
 		if bytes.Contains(buffered[searched:], []byte("\n\n")) {
 			return nil, &headerError{err: errLineEnd}
 		}
-		if fieldBytes(buffered) > limit {
+		// The fields may be followed by a part of the empty line.
+		if fieldBytes(buffered) > limit+len("\r") {
 			return nil, errHeaderTooLarge
 		}
 		if len(buffered) == r.Size() {
@@ -73,13 +74,9 @@
 	}
 }
 
-// fieldBytes returns the size of the field lines that a part of a header has, or of its request line if that is incomplete. The
-// limit of the document is for the header fields.
+// fieldBytes returns the size of the field lines that a part of a header has. The limit of the document is for the header fields.
 func fieldBytes(header []byte) int {
-	_, fields, found := bytes.Cut(header, []byte("\r\n"))
-	if !found {
-		return len(header)
-	}
+	_, fields, _ := bytes.Cut(header, []byte("\r\n"))
 	return len(fields)
 }
 
