io: header fields of the largest allowed size fit beside their request line

Callers saw 431, after which they do not try again, for header fields of 32 KB under a document whose max_header is 32 KB, the largest that a document can set: the whole header had to fit into a read buffer of that size, with the request line.

The large read buffer has 8 KB more, for the request line. All of it counts in the memory budget, as before. The limit of the fields stays that of the document, 32 KB at most.

--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -143,6 +143,22 @@
 	}
 }
 
+// TestLongestHeader guards against a 431 to a request whose header fields are as long as any document allows, because the request
+// line shares a buffer with them.
+func TestLongestHeader(t *testing.T) {
+	const limit = 32 << 10
+	limits := schema.Limits_builder{MaxHeader: limit}.Build()
+	front := newFront(t, echoCall, io.WithDocumentLimits(func() (*schema.Limits, bool) { return limits, true }))
+	for size, code := range map[int]int{limit: http.StatusOK, limit + 1: http.StatusRequestHeaderFieldsTooLarge} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			request := "GET /" + strings.Repeat("p", 8000) + " HTTP/1.1\r\nHost: h\r\nX: "
+			fields := len("Host: h\r\nX: ")
+			request += strings.Repeat("x", size-fields-len("\r\n")) + "\r\n\r\n"
+			qt.Check(t, roundTrip(t, front.Addr(), request).code, qt.Equals, code)
+		})
+	}
+}
+
 // TestHeaderInPieces guards against a 431 that depends on how a header is split into packets: with its last bytes still to come, or
 // with a part of a request line that is longer than the limit of the fields.
 func TestHeaderInPieces(t *testing.T) {
--- a/io/front.go
+++ b/io/front.go
@@ -110,7 +110,7 @@
 		document: limits, maxHeader: maxHeaderBytes, maxBody: f.maxBody, headerTimeout: f.readTimeout, idleTimeout: f.idleTimeout,
 	}
 	if size := int(limits.GetMaxHeader()); size > 0 {
-		l.maxHeader = min(size, headerBufferSize)
+		l.maxHeader = min(size, maxFieldBytes)
 	}
 	if size := int(limits.GetMaxBody()); size > 0 {
 		l.maxBody = size
--- a/io/request.go
+++ b/io/request.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// headerBufferSize is the upper limit for the size of a header. A read buffer has readBufferSize bytes until a header does
-	// not fit into it.
-	headerBufferSize = 32 << 10
+	// maxFieldBytes is the upper limit for the size of the header fields, the largest that a document can set, and
+	// requestLineBytes the space for a request line in front of them (RFC 9112, section 3, recommends at least 8,000 bytes). A
+	// read buffer has readBufferSize bytes until a header does not fit into it.
+	maxFieldBytes    = 32 << 10
+	requestLineBytes = 8 << 10
+	headerBufferSize = maxFieldBytes + requestLineBytes
 	readBufferSize   = 4 << 10
 	// callCost is what a call in progress costs besides its request and response: goroutines with their stacks and the state of
 	// the router.
