io: a long trailer is not malformed

Callers saw 400, after which they do not try again, for a body in chunks whose trailer is longer than about 4 KB. The same fields in the header were accepted.

Cause: the parser must hold a whole trailer in the read buffer, which has 4 KB unless the header was longer. Its error for a buffer that is too small passed as one of the body's syntax.

Before the fix (TestLongTrailer): trailers of 4096, 8192 and 30720 bytes, in one and in three packets: got 400, want 200.

The parser consumes nothing of a trailer that does not fit, so the bytes move into the large buffer that long headers have, and the trailer is parsed there from its beginning. The memory of that buffer counts in the budget. A trailer above it gets 431, as a header does. The test sends a request behind each trailer, which is answered.

--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -183,6 +183,36 @@
 	}
 }
 
+// TestLongTrailer guards against a 400 to a request whose trailer is longer than a small read buffer, and against a request behind it
+// that is read from the wrong place.
+func TestLongTrailer(t *testing.T) {
+	const readBuffer, largeBuffer = 4 << 10, 40 << 10
+	front := newFront(t, echoCall)
+	for _, size := range []int{100, readBuffer, 2 * readBuffer, 3 * largeBuffer / 4, largeBuffer} {
+		for _, pieces := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%d in %d", size, pieces), func(t *testing.T) {
+				c := dial(t, front)
+				trailer := "X: " + strings.Repeat("x", size) + "\r\n\r\n"
+				c.send(t, chunkedHead+"3\r\nabc\r\n0\r\n")
+				for i := range pieces {
+					c.send(t, trailer[i*len(trailer)/pieces:(i+1)*len(trailer)/pieces])
+					time.Sleep(stallTimeout / 20)
+				}
+				if size >= largeBuffer {
+					response, _ := c.receive(t)
+					qt.Check(t, response.code, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+					return
+				}
+				c.send(t, getRequest("/next"))
+				for range 2 {
+					response, _ := c.receive(t)
+					qt.Check(t, response.code, qt.Equals, http.StatusOK)
+				}
+			})
+		}
+	}
+}
+
 // TestUnsignedStatus guards against a status that reaches the caller as the answer of its server although the server did not
 // sign it: a 3xx or 4xx ends the request for good.
 func TestUnsignedStatus(t *testing.T) {
--- a/io/parse.go
+++ b/io/parse.go
@@ -374,7 +374,7 @@
 
 // concealContent replaces an error of the body parser that may quote the request, since a trailer may hold an API key.
 func concealContent(err error) error {
-	for _, plain := range []error{fasthttp.ErrBodyTooLarge, errMemoryFull, os.ErrDeadlineExceeded} {
+	for _, plain := range []error{fasthttp.ErrBodyTooLarge, errHeaderTooLarge, errMemoryFull, os.ErrDeadlineExceeded} {
 		// The parser may wrap it together with a part of the trailer.
 		if errors.Is(err, plain) {
 			return plain
--- a/io/request.go
+++ b/io/request.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	stdio "io"
 	"os"
 	"sync"
@@ -189,7 +190,7 @@
 // bodyError returns the cause of a body that could not be read. Only a body whose bytes arrived can be malformed.
 func (s *session) bodyError(err error) error {
 	switch {
-	case err == nil, errors.Is(err, errMemoryFull), errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case err == nil, errors.Is(err, errMemoryFull), errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errHeaderTooLarge):
 		return concealContent(err)
 	case errors.Is(s.readErr, stdio.EOF):
 		return errBodyEnded
@@ -206,14 +207,9 @@
 	if !errors.Is(err, errBufferFull) {
 		return header, err
 	}
-	if err := s.bufferHolding.grow(headerBufferSize); err != nil {
+	if err := s.enlargeReader(); err != nil {
 		return nil, err
 	}
-	buffered, _ := s.reader.Peek(s.reader.Buffered())
-	s.pushedBack = append([]byte(nil), buffered...)
-	s.putReader()
-	s.reader = largeReaderPool.Get().(*bufio.Reader)
-	s.reader.Reset(s)
 	header, err = readHeader(s.reader, limit)
 	if errors.Is(err, errBufferFull) {
 		return nil, errHeaderTooLarge
@@ -221,6 +217,19 @@
 	return header, err
 }
 
+// enlargeReader replaces the reader by one with a large buffer that holds the same bytes.
+func (s *session) enlargeReader() error {
+	if err := s.bufferHolding.grow(headerBufferSize); err != nil {
+		return err
+	}
+	buffered, _ := s.reader.Peek(s.reader.Buffered())
+	s.pushedBack = append([]byte(nil), buffered...)
+	s.putReader()
+	s.reader = largeReaderPool.Get().(*bufio.Reader)
+	s.reader.Reset(s)
+	return nil
+}
+
 // parseHeader validates and consumes the header, and counts what its fields cost.
 func (s *session) parseHeader(request *fasthttp.Request, header []byte) error {
 	if err := validateHeader(header); err != nil {
@@ -272,11 +281,52 @@
 		if err := request.ContinueReadBodyStream(s.reader, limit, false); err != nil {
 			return nil, err
 		}
-		return s.readChunked(request.BodyStream(), limit)
+		return s.readChunked(&chunkedBody{session: s, request: request}, limit)
 	}
 	return []byte{}, nil
 }
 
+// chunkedBody reads the chunks and the trailer of a request. A trailer that does not fit into the read buffer is read into a large
+// one.
+type chunkedBody struct {
+	session *session
+	request *fasthttp.Request
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.request.BodyStream().Read(p)
+	if isBufferSmall(err) {
+		err = b.readLongTrailer()
+	}
+	return n, err
+}
+
+// readLongTrailer reads a trailer of which the parser has consumed nothing. It returns io.EOF after that.
+func (b *chunkedBody) readLongTrailer() error {
+	s := b.session
+	if s.reader.Size() == headerBufferSize {
+		return errHeaderTooLarge
+	}
+	if err := s.enlargeReader(); err != nil {
+		return err
+	}
+	err := b.request.Header.ReadTrailer(s.reader)
+	switch {
+	case err == nil:
+		return stdio.EOF
+	case isBufferSmall(err):
+		return errHeaderTooLarge
+	}
+	return fmt.Errorf("read trailer: %w", err)
+}
+
+// isBufferSmall reports whether the parser failed because a trailer does not fit into the read buffer.
+func isBufferSmall(err error) bool {
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	return errors.As(err, &smallBuffer)
+}
+
 // readDeclared reads a body of known length. All of its buffer is allocated once the start of a large body has arrived.
 func (s *session) readDeclared(length int) ([]byte, error) {
 	if err := s.holding.reserve(length); err != nil {
