io, node, router: no 413 or 431 by a document that may be old

Callers saw 413 or 431, after which they do not try again, for a request above the limits of a document that the platform had not confirmed for more than 3 s, or that may be a backup's: a later document may allow it. A 404 and a 401 in the same state are 503 already.

Cause: the router's check of the body did not look at the age of the document, and the front took any document in force for the current one.

The function of the front's limits now tells whether the document is known to be the current one, by the same age as the router. A request above the limits is refused as before, but as no-configuration. Nothing above a limit runs.

TestLimitsOfDocument waits until its first document counts as the current one, since that takes up to a second in a new process; what it checked before is checked after that, without change.

--- a/io/front.go
+++ b/io/front.go
@@ -55,14 +55,14 @@
 // queue, and would be reset if the listener was closed.
 const acceptLastWait = 10 * time.Millisecond
 
-// errNoConfiguration refuses a request above the default sizes while there is no document.
-var errNoConfiguration = errors.New("node has no configuration yet")
+// errNoConfiguration refuses a request above the sizes while no document is known to be the current one.
+var errNoConfiguration = errors.New("size is above the limits, and node has no configuration that is known to be current")
 
-// frontLimits are the size limits and timeouts that apply to callers. inForce reports whether there is a document that they come
-// from.
+// frontLimits are the size limits and timeouts that apply to callers. current reports whether they come from a document that is known
+// to be the current one.
 type frontLimits struct {
 	document      *schema.Limits
-	inForce       bool
+	current       bool
 	maxHeader     int
 	maxBody       int
 	headerTimeout time.Duration
@@ -94,12 +94,12 @@
 
 // currentLimits returns the limits of the document in force.
 func (f *Front) currentLimits() *frontLimits {
-	document, inForce := f.documentLimits()
-	if l := f.limits.Load(); l != nil && l.document == document && l.inForce == inForce {
+	document, current := f.documentLimits()
+	if l := f.limits.Load(); l != nil && l.document == document && l.current == current {
 		return l
 	}
 	l := f.newLimits(document)
-	l.inForce = inForce
+	l.current = current
 	f.limits.Store(l)
 	return l
 }
@@ -124,10 +124,10 @@
 	return l
 }
 
-// refusal returns the error with which a request is refused. Without a document, a request above the default sizes may be within
-// the limits of the document to come.
+// refusal returns the error with which a request is refused. Without a document, or with one that may be old, a request above the
+// sizes may be within the limits of the document to come.
 func (l *frontLimits) refusal(err error) error {
-	if !l.inForce && (errors.Is(err, errHeaderTooLarge) || errors.Is(err, fasthttp.ErrBodyTooLarge)) {
+	if !l.current && (errors.Is(err, errHeaderTooLarge) || errors.Is(err, fasthttp.ErrBodyTooLarge)) {
 		return errNoConfiguration
 	}
 	return err
--- a/io/option.go
+++ b/io/option.go
@@ -61,7 +61,7 @@
 	meter           *meter.Meter
 	callerLimits    CallerLimits
 	frameMemory     int
-	documentLimits  func() (limits *schema.Limits, inForce bool)
+	documentLimits  func() (limits *schema.Limits, current bool)
 }
 
 // Option configures a Server, Transport, Backend or Front. Options that do not apply to a component are ignored.
@@ -130,10 +130,10 @@
 	return func(o *options) { o.memory = memory }
 }
 
-// WithDocumentLimits sets the function that returns the limits of the document in force for callers of a Front, and whether there
-// is a document. It is called for each request, so that the request is read under the document by which it is routed. By default,
+// WithDocumentLimits sets the function that returns the limits of the document in force for callers of a Front, and whether that
+// document is known to be the current one. It is called for each request, so that the request is read under the document by which it is routed. By default,
 // all limits have their default values.
-func WithDocumentLimits(limits func() (limits *schema.Limits, inForce bool)) Option {
+func WithDocumentLimits(limits func() (limits *schema.Limits, current bool)) Option {
 	return func(o *options) { o.documentLimits = limits }
 }
 
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -81,6 +81,13 @@
 
 // checkLongHeader sends a request with a header of headerSize bytes and compares the reason for which it is refused.
 func checkLongHeader(t *testing.T, n *node.Node, reason string) {
+	t.Helper()
+	text := sendLongHeader(t, n)
+	qt.Check(t, strings.Contains(text, reason), qt.IsTrue, qt.Commentf("%s", text))
+}
+
+// sendLongHeader sends a request with a header of headerSize bytes and returns the status code and the body of the response.
+func sendLongHeader(t *testing.T, n *node.Node) string {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.HTTPAddress()+"/", nil)
 	qt.Assert(t, err, qt.IsNil)
@@ -90,7 +97,7 @@
 	defer func() { _ = response.Body.Close() }()
 	text, err := stdio.ReadAll(response.Body)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, strings.Contains(string(text), reason), qt.IsTrue, qt.Commentf("%d: %s", response.StatusCode, text))
+	return fmt.Sprintf("%d: %s", response.StatusCode, text)
 }
 
 // awaitRevision waits until a revision of the document is in force.
@@ -111,6 +118,9 @@
 	platform := newPlatform(t)
 	n := runNode(t, platform)
 	checkLongHeader(t, n, "no-configuration")
+	// In the first second of a process, its document may be an old copy.
+	platform.Publish(document(headerSize / 2))
+	awaitRefusal(t, n, "431: not-run: too-large")
 	awaitRevision(t, n, platform.Publish(document(headerSize+headerSize/3)))
 	checkLongHeader(t, n, "connect")
 	awaitRevision(t, n, platform.Publish(document(headerSize/2)))
@@ -118,3 +128,29 @@
 	awaitRevision(t, n, platform.Publish(document(headerSize+headerSize/2)))
 	checkLongHeader(t, n, "connect")
 }
+
+// TestLimitsOfOldDocument guards against a final refusal by the limit of a document that may not be the current one, since the platform
+// has not confirmed it for seconds.
+func TestLimitsOfOldDocument(t *testing.T) {
+	platform := newPlatform(t)
+	n := runNode(t, platform)
+	platform.Publish(document(headerSize / 2))
+	awaitRefusal(t, n, "431: not-run: too-large")
+	platform.SetMode(fakes.ModeDown)
+	awaitRefusal(t, n, "503: not-run: no-configuration")
+	platform.SetMode(fakes.ModeUp)
+	awaitRefusal(t, n, "431: not-run: too-large")
+}
+
+// awaitRefusal sends requests until one is refused with the status and reason.
+func awaitRefusal(t *testing.T, n *node.Node, refusal string) {
+	t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for time.Now().Before(deadline) {
+		if strings.HasPrefix(sendLongHeader(t, n), refusal) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("no request was refused with %q", refusal)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -335,13 +335,14 @@
 	}
 }
 
-// documentLimits returns the limits of the document in force for callers, and whether there is a document.
-func (n *Node) documentLimits() (limits *schema.Limits, inForce bool) {
+// documentLimits returns the limits of the document in force for callers, and whether that document is known to be the current one.
+func (n *Node) documentLimits() (limits *schema.Limits, current bool) {
+	mayBeOld := n.router.DocumentMayBeOld(n.clock.Now())
 	snapshot := n.exchange.Snapshot()
 	if snapshot == nil {
 		return nil, false
 	}
-	return snapshot.Document().GetLimits(), true
+	return snapshot.Document().GetLimits(), !mayBeOld
 }
 
 // Ready reports whether the node serves callers, that is, it has a configuration and is not shutting down.
--- a/router/call.go
+++ b/router/call.go
@@ -20,8 +20,8 @@
 	// maxCrashesPerCall limits the backend servers that one call may crash. After the first crash the call is sent once
 	// more, marked as a suspect, and then no more.
 	maxCrashesPerCall = 2
-	// maxDocumentAge is the age of the document's last confirmation up to which the document decides that a call has no rule. A
-	// document must be in force everywhere within 4 s of its acceptance, and a confirmation may take 1 s to reach the node.
+	// maxDocumentAge is the age of the document's last confirmation up to which calls are refused for good by the document. A document
+	// must be in force everywhere within 4 s of its acceptance, and a confirmation may take 1 s to reach the node.
 	maxDocumentAge = 3 * time.Second
 )
 
@@ -138,7 +138,7 @@
 // accept validates the input and returns the state of the call, or the reply that refuses it.
 func (r *Router) accept(now time.Time, input *core.Call) (*call, *schema.ExecuteReply) {
 	// The age is that of this document or of an earlier one, since a later document may replace it at any moment.
-	mayBeOld := r.documentMayBeOld(now)
+	mayBeOld := r.DocumentMayBeOld(now)
 	t := r.current(now)
 	if t.snapshot == nil {
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_NO_CONFIGURATION))
@@ -167,6 +167,9 @@
 		return nil, refuseForNow(schema.Reason_REASON_NO_INSTANCE)
 	}
 	if bound := g.settings.GetMaxBody(); bound > 0 && len(input.Body) > int(bound) {
+		if mayBeOld {
+			return nil, refuseForNow(schema.Reason_REASON_NO_CONFIGURATION)
+		}
 		return nil, withoutFurtherRetry(core.NotRun(schema.Reason_REASON_TOO_LARGE))
 	}
 	timeout := g.settings.GetTimeout().AsDuration()
@@ -192,8 +195,9 @@
 	return c, nil
 }
 
-// documentMayBeOld reports whether a later document, with further rules, may have to be in force.
-func (r *Router) documentMayBeOld(now time.Time) bool {
+// DocumentMayBeOld reports whether a later document, with further rules or other limits, may have to be in force. It is safe for
+// concurrent use.
+func (r *Router) DocumentMayBeOld(now time.Time) bool {
 	confirmer, ok := r.snapshots.(core.Confirmer)
 	return ok && now.Sub(confirmer.ConfirmedAt()) > maxDocumentAge
 }
--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -388,6 +388,26 @@
 	}
 }
 
+// TestSizeLimitUnknownYet guards against a final 413 by the limit of a document that may not be the current one.
+func TestSizeLimitUnknownYet(t *testing.T) {
+	const limit = 10
+	for age, reason := range map[time.Duration]schema.Reason{
+		time.Second: schema.Reason_REASON_TOO_LARGE, time.Hour: schema.Reason_REASON_NO_CONFIGURATION,
+	} {
+		t.Run(age.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, snapshots := confirmedRouter()
+				snapshots.at = time.Now().Add(-age)
+				snapshots.Store(core.NewSnapshot(3, document(func(s *schema.Service) { s.SetMaxBody(limit) }), members(1)))
+				input := &core.Call{Method: "GET", URI: "/look", Path: "/look", Body: make([]byte, limit)}
+				assertVerdict(qt.New(t), r.Handle(t.Context(), input), schema.Reason_REASON_NONE)
+				input.Body = make([]byte, limit+1)
+				assertVerdict(qt.New(t), r.Handle(t.Context(), input), reason)
+			})
+		})
+	}
+}
+
 // TestRuleAddedMeanwhile guards against a final 404 by a document that is replaced, and its successor confirmed, while a call is
 // routed.
 func TestRuleAddedMeanwhile(t *testing.T) {
@@ -431,7 +451,7 @@
 	switch reason {
 	case schema.Reason_REASON_NONE:
 		assertOutcome(c, reply, schema.Status_STATUS_ANSWERED, reason)
-	case schema.Reason_REASON_NO_RULE, schema.Reason_REASON_UNKNOWN_KEY:
+	case schema.Reason_REASON_NO_RULE, schema.Reason_REASON_UNKNOWN_KEY, schema.Reason_REASON_TOO_LARGE:
 		assertOutcome(c, reply, schema.Status_STATUS_NOT_RUN, reason)
 	default:
 		assertComeBack(c, reply, reason)
