io: a server's 4xx on a body that the node broke off is no answer

Callers saw a 4xx of their server, after which they do not try again, for a request that the node itself had broken off within its body. This happens where a call that may repeat starts in a slow phase of its server: the guard cancels it to have it run elsewhere, the connection is half-closed, and a server that is still reading the body may respond 400 or 408 to the part that it got. The reply was "answered", so the router did not send the call to another instance.

Before the fix (TestVerdictOnPartOfBody, broken off): got 400 and reason none, want 0 and cancelled, with and without signatures.

A 4xx that arrives after a cancellation, for a request that was not written whole, is now the outcome "cancelled" of a request that may have run; the guard turns that into "slow" for a call that it abandoned, which the router retries. A refusal that the server marks as not run, a 421 of another instance, and a verdict on a body that the server did not want to read (no cancellation) count as before.

--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -151,7 +151,18 @@
 		return c.receiveFailure(err, notCancelled)
 	}
 	c.reusable = sendErr == nil && notCancelled && !response.ConnectionClose() && c.reader.Buffered() == 0 && c.inSync
-	return c.newResult(request, response)
+	result := c.newResult(request, response)
+	if sendErr != nil && !notCancelled && isVerdict(result) {
+		// The server judged the part of the body that it got before the cancellation, and the caller sent all of it.
+		return &core.Result{Written: true, Reason: contextReason(ctx), Report: result.Report}
+	}
+	return result
+}
+
+// isVerdict reports whether the server responded that its request is at fault.
+func isVerdict(result *core.Result) bool {
+	return result.Reason == schema.Reason_REASON_NONE &&
+		result.Code >= fasthttp.StatusBadRequest && result.Code < fasthttp.StatusInternalServerError
 }
 
 // recordRefusal records that the server refused a request. Without request IDs, a repeated refusal can't be told from the
--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	stdio "io"
 	"net"
 	"net/http"
 	"strings"
@@ -233,6 +235,45 @@
 	}
 }
 
+// TestVerdictOnPartOfBody guards against a 4xx of a server on a request that the node itself broke off within its body: the caller had
+// sent the whole one. The verdict on a body that the server did not want to read counts.
+func TestVerdictOnPartOfBody(t *testing.T) {
+	const size = 32 << 20
+	for name, wire := range map[string]*core.WireFormat{"without signatures": core.NativeWire(), "with signatures": customWire()} {
+		for _, brokenOff := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, broken off %v", name, brokenOff), func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				address := newTCPServer(t, func(conn *net.TCPConn) {
+					r, err := http.ReadRequest(bufio.NewReader(conn))
+					if err != nil {
+						return
+					}
+					if brokenOff {
+						cancel()
+						_, _ = stdio.Copy(stdio.Discard, r.Body)
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 400 Odd\r\nX-Id: a\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n")
+					if !brokenOff {
+						_, _ = stdio.Copy(stdio.Discard, conn)
+					}
+				})
+				result := newBackend(t, address, io.WithWire(wire)).Send(ctx, &core.Request{
+					Method: "POST", URI: "/", ID: "a", Body: make([]byte, size), Deadline: time.Now().Add(5 * time.Second),
+					Headers: []*schema.Header{header("X-Id", "a")},
+				})
+				code, reason := http.StatusBadRequest, schema.Reason_REASON_NONE
+				if brokenOff {
+					code, reason = 0, schema.Reason_REASON_CANCELLED
+				}
+				qt.Check(t, result.Code, qt.Equals, code)
+				qt.Check(t, core.ReasonName(result.Reason), qt.Equals, core.ReasonName(reason))
+				qt.Check(t, result.Written, qt.IsTrue)
+			})
+		}
+	}
+}
+
 // newSigningServer starts a backend server that responds to each request with a code, and signs the response if signed is set.
 func newSigningServer(t *testing.T, code int, signed bool) string {
 	seal := ""
