--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	stdio "io"
 	"net"
 	"net/http"
 	"strings"
@@ -143,6 +145,76 @@
 	}
 }
 
+// TestLongestHeader guards against a 431 to a request whose header fields are as long as any document allows, because the request
+// line shares a buffer with them.
+func TestLongestHeader(t *testing.T) {
+	const limit = 32 << 10
+	limits := schema.Limits_builder{MaxHeader: limit}.Build()
+	front := newFront(t, echoCall, io.WithDocumentLimits(func() (*schema.Limits, bool) { return limits, true }))
+	for size, code := range map[int]int{limit: http.StatusOK, limit + 1: http.StatusRequestHeaderFieldsTooLarge} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			request := "GET /" + strings.Repeat("p", 8000) + " HTTP/1.1\r\nHost: h\r\nX: "
+			fields := len("Host: h\r\nX: ")
+			request += strings.Repeat("x", size-fields-len("\r\n")) + "\r\n\r\n"
+			qt.Check(t, roundTrip(t, front.Addr(), request).code, qt.Equals, code)
+		})
+	}
+}
+
+// TestHeaderInPieces guards against a 431 that depends on how a header is split into packets: with its last bytes still to come, or
+// with a part of a request line that is longer than the limit of the fields.
+func TestHeaderInPieces(t *testing.T) {
+	const limit = 1000
+	limits := schema.Limits_builder{MaxHeader: limit}.Build()
+	front := newFront(t, echoCall, io.WithDocumentLimits(func() (*schema.Limits, bool) { return limits, true }))
+	fields := "Host: h\r\nX: "
+	fields += strings.Repeat("x", limit-len(fields)-len("\r\n")) + "\r\n"
+	for _, pathSize := range []int{1, 2 * limit} {
+		request := "GET /" + strings.Repeat("p", pathSize-1) + " HTTP/1.1\r\n" + fields + "\r\n"
+		for _, rest := range []int{1, 2, 3, 4, limit, limit + len("\r\n"), limit + 3*len("\r\n")} {
+			t.Run(fmt.Sprintf("path %d rest %d", pathSize, rest), func(t *testing.T) {
+				t.Parallel()
+				c := dial(t, front)
+				c.send(t, request[:len(request)-rest])
+				time.Sleep(stallTimeout / 10)
+				c.send(t, request[len(request)-rest:])
+				response, _ := c.receive(t)
+				qt.Check(t, response.code, qt.Equals, http.StatusOK)
+			})
+		}
+	}
+}
+
+// TestLongTrailer guards against a 400 to a request whose trailer is longer than a small read buffer, and against a request behind it
+// that is read from the wrong place.
+func TestLongTrailer(t *testing.T) {
+	const readBuffer, largeBuffer = 4 << 10, 40 << 10
+	front := newFront(t, echoCall)
+	for _, size := range []int{100, readBuffer, 2 * readBuffer, 3 * largeBuffer / 4, largeBuffer} {
+		for _, pieces := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%d in %d", size, pieces), func(t *testing.T) {
+				c := dial(t, front)
+				trailer := "X: " + strings.Repeat("x", size) + "\r\n\r\n"
+				c.send(t, chunkedHead+"3\r\nabc\r\n0\r\n")
+				for i := range pieces {
+					c.send(t, trailer[i*len(trailer)/pieces:(i+1)*len(trailer)/pieces])
+					time.Sleep(stallTimeout / 20)
+				}
+				if size >= largeBuffer {
+					response, _ := c.receive(t)
+					qt.Check(t, response.code, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+					return
+				}
+				c.send(t, getRequest("/next"))
+				for range 2 {
+					response, _ := c.receive(t)
+					qt.Check(t, response.code, qt.Equals, http.StatusOK)
+				}
+			})
+		}
+	}
+}
+
 // TestUnsignedStatus guards against a status that reaches the caller as the answer of its server although the server did not
 // sign it: a 3xx or 4xx ends the request for good.
 func TestUnsignedStatus(t *testing.T) {
@@ -163,6 +235,45 @@
 	}
 }
 
+// TestVerdictOnPartOfBody guards against a 4xx of a server on a request that the node itself broke off within its body: the caller had
+// sent the whole one. The verdict on a body that the server did not want to read counts.
+func TestVerdictOnPartOfBody(t *testing.T) {
+	const size = 32 << 20
+	for name, wire := range map[string]*core.WireFormat{"without signatures": core.NativeWire(), "with signatures": customWire()} {
+		for _, brokenOff := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, broken off %v", name, brokenOff), func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				address := newTCPServer(t, func(conn *net.TCPConn) {
+					r, err := http.ReadRequest(bufio.NewReader(conn))
+					if err != nil {
+						return
+					}
+					if brokenOff {
+						cancel()
+						_, _ = stdio.Copy(stdio.Discard, r.Body)
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 400 Odd\r\nX-Id: a\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n")
+					if !brokenOff {
+						_, _ = stdio.Copy(stdio.Discard, conn)
+					}
+				})
+				result := newBackend(t, address, io.WithWire(wire)).Send(ctx, &core.Request{
+					Method: "POST", URI: "/", ID: "a", Body: make([]byte, size), Deadline: time.Now().Add(5 * time.Second),
+					Headers: []*schema.Header{header("X-Id", "a")},
+				})
+				code, reason := http.StatusBadRequest, schema.Reason_REASON_NONE
+				if brokenOff {
+					code, reason = 0, schema.Reason_REASON_CANCELLED
+				}
+				qt.Check(t, result.Code, qt.Equals, code)
+				qt.Check(t, core.ReasonName(result.Reason), qt.Equals, core.ReasonName(reason))
+				qt.Check(t, result.Written, qt.IsTrue)
+			})
+		}
+	}
+}
+
 // newSigningServer starts a backend server that responds to each request with a code, and signs the response if signed is set.
 func newSigningServer(t *testing.T, code int, signed bool) string {
 	seal := ""
