--- a/io/option.go
+++ b/io/option.go
@@ -131,8 +131,8 @@
 }
 
 // WithDocumentLimits sets the function that returns the limits of the document in force for callers of a Front, and whether that
-// document is known to be the current one. It is called for each request, so that the request is read under the document by which it is routed. By default,
-// all limits have their default values.
+// document is known to be the current one. It is called for each request, so that the request is read under the document by which
+// it is routed. By default, all limits have their default values.
 func WithDocumentLimits(limits func() (limits *schema.Limits, current bool)) Option {
 	return func(o *options) { o.documentLimits = limits }
 }
