--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -6,6 +6,9 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"verbenareel/core"
+	"verbenareel/schema"
 )
 
 // runTrace returns the output of a trace of the request in a log.
@@ -27,6 +30,15 @@
   2.0 node-1 {"level":"info","ts":"2026-08-11T09:43:40.200Z","msg":"call refused","node":"node-1","request":"aab","outcome":"not-run","reason":"busy","took":0.1}
 `
 
+// TestReasonTexts guards against a reason that a trace does not explain.
+func TestReasonTexts(t *testing.T) {
+	for number, name := range schema.Reason_name {
+		if reason := schema.Reason(number); reason != schema.Reason_REASON_NONE {
+			qt.Check(t, reasonTexts[core.ReasonName(reason)] != "", qt.IsTrue, qt.Commentf("%s", name))
+		}
+	}
+}
+
 // TestRefused guards against a summary with a cause other than the logged one, and against lines of unrelated requests and
 // nodes in the trace.
 func TestRefused(t *testing.T) {
