io: a header limit above 32 KB holds

Callers saw 431, after which they do not try again, for header fields between 32 KB and the limit of their document. A document of this project's own can't have such a limit, but an adapter's document can: its limits are not checked against the project's.

Cause: the front lowered each limit to 32 KB, the size of the large read buffer.

Before the fix (TestLongestHeader): fields of 32769, 65536 and 1048576 bytes under a limit of the same size: got 431, want 200.

The large buffer is as long as the limit needs, 1 MB of fields at most; all of it counts in the memory budget. Buffers of other than the usual size are not pooled. With limits up to 32 KB nothing changes.

--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -145,19 +145,20 @@
 	}
 }
 
-// TestLongestHeader guards against a 431 to a request whose header fields are as long as any document allows, because the request
-// line shares a buffer with them.
+// TestLongestHeader guards against a 431 to a request whose header fields are within the limit of the document, because the limit is
+// above the usual size of a read buffer, or because the request line shares a buffer with the fields.
 func TestLongestHeader(t *testing.T) {
-	const limit = 32 << 10
-	limits := schema.Limits_builder{MaxHeader: limit}.Build()
-	front := newFront(t, echoCall, io.WithDocumentLimits(func() (*schema.Limits, bool) { return limits, true }))
-	for size, code := range map[int]int{limit: http.StatusOK, limit + 1: http.StatusRequestHeaderFieldsTooLarge} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			request := "GET /" + strings.Repeat("p", 8000) + " HTTP/1.1\r\nHost: h\r\nX: "
-			fields := len("Host: h\r\nX: ")
-			request += strings.Repeat("x", size-fields-len("\r\n")) + "\r\n\r\n"
-			qt.Check(t, roundTrip(t, front.Addr(), request).code, qt.Equals, code)
-		})
+	for _, limit := range []int{32 << 10, 32<<10 + 1, 64 << 10, 1 << 20} {
+		limits := schema.Limits_builder{MaxHeader: uint32(limit)}.Build()
+		front := newFront(t, echoCall, io.WithDocumentLimits(func() (*schema.Limits, bool) { return limits, true }))
+		for size, code := range map[int]int{limit: http.StatusOK, limit + 1: http.StatusRequestHeaderFieldsTooLarge} {
+			t.Run(fmt.Sprintf("%d of %d", size, limit), func(t *testing.T) {
+				request := "GET /" + strings.Repeat("p", 8000) + " HTTP/1.1\r\nHost: h\r\nX: "
+				fields := len("Host: h\r\nX: ")
+				request += strings.Repeat("x", size-fields-len("\r\n")) + "\r\n\r\n"
+				qt.Check(t, roundTrip(t, front.Addr(), request).code, qt.Equals, code)
+			})
+		}
 	}
 }
 
--- a/io/request.go
+++ b/io/request.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	// maxFieldBytes is the upper limit for the size of the header fields, the largest that a document can set, and
-	// requestLineBytes the space for a request line in front of them (RFC 9112, section 3, recommends at least 8,000 bytes). A
-	// read buffer has readBufferSize bytes until a header does not fit into it.
-	maxFieldBytes    = 32 << 10
+	// maxFieldBytes is the upper limit for the size of the header fields, whatever the document says.
+	maxFieldBytes = 1 << 20
+	// requestLineBytes is the space for a request line beside the fields (RFC 9112, section 3, recommends at least 8,000 bytes).
 	requestLineBytes = 8 << 10
-	headerBufferSize = maxFieldBytes + requestLineBytes
+	// A read buffer has readBufferSize bytes until a header does not fit into it, and then headerBufferSize or as much as the
+	// limit of the document needs.
+	headerBufferSize = 32<<10 + requestLineBytes
 	readBufferSize   = 4 << 10
 	// callCost is what a call in progress costs besides its request and response: goroutines with their stacks and the state of
 	// the router.
@@ -207,7 +208,7 @@
 	if !errors.Is(err, errBufferFull) {
 		return header, err
 	}
-	if err := s.enlargeReader(); err != nil {
+	if err := s.enlargeReader(max(headerBufferSize, limit+requestLineBytes)); err != nil {
 		return nil, err
 	}
 	header, err = readHeader(s.reader, limit)
@@ -217,19 +218,31 @@
 	return header, err
 }
 
-// enlargeReader replaces the reader by one with a large buffer that holds the same bytes.
-func (s *session) enlargeReader() error {
-	if err := s.bufferHolding.grow(headerBufferSize); err != nil {
+// enlargeReader replaces the reader by one with a larger buffer that holds the same bytes. It returns errHeaderTooLarge if the buffer
+// has the size already.
+func (s *session) enlargeReader(size int) error {
+	if s.reader.Size() >= size {
+		return errHeaderTooLarge
+	}
+	if err := s.bufferHolding.grow(size); err != nil {
 		return err
 	}
 	buffered, _ := s.reader.Peek(s.reader.Buffered())
 	s.pushedBack = append([]byte(nil), buffered...)
 	s.putReader()
-	s.reader = largeReaderPool.Get().(*bufio.Reader)
+	s.reader = newLargeReader(size)
 	s.reader.Reset(s)
 	return nil
 }
 
+// newLargeReader returns a reader from the pool, or a new one if those of the pool have another size.
+func newLargeReader(size int) *bufio.Reader {
+	if size == headerBufferSize {
+		return largeReaderPool.Get().(*bufio.Reader)
+	}
+	return bufio.NewReaderSize(nil, size)
+}
+
 // parseHeader validates and consumes the header, and counts what its fields cost.
 func (s *session) parseHeader(request *fasthttp.Request, header []byte) error {
 	if err := validateHeader(header); err != nil {
@@ -305,10 +318,7 @@
 // readLongTrailer reads a trailer of which the parser has consumed nothing. It returns io.EOF after that.
 func (b *chunkedBody) readLongTrailer() error {
 	s := b.session
-	if s.reader.Size() == headerBufferSize {
-		return errHeaderTooLarge
-	}
-	if err := s.enlargeReader(); err != nil {
+	if err := s.enlargeReader(headerBufferSize); err != nil {
 		return err
 	}
 	err := b.request.Header.ReadTrailer(s.reader)
@@ -414,9 +424,10 @@
 // putReader puts the reader back into the pool.
 func (s *session) putReader() {
 	s.reader.Reset(nil)
-	if s.reader.Size() == readBufferSize {
+	switch s.reader.Size() {
+	case readBufferSize:
 		headerReaderPool.Put(s.reader)
-	} else {
+	case headerBufferSize:
 		largeReaderPool.Put(s.reader)
 	}
 	s.reader = nil
