io, router, core: the log line of a refusal has its status and the configuration that decided

An operator needed several lines to tell what ended a request: 'request refused' had no status and no size of the body, 'call refused' showed the code 0, and 'request rejected' named neither the limits nor the configuration in force. Now each has the status that the caller gets; 'request refused' has the size of the body and the depth; 'request rejected' has the limits, the revision, the version and the age of the configuration. The mapping from reasons to status codes moves to core, since the router logs it too. No response changes: io TestFrontOutcomes, TestUnknownKeyStatus and the tests of router, core, node and trace pass; TestResponsesBySource and TestRefusalNamesDocument check the new fields.

--- a/core/outcome.go
+++ b/core/outcome.go
@@ -62,3 +62,36 @@
 	}
 	return false
 }
+
+// notRunCodes maps the reasons of calls that did not run to HTTP status codes. All other reasons map to 503.
+var notRunCodes = map[schema.Reason]int{
+	schema.Reason_REASON_RETRY_BUDGET:    http.StatusTooManyRequests,
+	schema.Reason_REASON_QUOTA:           http.StatusTooManyRequests,
+	schema.Reason_REASON_TICKET_REQUIRED: http.StatusPreconditionRequired,
+	schema.Reason_REASON_TICKET_INVALID:  http.StatusBadRequest,
+	schema.Reason_REASON_TICKET_MISMATCH: http.StatusUnprocessableEntity,
+	schema.Reason_REASON_TICKET_CLOSED:   http.StatusConflict,
+	schema.Reason_REASON_MALFORMED:       http.StatusBadRequest,
+	schema.Reason_REASON_DEPTH:           http.StatusBadRequest,
+	schema.Reason_REASON_NO_RULE:         http.StatusNotFound,
+	schema.Reason_REASON_UNKNOWN_KEY:     http.StatusUnauthorized,
+	schema.Reason_REASON_TOO_LARGE:       http.StatusRequestEntityTooLarge,
+}
+
+// OutcomeCode returns the HTTP status code for an unanswered call.
+func OutcomeCode(status schema.Status, reason schema.Reason) int {
+	if status == schema.Status_STATUS_NOT_RUN {
+		if code, ok := notRunCodes[reason]; ok {
+			return code
+		}
+		return http.StatusServiceUnavailable
+	}
+	if reason == schema.Reason_REASON_UNKNOWN_KEY {
+		// An earlier attempt with the ticket of the call may have run, but this one was not authenticated either.
+		return http.StatusUnauthorized
+	}
+	if reason == schema.Reason_REASON_DEADLINE || reason == schema.Reason_REASON_CONNECTION_SILENT {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- a/io/option.go
+++ b/io/option.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"verbenareel/core"
 	"verbenareel/meter"
@@ -62,6 +63,7 @@
 	callerLimits    CallerLimits
 	frameMemory     int
 	documentLimits  func() (limits *schema.Limits, current bool)
+	configuration   func() zapcore.ObjectMarshaler
 }
 
 // Option configures a Server, Transport, Backend or Front. Options that do not apply to a component are ignored.
@@ -137,6 +139,11 @@
 	return func(o *options) { o.documentLimits = limits }
 }
 
+// WithConfiguration sets the function that returns the configuration in force for the log lines of a Front.
+func WithConfiguration(configuration func() zapcore.ObjectMarshaler) Option {
+	return func(o *options) { o.configuration = configuration }
+}
+
 // WithFrameMemory sets the maximum sum in bytes of the messages that a Server is reading. The default is 32 MB.
 func WithFrameMemory(size int) Option {
 	return func(o *options) { o.frameMemory = size }
@@ -157,6 +164,9 @@
 		pingTimeout:     defaultPingTimeout,
 		wire:            core.NativeWire(),
 		documentLimits:  func() (*schema.Limits, bool) { return nil, true },
+		configuration: func() zapcore.ObjectMarshaler {
+			return zapcore.ObjectMarshalerFunc(func(zapcore.ObjectEncoder) error { return nil })
+		},
 	}
 	for _, set := range opts {
 		set(&o)
--- a/io/outcome.go
+++ b/io/outcome.go
@@ -81,12 +81,16 @@
 func (s *session) recordRejection(request *fasthttp.Request, reason schema.Reason, code int, err error) {
 	f := s.front
 	f.responses.WithLabelValues(strconv.Itoa(code), sourceNode).Inc()
+	limits := f.currentLimits()
 	f.logger.Info("request rejected", zap.String("request", requestID(f.wire, request)),
 		zap.String("reason", core.ReasonName(reason)),
 		zap.ByteString("method", request.Header.Method()),
 		zap.String("path", pathOf(originForm(string(request.Header.RequestURI())))),
 		zap.Int("code", code), zap.Error(err),
 		zap.Duration("read_for", time.Since(s.requestBegan)),
+		zap.Int("max_header", limits.maxHeader),
+		zap.Int("max_body", limits.maxBody),
+		zap.Inline(f.configuration()),
 		zap.Bool("draining", s.draining()),
 		zap.Stringer("caller", s.conn.RemoteAddr()))
 }
--- a/io/outcome_test.go
+++ b/io/outcome_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
 	"verbenareel/core"
@@ -34,7 +35,7 @@
 			logged, logs := observer.New(zap.InfoLevel)
 			registry := prometheus.NewRegistry()
 			front := newFront(t, func(*core.Call) *schema.ExecuteReply { return c.reply },
-				io.WithWire(customWire()), io.WithLogger(zap.New(logged)), io.WithRegisterer(registry))
+				io.WithWire(customWire()), io.WithLogger(zap.New(logged)), io.WithRegisterer(registry), io.WithConfiguration(version7))
 			qt.Check(t, roundTrip(t, front.Addr(), c.request).code, qt.Equals, c.code)
 			checkOneResponse(t, registry, c.code, c.source)
 			if c.message == "" {
@@ -44,10 +45,22 @@
 			qt.Assert(t, lines, qt.HasLen, 1)
 			qt.Check(t, lines[0].ContextMap()["request"], qt.Equals, "1")
 			qt.Check(t, lines[0].ContextMap()["path"], qt.Equals, "/a")
+			qt.Check(t, lines[0].ContextMap()["code"], qt.Equals, int64(c.code))
+			if c.reply == nil {
+				qt.Check(t, lines[0].ContextMap()["deployment"], qt.Equals, "version 7")
+			}
 		})
 	}
 }
 
+// version7 is a configuration in force.
+func version7() zapcore.ObjectMarshaler {
+	return zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddString("deployment", "version 7")
+		return nil
+	})
+}
+
 // checkOneResponse checks that one response was counted, with a code and a source.
 func checkOneResponse(t *testing.T, registry *prometheus.Registry, code int, source string) {
 	t.Helper()
--- a/io/response.go
+++ b/io/response.go
@@ -109,7 +109,7 @@
 func (r *response) setOutcome(w *core.WireFormat, reply *schema.ExecuteReply, detail string) {
 	status, reason := reply.GetStatus(), reply.GetReason()
 	name := core.ReasonName(reason)
-	r.code = outcomeCode(status, reason)
+	r.code = core.OutcomeCode(status, reason)
 	r.addHeader(w.Outcome, core.StatusName(status)+"; reason="+name)
 	r.addHeader(fasthttp.HeaderContentType, textPlain)
 	if r.code == fasthttp.StatusUnauthorized {
@@ -139,36 +139,3 @@
 	}
 	return 0
 }
-
-// notRunCodes maps the reasons of calls that did not run to HTTP status codes. All other reasons map to 503.
-var notRunCodes = map[schema.Reason]int{
-	schema.Reason_REASON_RETRY_BUDGET:    fasthttp.StatusTooManyRequests,
-	schema.Reason_REASON_QUOTA:           fasthttp.StatusTooManyRequests,
-	schema.Reason_REASON_TICKET_REQUIRED: fasthttp.StatusPreconditionRequired,
-	schema.Reason_REASON_TICKET_INVALID:  fasthttp.StatusBadRequest,
-	schema.Reason_REASON_TICKET_MISMATCH: fasthttp.StatusUnprocessableEntity,
-	schema.Reason_REASON_TICKET_CLOSED:   fasthttp.StatusConflict,
-	schema.Reason_REASON_MALFORMED:       fasthttp.StatusBadRequest,
-	schema.Reason_REASON_DEPTH:           fasthttp.StatusBadRequest,
-	schema.Reason_REASON_NO_RULE:         fasthttp.StatusNotFound,
-	schema.Reason_REASON_UNKNOWN_KEY:     fasthttp.StatusUnauthorized,
-	schema.Reason_REASON_TOO_LARGE:       fasthttp.StatusRequestEntityTooLarge,
-}
-
-// outcomeCode returns the HTTP status code for an unanswered call.
-func outcomeCode(status schema.Status, reason schema.Reason) int {
-	if status == schema.Status_STATUS_NOT_RUN {
-		if code, ok := notRunCodes[reason]; ok {
-			return code
-		}
-		return fasthttp.StatusServiceUnavailable
-	}
-	if reason == schema.Reason_REASON_UNKNOWN_KEY {
-		// An earlier attempt with the ticket of the call may have run, but this one was not authenticated either.
-		return fasthttp.StatusUnauthorized
-	}
-	if reason == schema.Reason_REASON_DEADLINE || reason == schema.Reason_REASON_CONNECTION_SILENT {
-		return fasthttp.StatusGatewayTimeout
-	}
-	return fasthttp.StatusBadGateway
-}
--- a/node/listen.go
+++ b/node/listen.go
@@ -35,7 +35,7 @@
 		{"HTTP", settings.GetHttpAddress(), func(address string) (err error) {
 			n.front, err = io.NewFront(address, n.router, io.WithLogger(n.logger), io.WithRegisterer(n.registry),
 				io.WithWire(n.wire()), io.WithMemory(n.memory), io.WithCallerLimits(callerLimits(settings.GetCallers())),
-				io.WithDocumentLimits(n.documentLimits))
+				io.WithDocumentLimits(n.documentLimits), io.WithConfiguration(n.router.Configuration))
 			return err
 		}},
 		{"status", settings.GetStatusAddress(), func(address string) (err error) {
--- a/router/log.go
+++ b/router/log.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"verbenareel/core"
 	"verbenareel/picker"
@@ -90,7 +91,7 @@
 		zap.String("customer", c.customerName),
 		zap.String("outcome", core.StatusName(reply.GetStatus())),
 		zap.String("reason", core.ReasonName(reply.GetReason())),
-		zap.Uint32("code", reply.GetCode()),
+		zap.Int("code", codeOf(reply)),
 		zap.Duration("took", took),
 		zap.Duration("target", c.rule.GetTargetLatency().AsDuration()),
 		zap.String("left_domain", string(c.leaveReason())),
@@ -137,20 +138,42 @@
 		zap.String("path", input.Path),
 		zap.String("key", core.ShortKeyHash(input.KeyHash)),
 		zap.String("reason", core.ReasonName(reply.GetReason())),
-		zap.Uint64("revision", snapshot.Revision()),
-		zap.String("deployment", snapshot.Document().GetDeployment()),
-		r.documentAge(),
+		zap.Int("code", codeOf(reply)),
+		zap.Int("body_bytes", len(input.Body)),
+		zap.Uint32("depth", input.Depth),
+		zap.Inline(configuration{r, snapshot}),
 		zap.Bool("rule_matches", matches(snapshot, input)),
 		zap.Bool("rule_matched_before", matches(r.documentBefore.Load(), input)))
 }
 
-// documentAge returns the field with the time since the document in force was last confirmed, if that is known.
-func (r *Router) documentAge() zap.Field {
-	confirmer, ok := r.snapshots.(core.Confirmer)
-	if !ok || confirmer.ConfirmedAt().IsZero() {
-		return zap.Skip()
+// codeOf returns the HTTP status code that the caller gets.
+func codeOf(reply *schema.ExecuteReply) int {
+	if reply.GetStatus() == schema.Status_STATUS_ANSWERED {
+		return int(reply.GetCode())
+	}
+	return core.OutcomeCode(reply.GetStatus(), reply.GetReason())
+}
+
+// configuration is the configuration that decides about requests, for the log: its revision and version, and the time since it was
+// last confirmed, if that is known.
+type configuration struct {
+	router   *Router
+	snapshot *core.Snapshot
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (c configuration) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddUint64("revision", c.snapshot.Revision())
+	e.AddString("deployment", c.snapshot.Document().GetDeployment())
+	if confirmer, ok := c.router.snapshots.(core.Confirmer); ok && !confirmer.ConfirmedAt().IsZero() {
+		e.AddDuration("document_age", c.router.clock.Now().Sub(confirmer.ConfirmedAt()))
 	}
-	return zap.Duration("document_age", r.clock.Now().Sub(confirmer.ConfirmedAt()))
+	return nil
+}
+
+// Configuration returns the configuration in force for the log.
+func (r *Router) Configuration() zapcore.ObjectMarshaler {
+	return configuration{r, r.snapshots.Snapshot()}
 }
 
 func matches(s *core.Snapshot, input *core.Call) bool {
--- a/router/outcome_test.go
+++ b/router/outcome_test.go
@@ -314,6 +314,7 @@
 		reply := r.Handle(t.Context(), &core.Call{Method: "GET", Host: "h.example", Path: "/gone/1"})
 		qt.Check(t, core.ReasonName(reply.GetReason()), qt.Equals, "no-rule")
 		fields := logs.FilterMessage("request refused").All()[0].ContextMap()
+		qt.Check(t, fields["code"], qt.Equals, int64(404))
 		qt.Check(t, fields["deployment"], qt.Equals, "version 7")
 		qt.Check(t, fields["document_age"], qt.Equals, 3*time.Second)
 		qt.Check(t, fields["rule_matches"], qt.Equals, false)
