io: an answer without a length whose connection was reset during the upload is not whole

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as the whole answer.

Cause: a socket reports a reset once. The goroutine that writes the upload gets ECONNRESET; the goroutine that reads then sees a plain end of the data, which receiveNext takes for the end of a body that the end of the connection delimits. The upload's error was not looked at once the answer had been read.

Change: such an answer is whole only if the socket is in CLOSE_WAIT at the end of the data: the server closed, this side has not, and no reset has followed, whoever noticed it. Otherwise it is truncated: it goes to another instance if it may run again, and is unknown if not. The error of the upload alone was ruled out as the sign: EPIPE tells a close that a reset follows apart from a reset, but a server that crashes within its answer leaves the same trace. So an answer is given up too if its server closes without reading on and the reset has arrived before the end of the data is read.

The failure of a request whose answer had begun is now that of reading, not of writing: truncated instead of connection-lost, and without ConnectionReset, which says that no answer had begun and makes a guard stop starting calls.

--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -145,7 +145,7 @@
 	sendErr, err := c.sendAndReceive(request, response)
 	notCancelled := stopCancelWatch()
 	switch {
-	case err != nil && sendErr != nil:
+	case err != nil && sendErr != nil && c.bytesRead == 0:
 		return c.sendFailure(ctx, sendErr, !notCancelled)
 	case err != nil:
 		return c.receiveFailure(err, notCancelled)
@@ -272,7 +272,7 @@
 	message.SetBodyRaw(request.Body)
 }
 
-// sendFailure returns the result of a request that could not be written.
+// sendFailure returns the result of a request that could not be written and to which the server sent nothing.
 func (c *backendConn) sendFailure(ctx context.Context, err error, cancelled bool) *core.Result {
 	result := &core.Result{Written: c.bytesWritten > 0, Reason: schema.Reason_REASON_CONNECTION_LOST}
 	var unsent *unsentError
@@ -341,7 +341,7 @@
 }
 
 // receiveNext reads the next response, which may be an interim (1xx) response. A body delimited by the end of the connection is
-// complete only if the server ended the connection by itself.
+// complete only if the server ended the connection by itself, and by a close that no reset has followed.
 func (c *backendConn) receiveNext(request *core.Request, response *fasthttp.Response) error {
 	h := &response.Header
 	h.DisableNormalizing()
@@ -376,7 +376,7 @@
 	switch {
 	case length == lengthChunked:
 		return h.ReadTrailer(c.reader)
-	case length == lengthUntilClose && c.halfClosed.Load():
+	case length == lengthUntilClose && (c.halfClosed.Load() || !closedInOrder(c.raw)):
 		return errCutShort
 	}
 	return nil
@@ -398,7 +398,7 @@
 
 var (
 	errNoFraming  = errors.New("response has neither a content length nor chunked encoding")
-	errCutShort   = errors.New("response without a length was ended by the cancellation of its request")
+	errCutShort   = errors.New("response without a length was ended by a reset or by the cancellation of its request")
 	errNoResponse = errors.New("none of the received responses belongs to the request")
 )
 
--- a/io/socket.go
+++ b/io/socket.go
@@ -26,3 +26,17 @@
 	})
 	return err == nil && ready
 }
+
+// closedInOrder reports whether the other side has closed its direction of a connection, this side has not, and no reset has
+// followed. The end of the data does not tell: a socket reports a reset only once, and a concurrent write may have got the report.
+func closedInOrder(raw syscall.RawConn) bool {
+	if raw == nil {
+		return false
+	}
+	inOrder := false
+	err := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		inOrder = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return err == nil && inOrder
+}
