head, io, native: a response with a line that is no field line is no answer

What callers saw: a server in trouble sent a response in whose head the name of a field held a blank, and the caller got it as an answer: "X Field: v" was passed on; "X-Field : v" was passed on without the blank; "Transfer Encoding: chunked" gave the caller the text of the chunks as the body; "Transfer-Encoding : chunked", "Content-Length : 4", "Response-Signature : s" and a request ID of that kind were obeyed. Control bytes in a name were refused before (unknown, 502).

Cause: only the heads of requests were checked (validateHeader). The head of a response was whatever the HTTP library accepts, which tolerates blanks in the names of response fields on purpose and drops those before the colon. The same holds for heads of interim responses, for trailers, for health checks and for responses of the platform. RFC 9112, section 5.1, allows no blank between name and colon; an intermediary removes it or, as here, where the server is in trouble, takes nothing of the response.

Change: package head reads heads and trailers of responses, and checks each line before the library parses it: the status line, and names and values of fields. It is used wherever a response is read: by the backend client (calls and probes) and by the reader of the platform's responses, which both adapters share. The syntax of a field line stands once, in package field, for requests and responses. A line break within a value (a line that begins with a blank) stays allowed, since the library replaces it (RFC 9112, section 5.2). A malformed response is unknown with the reason garbled, also where it was truncated before; the call goes to another instance if it may.

The reader of the platform reads each head by itself now, so the status behind an interim response is checked too: "000" there was taken for 200 and its body for the document.

--- a/io/backend.go
+++ b/io/backend.go
@@ -48,10 +48,6 @@
 	// maxChunkOverhead is an upper bound for the encoded size of one body byte with chunked encoding. In the worst case a
 	// chunk holds one byte: a chunk size, the byte and two CRLFs.
 	maxChunkOverhead = 8
-	// lengthUntilClose is the content length that fasthttp reports for a response delimited by the end of the connection.
-	lengthUntilClose = -2
-	// lengthChunked is the content length that fasthttp reports for a response with chunked encoding.
-	lengthChunked = -1
 )
 
 var errNoLoadReport = errors.New("response has no valid load report")
--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"verbenareel/core"
+	"verbenareel/head"
 	"verbenareel/schema"
 	"verbenareel/status"
 )
@@ -294,6 +295,7 @@
 func (c *backendConn) receiveFailure(err error, notCancelled bool) *core.Result {
 	result := &core.Result{Written: true, ConnectionEnded: c.endedByServer}
 	var smallBuffer *fasthttp.ErrSmallBuffer
+	var malformed *head.Error
 	var timeout interface{ Timeout() bool }
 	switch {
 	case c.holding.evicted.Load():
@@ -304,7 +306,7 @@
 		result.Reason = schema.Reason_REASON_CANCELLED
 	case errors.As(err, &timeout) && timeout.Timeout():
 		result.Reason = schema.Reason_REASON_DEADLINE
-	case errors.Is(err, status.ErrMeaningless):
+	case errors.As(err, &malformed):
 		result.Reason = schema.Reason_REASON_GARBLED
 	case c.bytesRead > 0:
 		result.Reason = schema.Reason_REASON_TRUNCATED
@@ -346,10 +348,7 @@
 	h := &response.Header
 	h.DisableNormalizing()
 	h.SetNoDefaultContentType(true)
-	if err := status.CheckLine(c.reader); err != nil {
-		return err
-	}
-	if err := h.Read(c.reader); err != nil {
+	if err := head.Read(c.reader, h); err != nil {
 		return err
 	}
 	code := h.StatusCode()
@@ -357,11 +356,11 @@
 		return errNoFraming
 	}
 	response.SkipBody = request.Method == fasthttp.MethodHead
-	if response.SkipBody || !hasBody(code) {
+	if response.SkipBody || !status.HasBody(code) {
 		return nil
 	}
 	length := h.ContentLength()
-	if length == lengthUntilClose && !c.backend.wire.CloseDelimitedBodies {
+	if length == head.LengthUntilClose && !c.backend.wire.CloseDelimitedBodies {
 		return errNoFraming
 	}
 	limit := int(c.backend.maxResponseBody.Load())
@@ -374,9 +373,9 @@
 		return err
 	}
 	switch {
-	case length == lengthChunked:
-		return h.ReadTrailer(c.reader)
-	case length == lengthUntilClose && (c.halfClosed.Load() || !closedInOrder(c.raw)):
+	case length == head.LengthChunked:
+		return head.ReadTrailer(c.reader, h)
+	case length == head.LengthUntilClose && (c.halfClosed.Load() || !closedInOrder(c.raw)):
 		return errCutShort
 	}
 	return nil
--- a/io/parse.go
+++ b/io/parse.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"verbenareel/core"
+	"verbenareel/field"
 	"verbenareel/schema"
 	"verbenareel/ticket"
 )
@@ -35,8 +36,6 @@
 	errLineEnd        = errors.New("line does not end with CR LF")
 	errRequestLine    = errors.New("request line is not a method, a target and HTTP/1.x")
 	errMethod         = errors.New("method is not a token")
-	errFieldName      = errors.New("field line has no valid name")
-	errFieldValue     = errors.New("field value has a control character")
 	errHostCount      = errors.New("request has not exactly one Host field")
 	errFraming        = errors.New("length of the body is ambiguous")
 	errHeaderSyntax   = errors.New("header cannot be parsed")
@@ -106,11 +105,11 @@
 func validateRequestLine(line []byte) error {
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, version, _ := bytes.Cut(rest, []byte(" "))
-	if !isToken(method) {
+	if !field.IsToken(method) {
 		return errMethod
 	}
 	validVersion := bytes.Equal(version, []byte("HTTP/1.1")) || bytes.Equal(version, []byte("HTTP/1.0"))
-	if len(target) == 0 || !validVersion || hasControlChar(line) {
+	if len(target) == 0 || !validVersion || field.HasControl(line) {
 		return errRequestLine
 	}
 	return nil
@@ -124,13 +123,10 @@
 }
 
 func (f *framing) addField(line []byte) error {
-	name, value, found := bytes.Cut(line, []byte(":"))
-	value = bytes.Trim(value, " \t")
+	name, value, err := field.Split(line)
 	switch {
-	case !found || !isToken(name):
-		return errFieldName
-	case hasControlChar(value):
-		return errFieldValue
+	case err != nil:
+		return err
 	case equalFold(name, "Host"):
 		f.hosts++
 	case equalFold(name, fasthttp.HeaderContentLength):
@@ -157,26 +153,6 @@
 	return nil
 }
 
-// isToken reports whether text is a token of RFC 9110, section 5.6.2.
-func isToken(text []byte) bool {
-	for _, b := range text {
-		letter := b|0x20 >= 'a' && b|0x20 <= 'z' || b >= '0' && b <= '9'
-		if !letter && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(b)) {
-			return false
-		}
-	}
-	return len(text) > 0
-}
-
-func hasControlChar(text []byte) bool {
-	for _, b := range text {
-		if b < ' ' && b != '\t' || b == 0x7f {
-			return true
-		}
-	}
-	return false
-}
-
 // FieldError reports an invalid header field of a call.
 type FieldError struct {
 	name   string
@@ -201,14 +177,14 @@
 	}
 	headers := newHeaderCopier()
 	var fields callFields
-	for name, value := range request.Header.All() {
-		field := string(name)
-		if !w.IsCallField(field) {
-			headers.add(name, value)
-			if w.RequestID != "" && strings.EqualFold(field, w.RequestID) {
+	for key, value := range request.Header.All() {
+		name := string(key)
+		if !w.IsCallField(name) {
+			headers.add(key, value)
+			if w.RequestID != "" && strings.EqualFold(name, w.RequestID) {
 				call.ID = string(value)
 			}
-		} else if err := fields.set(w, call, field, string(value)); err != nil {
+		} else if err := fields.set(w, call, name, string(value)); err != nil {
 			return nil, err
 		}
 	}
@@ -346,11 +322,11 @@
 func (f *Front) rejectionFor(err error, conn net.Conn) (schema.Reason, *response) {
 	reason := schema.Reason_REASON_NODE_LOST
 	code := 0
-	var field *FieldError
+	var invalid *FieldError
 	var header *headerError
 	switch {
-	case errors.As(err, &field):
-		reason = field.reason
+	case errors.As(err, &invalid):
+		reason = invalid.reason
 	case errors.As(err, &header), errors.Is(err, errBodySyntax):
 		reason = schema.Reason_REASON_MALFORMED
 	case errors.Is(err, errHeaderTooLarge):
--- a/io/response.go
+++ b/io/response.go
@@ -11,6 +11,7 @@
 
 	"verbenareel/core"
 	"verbenareel/schema"
+	"verbenareel/status"
 	"verbenareel/ticket"
 )
 
@@ -51,7 +52,7 @@
 	if r.close {
 		_, _ = w.WriteString("Connection: close\r\n")
 	}
-	if hasBody(r.code) && !r.omitBody {
+	if status.HasBody(r.code) && !r.omitBody {
 		_, _ = fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", len(r.body))
 		_, _ = w.Write(r.body)
 		return
@@ -59,11 +60,6 @@
 	_, _ = w.WriteString("\r\n")
 }
 
-// hasBody reports whether responses with the status code have a body.
-func hasBody(code int) bool {
-	return code >= fasthttp.StatusOK && code != fasthttp.StatusNoContent && code != fasthttp.StatusNotModified
-}
-
 // newResponse converts the reply to a call into an HTTP response.
 func newResponse(w *core.WireFormat, call *core.Call, reply *schema.ExecuteReply) *response {
 	r := &response{omitBody: call.Method == fasthttp.MethodHead}
@@ -107,10 +103,10 @@
 
 // setOutcome fills in the response to an unanswered call.
 func (r *response) setOutcome(w *core.WireFormat, reply *schema.ExecuteReply, detail string) {
-	status, reason := reply.GetStatus(), reply.GetReason()
+	outcome, reason := reply.GetStatus(), reply.GetReason()
 	name := core.ReasonName(reason)
-	r.code = core.OutcomeCode(status, reason)
-	r.addHeader(w.Outcome, core.StatusName(status)+"; reason="+name)
+	r.code = core.OutcomeCode(outcome, reason)
+	r.addHeader(w.Outcome, core.StatusName(outcome)+"; reason="+name)
 	r.addHeader(fasthttp.HeaderContentType, textPlain)
 	if r.code == fasthttp.StatusUnauthorized {
 		r.addHeader(fasthttp.HeaderWWWAuthenticate, authenticationScheme)
@@ -118,7 +114,7 @@
 	if after := retryAfter(reply); after > 0 {
 		r.addHeader(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
-	text := core.StatusName(status) + ": " + name
+	text := core.StatusName(outcome) + ": " + name
 	if detail != "" {
 		text += ": " + strings.ReplaceAll(detail, "\n", " ")
 	}
--- a/native/reader.go
+++ b/native/reader.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"verbenareel/core"
+	"verbenareel/head"
 	"verbenareel/status"
 )
 
@@ -27,12 +28,16 @@
 	// defaultTimeout is the timeout of a request, on top of the time that a long poll may wait. The platform answers in
 	// milliseconds.
 	defaultTimeout = time.Second
+	// maxInterimResponses is the maximum number of interim responses that are skipped.
+	maxInterimResponses = 16
 	// TCP keep-alive settings. The probes detect a connection that goes silent during a long poll.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 )
 
+var errNoResponse = errors.New("interim responses without a final one")
+
 // Error is the error of a failed read.
 type Error struct {
 	path string
@@ -236,11 +241,42 @@
 	if err := conn.writer.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
-	if err := status.CheckLine(conn.reader); err != nil {
+	if err := readResponse(conn.reader, response); err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
-	if err := response.ReadLimitBody(conn.reader, maxResponseBody); err != nil {
-		return fmt.Errorf("read response: %w", err)
+	return nil
+}
+
+// readResponse reads a complete response. It skips interim responses.
+func readResponse(r *bufio.Reader, response *fasthttp.Response) error {
+	h := &response.Header
+	if err := readFinalHead(r, h); err != nil {
+		return err
+	}
+	if !status.HasBody(h.StatusCode()) {
+		return nil
+	}
+	length := h.ContentLength()
+	if err := response.ReadBody(r, maxResponseBody); err != nil {
+		return err
+	}
+	if length == head.LengthChunked {
+		return head.ReadTrailer(r, h)
 	}
 	return nil
 }
+
+func readFinalHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses + 1 {
+		if err := head.Read(r, h); err != nil {
+			return err
+		}
+		switch code := h.StatusCode(); {
+		case code == fasthttp.StatusSwitchingProtocols:
+			return errNoResponse
+		case code >= fasthttp.StatusOK:
+			return nil
+		}
+	}
+	return errNoResponse
+}
--- a/native/status_test.go
+++ b/native/status_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	stdio "io"
 	"net"
 	"net/http"
 	"testing"
@@ -19,7 +20,8 @@
 func TestStatus(t *testing.T) {
 	for _, status := range []string{"000 Odd", "099 Odd"} {
 		t.Run(status, func(t *testing.T) {
-			client := New(startStatusPlatform(t, status), clockwork.NewRealClock(), WithTimeout(5*time.Second))
+			response := fmt.Sprintf("HTTP/1.1 %s\r\n%s: 7\r\nContent-Length: 16\r\n\r\n{\"instances\":[]}", status, RevisionHeader)
+			client := New(startFixedPlatform(t, response), clockwork.NewRealClock(), WithTimeout(5*time.Second))
 			defer client.Close()
 			_, text, err := client.Document(context.Background(), 0, 0)
 			var failure *Error
@@ -32,8 +34,8 @@
 	}
 }
 
-// startStatusPlatform starts a platform that responds to each request with a status line, and returns its URL.
-func startStatusPlatform(t *testing.T, status string) string {
+// startFixedPlatform starts a platform that sends the same response to each request, and returns its URL.
+func startFixedPlatform(t *testing.T, response string) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	var group conc.WaitGroup
@@ -43,7 +45,7 @@
 			if err != nil {
 				return
 			}
-			group.Go(func() { respondWith(conn, status) })
+			group.Go(func() { respondWith(conn, response) })
 		}
 	})
 	t.Cleanup(func() {
@@ -53,13 +55,13 @@
 	return "http://" + listener.Addr().String()
 }
 
-func respondWith(conn net.Conn, status string) {
+func respondWith(conn net.Conn, response string) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		if _, err := http.ReadRequest(reader); err != nil {
 			return
 		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: 7\r\nContent-Length: 16\r\n\r\n{\"instances\":[]}", status, RevisionHeader)
+		_, _ = stdio.WriteString(conn, response)
 	}
 }
--- a/router/send.go
+++ b/router/send.go
@@ -154,11 +154,24 @@
 func guardReply(request *schema.ExecuteRequest, reply *schema.ExecuteReply) sendResult {
 	switch reply.GetStatus() {
 	case schema.Status_STATUS_ANSWERED, schema.Status_STATUS_NOT_RUN, schema.Status_STATUS_UNKNOWN:
-		return sendResult{reply: overrule(request, status.CheckReply(reply)), sent: true, replied: true}
+		return sendResult{reply: overrule(request, checkAnswer(reply)), sent: true, replied: true}
 	}
 	return sendResult{reply: core.Unknown(schema.Reason_REASON_MALFORMED), sent: true}
 }
 
+// checkAnswer returns the reply of a guard. An answer whose code is no status code is an unknown outcome: the server got the call, but
+// its answer can't be passed on.
+func checkAnswer(reply *schema.ExecuteReply) *schema.ExecuteReply {
+	if reply.GetStatus() != schema.Status_STATUS_ANSWERED || status.IsValid(reply.GetCode()) {
+		return reply
+	}
+	unknown := core.Unknown(schema.Reason_REASON_GARBLED)
+	unknown.SetRetried(reply.GetRetried())
+	unknown.SetLoad(reply.GetLoad())
+	unknown.SetNextTicket(reply.GetNextTicket())
+	return unknown
+}
+
 // overrule returns the reply, with the reason OTHER_CONFIGURATION if it refuses the request for a fault of the caller. The router has
 // accepted the call by its own configuration, so the two nodes disagree, and another instance may run the call.
 func overrule(request *schema.ExecuteRequest, reply *schema.ExecuteReply) *schema.ExecuteReply {
