router: an answer from another node with a field that is no header field is unknown

What callers would see: header fields of an answer that came by way of another node are written to the caller as they stand in the reply. A name with a blank or a line break, or a value with a line break, would spoil the response or add lines to it. A node that checks what its server sends no longer passes such fields on, but one of an earlier version does, as a rolling upgrade runs both.

Cause: the reply between nodes was checked for its status code only.

Change: router.checkAnswer also checks names and values, by package field. The outcome is unknown with the reason garbled, as for a meaningless code.

--- a/router/send.go
+++ b/router/send.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"verbenareel/core"
+	"verbenareel/field"
 	"verbenareel/picker"
 	"verbenareel/schema"
 	"verbenareel/status"
@@ -150,7 +152,7 @@
 }
 
 // guardReply wraps the reply of a guard to a request. A reply with an unknown status does not tell whether the call ran, and neither does an
-// answer without a valid status code.
+// answer that can't be passed on.
 func guardReply(request *schema.ExecuteRequest, reply *schema.ExecuteReply) sendResult {
 	switch reply.GetStatus() {
 	case schema.Status_STATUS_ANSWERED, schema.Status_STATUS_NOT_RUN, schema.Status_STATUS_UNKNOWN:
@@ -159,10 +161,10 @@
 	return sendResult{reply: core.Unknown(schema.Reason_REASON_MALFORMED), sent: true}
 }
 
-// checkAnswer returns the reply of a guard. An answer whose code is no status code is an unknown outcome: the server got the call, but
-// its answer can't be passed on.
+// checkAnswer returns the reply of a guard. An answer whose code is no status code, or with a field that is no header field, is an
+// unknown outcome: the server got the call, but its answer can't be passed on.
 func checkAnswer(reply *schema.ExecuteReply) *schema.ExecuteReply {
-	if reply.GetStatus() != schema.Status_STATUS_ANSWERED || status.IsValid(reply.GetCode()) {
+	if reply.GetStatus() != schema.Status_STATUS_ANSWERED || status.IsValid(reply.GetCode()) && areFields(reply.GetHeaders()) {
 		return reply
 	}
 	unknown := core.Unknown(schema.Reason_REASON_GARBLED)
@@ -172,6 +174,12 @@
 	return unknown
 }
 
+func areFields(headers []*schema.Header) bool {
+	return !slices.ContainsFunc(headers, func(h *schema.Header) bool {
+		return !field.IsToken(h.GetName()) || field.HasControl(h.GetValue())
+	})
+}
+
 // overrule returns the reply, with the reason OTHER_CONFIGURATION if it refuses the request for a fault of the caller. The router has
 // accepted the call by its own configuration, so the two nodes disagree, and another instance may run the call.
 func overrule(request *schema.ExecuteRequest, reply *schema.ExecuteReply) *schema.ExecuteReply {
