native: a document whose end only the end of its connection tells is refused

What would happen: the platform, or something before it, ends its connection within a document that it sends without a length. The reader took the end of the connection for the end of the document, and a part of a document that ends between two rules is a valid document: callers would get 404 for the routes behind it.

Here a close within the document must be excluded too, and nothing on the connection tells it; but the protocol is this project's own, so it can ask for a length.

Change: the client of the project's own platform protocol refuses a response with a body that has neither a length nor chunked encoding.

--- a/native/head_test.go
+++ b/native/head_test.go
@@ -50,3 +50,22 @@
 		qt.Check(t, read(t, chunked+"X-Field: v\r\n\r\n"), qt.IsNil)
 	})
 }
+
+// TestDocumentCutShort guards against a part of a document that is taken for the whole one because the platform ended its connection
+// within it: a document without its last rules is valid too.
+func TestDocumentCutShort(t *testing.T) {
+	const document = "deployment = \"kitami\"\n[services.sheets]\nslots = 18\n[[rules]]\npath = \"/a\"\nservice = \"sheets\"\n"
+	for _, head := range []string{
+		"", "Connection: close\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(document)),
+	} {
+		for _, size := range []int{0, 22, 55, len(document) - 1} {
+			t.Run(fmt.Sprintf("%q %d", head, size), func(t *testing.T) {
+				client := New(startEndingPlatform(t, "HTTP/1.1 200 OK\r\n"+RevisionHeader+": 7\r\n"+head+"\r\n"+document[:size]),
+					clockwork.NewRealClock(), WithTimeout(5*time.Second))
+				defer client.Close()
+				_, text, err := client.Document(context.Background(), 0, 0)
+				qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
+			})
+		}
+	}
+}
--- a/native/native.go
+++ b/native/native.go
@@ -46,6 +46,7 @@
 // an error.
 func New(base string, clock core.Clock, opts ...Option) *Client {
 	c := &Client{HTTPReader: NewHTTPReader(base, clock)}
+	c.RequireLength()
 	for _, o := range opts {
 		o(c)
 	}
--- a/native/reader.go
+++ b/native/reader.go
@@ -36,7 +36,10 @@
 	keepAliveCount    = 2
 )
 
-var errNoResponse = errors.New("interim responses without a final one")
+var (
+	errNoResponse = errors.New("interim responses without a final one")
+	errNoLength   = errors.New("response has neither a content length nor chunked encoding")
+)
 
 // Error is the error of a failed read.
 type Error struct {
@@ -65,6 +68,8 @@
 	clock   core.Clock
 	timeout time.Duration
 	calls   atomic.Uint64
+	// lengthRequired is set if a response whose body ends with its connection is refused.
+	lengthRequired bool
 	// lastResponse is the time of the last complete response in Unix nanoseconds.
 	lastResponse atomic.Int64
 
@@ -96,6 +101,10 @@
 // SetTimeout sets the timeout of a request, on top of the time that a long poll may wait. It must be called before the first read.
 func (r *HTTPReader) SetTimeout(timeout time.Duration) { r.timeout = timeout }
 
+// RequireLength makes reads fail whose response has a body with neither a length nor chunked encoding: nothing tells whether such a body
+// is complete. It must be called before the first read.
+func (r *HTTPReader) RequireLength() { r.lengthRequired = true }
+
 // SetBase changes the base URL. It closes idle connections to the previous platform; reads in progress continue.
 func (r *HTTPReader) SetBase(base string) {
 	previous := r.target.Swap(newTarget(base))
@@ -241,27 +250,30 @@
 	if err := conn.writer.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
-	if err := readResponse(conn.reader, response); err != nil {
+	if err := r.readResponse(conn.reader, response); err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
 	return nil
 }
 
 // readResponse reads a complete response. It skips interim responses.
-func readResponse(r *bufio.Reader, response *fasthttp.Response) error {
+func (r *HTTPReader) readResponse(reader *bufio.Reader, response *fasthttp.Response) error {
 	h := &response.Header
-	if err := readFinalHead(r, h); err != nil {
+	if err := readFinalHead(reader, h); err != nil {
 		return err
 	}
 	if !status.HasBody(h.StatusCode()) {
 		return nil
 	}
 	length := h.ContentLength()
-	if err := response.ReadBody(r, maxResponseBody); err != nil {
+	if length == head.LengthUntilClose && r.lengthRequired {
+		return errNoLength
+	}
+	if err := response.ReadBody(reader, maxResponseBody); err != nil {
 		return err
 	}
 	if length == head.LengthChunked {
-		return head.ReadTrailer(r, h)
+		return head.ReadTrailer(reader, h)
 	}
 	return nil
 }
--- a/native/status_test.go
+++ b/native/status_test.go
@@ -34,8 +34,30 @@
 	}
 }
 
-// startFixedPlatform starts a platform that sends the same response to each request, and returns its URL.
+// startFixedPlatform starts a platform that sends the same response to each request and keeps connections open, and returns its URL.
 func startFixedPlatform(t *testing.T, response string) string {
+	return startRawPlatform(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = stdio.WriteString(conn, response)
+		}
+	})
+}
+
+// startEndingPlatform starts a platform that sends the same response to each request and closes the connection, and returns its URL.
+func startEndingPlatform(t *testing.T, response string) string {
+	return startRawPlatform(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = stdio.WriteString(conn, response)
+		}
+	})
+}
+
+// startRawPlatform starts a platform that calls serve for each connection and then closes it, and returns its URL.
+func startRawPlatform(t *testing.T, serve func(conn net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	var group conc.WaitGroup
@@ -45,7 +67,10 @@
 			if err != nil {
 				return
 			}
-			group.Go(func() { respondWith(conn, response) })
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			})
 		}
 	})
 	t.Cleanup(func() {
@@ -54,14 +79,3 @@
 	})
 	return "http://" + listener.Addr().String()
 }
-
-func respondWith(conn net.Conn, response string) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for {
-		if _, err := http.ReadRequest(reader); err != nil {
-			return
-		}
-		_, _ = stdio.WriteString(conn, response)
-	}
-}
