head: a response that is neither HTTP/1.1 nor HTTP/1.0, or HTTP/1.0 with chunked encoding, is no answer

What callers saw: a server in trouble sent "HTTP/2.0 200 OK" (or 1.2, 0.9, 3.1), or HTTP/1.0, with "Transfer-Encoding: chunked" and no length. The caller got the text of the chunks as the body, with status 200 and the server's signature. A control character in the reason phrase passed too; the reason phrase itself is not passed on.

RFC 9112, section 6.1, has HTTP/1.0 with a transfer encoding treated as faulty framing.

Change: package head checks the version and the characters of the status line, and refuses a transfer encoding in HTTP/1.0: unknown with the reason garbled, for calls, probes and the platform alike. HTTP/1.0 with a length or until the end of its connection stays allowed.

--- a/head/head.go
+++ b/head/head.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 
 	"github.com/valyala/fasthttp"
@@ -30,6 +31,12 @@
 // Unwrap returns the underlying error.
 func (e *Error) Unwrap() error { return e.err }
 
+var (
+	errVersion    = errors.New("neither HTTP/1.1 nor HTTP/1.0")
+	errStatusLine = errors.New("status line has a control character")
+	errEncoding   = errors.New("transfer encoding in HTTP/1.0")
+)
+
 var protocol = []byte("HTTP/")
 
 // Read reads the status line and the header fields of the next response, which may be an interim one. It returns an *Error if one of
@@ -98,11 +105,30 @@
 		return false, nil
 	}
 	c.begun = true
-	return true, status.CheckLine(line)
+	return true, c.checkStatusLine(line)
+}
+
+func (c *headChecker) checkStatusLine(line []byte) error {
+	version, _, _ := bytes.Cut(line, []byte(" "))
+	switch {
+	case string(version) == "HTTP/1.0":
+		c.fields.noEncoding = true
+	case string(version) != "HTTP/1.1":
+		return fmt.Errorf("%w: %.10q", errVersion, version)
+	}
+	if field.HasControl(line) {
+		return errStatusLine
+	}
+	return status.CheckLine(line)
 }
 
 // fieldChecker checks field lines up to the empty line behind them.
-type fieldChecker struct{ begun bool }
+type fieldChecker struct {
+	begun bool
+	// noEncoding is set for HTTP/1.0, which has no transfer encoding. The parser ignores the field there and would return the text of
+	// the chunks as the body; RFC 9112, section 6.1, has such a response treated as faulty.
+	noEncoding bool
+}
 
 func (c *fieldChecker) check(line []byte) (more bool, err error) {
 	if len(line) == 0 {
@@ -115,10 +141,14 @@
 		return true, err
 	}
 	c.begun = true
-	if _, _, err = field.Split(line); err != nil {
-		err = fmt.Errorf("%w: %.40q", err, line)
+	name, _, err := field.Split(line)
+	switch {
+	case err != nil:
+		return false, fmt.Errorf("%w: %.40q", err, line)
+	case c.noEncoding && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+		return false, errEncoding
 	}
-	return true, err
+	return true, nil
 }
 
 // isContinuation reports whether a line continues the value of the line before it. The parser replaces such a line break with a space
--- a/io/status_test.go
+++ b/io/status_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +69,40 @@
 		})
 	}
 }
+
+// TestStatusLine guards against a response of another protocol version that reaches the caller: the library reads it by the rules of
+// HTTP/1.0, which knows no chunked encoding, and takes the text of the chunks for the body. A control character in the line is not HTTP.
+func TestStatusLine(t *testing.T) {
+	const fields = "X-Id: ID\r\nX-Seal: s\r\nX-Load: in-flight=0; limit=3\r\nVerbenareel-Load: in-flight=0; limit=3\r\n"
+	const length, chunked = "Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	send := func(t *testing.T, response string) *core.Result {
+		address := newTCPServer(t, func(conn *net.TCPConn) {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = fmt.Fprint(conn, strings.ReplaceAll(response, "ID", "a"))
+			}
+		})
+		return sendOnce(t, newBackend(t, address, io.WithWire(customWire())), "a")
+	}
+	for _, line := range []string{
+		"HTTP/2.0 200 OK", "HTTP/1.2 200 OK", "HTTP/0.9 200 OK", "HTTP/3.1 200 OK", "HTTP/2 200 OK", "HTTP/1.10 200 OK", "HTTP/ 200 OK",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200 O\rK",
+	} {
+		for _, body := range []string{length, chunked} {
+			t.Run(fmt.Sprintf("%q %q", line, body), func(t *testing.T) { checkGarbled(t, send(t, line+"\r\n"+fields+body)) })
+		}
+	}
+	t.Run("chunked encoding in HTTP/1.0", func(t *testing.T) {
+		checkGarbled(t, send(t, "HTTP/1.0 200 OK\r\n"+fields+chunked))
+		checkGarbled(t, send(t, "HTTP/1.0 200 OK\r\n"+fields+"Content-Length: 12\r\n"+chunked))
+	})
+	for _, response := range []string{
+		"HTTP/1.0 200 OK\r\n" + fields + length, "HTTP/1.0 200 OK\r\n" + fields + "\r\nok",
+		"HTTP/1.1 200\r\n" + fields + length, "HTTP/1.1 200 \r\n" + fields + chunked, "HTTP/1.1 200 \x80\tOK\r\n" + fields + length,
+	} {
+		t.Run(fmt.Sprintf("%.20q", response), func(t *testing.T) {
+			result := send(t, response)
+			qt.Check(t, result.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", core.ReasonName(result.Reason)))
+			qt.Check(t, string(result.Body), qt.Equals, "ok")
+		})
+	}
+}
