io: a response that names two requests is garbled

What callers would see: an answer with two request IDs, of which the first is that of the request ("a", then "b"), was passed on. With the other one first, the call waited for another response until its deadline.

Cause: only the first field with the request ID was compared.

Change: a response whose request IDs differ belongs to no request: the outcome is unknown with the reason garbled at once. Two equal ones stay allowed.

Test: io TestSecondRequestID, on the code before 3 of 5 cases were answers and 2 ended at the deadline; all pass, and so do io and platform.

--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	stdio "io"
@@ -306,7 +307,7 @@
 		result.Reason = schema.Reason_REASON_CANCELLED
 	case errors.As(err, &timeout) && timeout.Timeout():
 		result.Reason = schema.Reason_REASON_DEADLINE
-	case errors.As(err, &malformed):
+	case errors.As(err, &malformed), errors.Is(err, errTwoIDs):
 		result.Reason = schema.Reason_REASON_GARBLED
 	case c.bytesRead > 0:
 		result.Reason = schema.Reason_REASON_TRUNCATED
@@ -333,8 +334,9 @@
 		if response.StatusCode() < fasthttp.StatusOK {
 			continue
 		}
-		if c.backend.isResponseTo(request, response) {
-			return nil
+		own, err := c.backend.isResponseTo(request, response)
+		if own || err != nil {
+			return err
 		}
 		c.backend.errorCounter.inc("other-response")
 		c.inSync = false
@@ -382,22 +384,29 @@
 }
 
 // isResponseTo reports whether the response belongs to the request. A response with a request ID never belongs to a request
-// without one, such as a probe.
-func (b *Backend) isResponseTo(request *core.Request, response *fasthttp.Response) bool {
+// without one, such as a probe. The error is errTwoIDs if the response names two requests.
+func (b *Backend) isResponseTo(request *core.Request, response *fasthttp.Response) (bool, error) {
 	if b.wire.RequestID == "" {
-		return true
+		return true, nil
 	}
+	var id []byte
+	found := false
 	for name, value := range response.Header.All() {
-		if equalFold(name, b.wire.RequestID) {
-			return string(value) == request.ID
+		if !equalFold(name, b.wire.RequestID) {
+			continue
+		}
+		if found && !bytes.Equal(id, value) {
+			return false, errTwoIDs
 		}
+		id, found = value, true
 	}
-	return request.ID == ""
+	return string(id) == request.ID, nil
 }
 
 var (
 	errNoFraming  = errors.New("response has neither a content length nor chunked encoding")
 	errCutShort   = errors.New("response without a length was ended by a reset or by the cancellation of its request")
+	errTwoIDs     = errors.New("response has two request IDs")
 	errNoResponse = errors.New("none of the received responses belongs to the request")
 )
 
--- a/io/field_test.go
+++ b/io/field_test.go
@@ -152,3 +152,14 @@
 		}
 	}
 }
+
+// TestSecondRequestID guards against a response that names two requests and reaches the caller of the first one.
+func TestSecondRequestID(t *testing.T) {
+	for _, ids := range [][2]string{{"a", "b"}, {"b", "a"}, {"a", ""}, {"", "a"}, {"a", "a, b"}} {
+		t.Run(fmt.Sprintf("%q", ids), func(t *testing.T) {
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nx-id: %s\r\nContent-Length: 2\r\n\r\nok", ids[0], ids[1])
+			backend := newBackend(t, newHeadServer(t, response), io.WithWire(customWire()))
+			checkGarbled(t, sendOnce(t, backend, "a"))
+		})
+	}
+}
