--- a/io/caller_fault_test.go
+++ b/io/caller_fault_test.go
@@ -281,14 +281,5 @@
 	if signed {
 		seal = "X-Seal: s\r\n"
 	}
-	return newTCPServer(t, func(conn *net.TCPConn) {
-		reader := bufio.NewReader(conn)
-		for {
-			r, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Odd\r\nX-Id: %s\r\n%sContent-Length: 0\r\n\r\n", code, r.Header.Get("X-Id"), seal)
-		}
-	})
+	return newRawServer(t, fmt.Sprintf("HTTP/1.1 %d Odd\r\nX-Id: ID\r\n%sContent-Length: 0\r\n\r\n", code, seal))
 }
--- a/io/field_test.go
+++ b/io/field_test.go
@@ -30,9 +30,9 @@
 // goodFieldLines are field lines that a response may have.
 var goodFieldLines = []string{"X-Field: v", "x-field:v", "X-Field:  v \t", "X-Field:", "!#$%&'*+-.^_`|~09aZ: v", "X-Field: \x80\u00e9\tb", "X-Field: a\r\n b"}
 
-// newHeadServer starts a backend server that responds to each request with a head and a rest, and keeps the connection open. In the
-// head, ID stands for the ID of the request.
-func newHeadServer(t *testing.T, response string) string {
+// newRawServer starts a backend server that sends the same bytes to each request, in which ID stands for the ID of the request, and keeps
+// the connection open.
+func newRawServer(t *testing.T, response string) string {
 	return newTCPServer(t, func(conn *net.TCPConn) {
 		reader := bufio.NewReader(conn)
 		for {
@@ -72,7 +72,7 @@
 		for _, line := range badFieldLines {
 			for place, response := range responsesWith(line) {
 				t.Run(fmt.Sprintf("%s %q %s", name, line, place), func(t *testing.T) {
-					backend := newBackend(t, newHeadServer(t, response), io.WithWire(wire))
+					backend := newBackend(t, newRawServer(t, response), io.WithWire(wire))
 					checkGarbled(t, sendOnce(t, backend, "a"))
 					qt.Check(t, backend.HasOpenIdle(), qt.IsFalse)
 				})
@@ -81,7 +81,7 @@
 		for _, line := range goodFieldLines {
 			for place, response := range responsesWith(line) {
 				t.Run(fmt.Sprintf("%s %q %s", name, line, place), func(t *testing.T) {
-					result := sendOnce(t, newBackend(t, newHeadServer(t, response), io.WithWire(wire)), "a")
+					result := sendOnce(t, newBackend(t, newRawServer(t, response), io.WithWire(wire)), "a")
 					qt.Check(t, result.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", core.ReasonName(result.Reason)))
 					qt.Check(t, string(result.Body), qt.Equals, "ok")
 				})
@@ -95,7 +95,7 @@
 	for name, wire := range map[string]*core.WireFormat{"native": core.NativeWire(), "custom": customWire()} {
 		probe := func(line, place string) error {
 			response := strings.ReplaceAll(responsesWith(line)[place], "X-Id: ID\r\n", "")
-			_, err := newBackend(t, newHeadServer(t, response), io.WithWire(wire)).Probe(t.Context())
+			_, err := newBackend(t, newRawServer(t, response), io.WithWire(wire)).Probe(t.Context())
 			return err
 		}
 		for _, line := range badFieldLines {
@@ -115,13 +115,13 @@
 		for _, line := range badFieldLines {
 			t.Run(fmt.Sprintf("%s %q", name, line), func(t *testing.T) {
 				for _, trailer := range []string{line + "\r\n", "X: y\r\n" + line + "\r\n", line + "\r\nX: y\r\n"} {
-					checkGarbled(t, sendOnce(t, newBackend(t, newHeadServer(t, chunked+trailer+"\r\n"), io.WithWire(wire)), "a"))
+					checkGarbled(t, sendOnce(t, newBackend(t, newRawServer(t, chunked+trailer+"\r\n"), io.WithWire(wire)), "a"))
 				}
 			})
 		}
 		for _, line := range goodFieldLines {
 			t.Run(fmt.Sprintf("%s %q", name, line), func(t *testing.T) {
-				result := sendOnce(t, newBackend(t, newHeadServer(t, chunked+line+"\r\n\r\n"), io.WithWire(wire)), "a")
+				result := sendOnce(t, newBackend(t, newRawServer(t, chunked+line+"\r\n\r\n"), io.WithWire(wire)), "a")
 				qt.Check(t, string(result.Body), qt.Equals, "ok", qt.Commentf("%s", core.ReasonName(result.Reason)))
 			})
 		}
@@ -158,7 +158,7 @@
 	for _, ids := range [][2]string{{"a", "b"}, {"b", "a"}, {"a", ""}, {"", "a"}, {"a", "a, b"}} {
 		t.Run(fmt.Sprintf("%q", ids), func(t *testing.T) {
 			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nx-id: %s\r\nContent-Length: 2\r\n\r\nok", ids[0], ids[1])
-			backend := newBackend(t, newHeadServer(t, response), io.WithWire(customWire()))
+			backend := newBackend(t, newRawServer(t, response), io.WithWire(customWire()))
 			checkGarbled(t, sendOnce(t, backend, "a"))
 		})
 	}
--- a/io/status_test.go
+++ b/io/status_test.go
@@ -18,17 +18,8 @@
 
 // newStatusServer starts a backend server that responds to each request with a status line and keeps the connection open.
 func newStatusServer(t *testing.T, status string) string {
-	return newTCPServer(t, func(conn *net.TCPConn) {
-		reader := bufio.NewReader(conn)
-		for {
-			r, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Id: %s\r\nX-Seal: s\r\nX-Instance: i-1\r\nX-Load: in-flight=0; limit=3\r\n"+
-				"Verbenareel-Load: in-flight=0; limit=3\r\nContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Id"))
-		}
-	})
+	return newRawServer(t, "HTTP/1.1 "+status+"\r\nX-Id: ID\r\nX-Seal: s\r\nX-Instance: i-1\r\nX-Load: in-flight=0; limit=3\r\n"+
+		"Verbenareel-Load: in-flight=0; limit=3\r\nContent-Length: 2\r\n\r\nok")
 }
 
 // TestStatus guards against a response with a meaningless status that reaches the caller as the server's response, or that
