io: no response belongs to a request of which no byte was sent

What callers would see: a node decides right before the first byte that a request with a body above 2 KB must not be sent (its deadline has passed, or the node was paused), while a server in trouble writes a response to no request on that connection.

Cause: a long request is written and its response read side by side. roundTrip looked at the error of the write only if reading failed too; and gave a failure of reading precedence once anything had been read.

Change: a withheld request is not run, whatever was read. Its connection is used again only if nothing was read.

Test: io TestBeforeSendStrayResponse; on the case without IDs fails (200 instead of paused), on both. All tests of io and guard pass with -race.

--- a/io/backend_conn.go
+++ b/io/backend_conn.go
@@ -144,8 +144,9 @@
 	defer fasthttp.ReleaseResponse(response)
 	sendErr, err := c.sendAndReceive(request, response)
 	notCancelled := stopCancelWatch()
+	var unsent *unsentError
 	switch {
-	case err != nil && sendErr != nil && c.bytesRead == 0:
+	case errors.As(sendErr, &unsent), err != nil && sendErr != nil && c.bytesRead == 0:
 		return c.sendFailure(ctx, sendErr, !notCancelled)
 	case err != nil:
 		return c.receiveFailure(err, notCancelled)
@@ -272,14 +273,14 @@
 	message.SetBodyRaw(request.Body)
 }
 
-// sendFailure returns the result of a request that could not be written and to which the server sent nothing.
+// sendFailure returns the result of a request that was withheld, or that could not be written and to which the server sent nothing.
 func (c *backendConn) sendFailure(ctx context.Context, err error, cancelled bool) *core.Result {
 	result := &core.Result{Written: c.bytesWritten > 0, Reason: schema.Reason_REASON_CONNECTION_LOST}
 	var unsent *unsentError
 	switch {
 	case errors.As(err, &unsent):
 		result.Reason = unsent.reason
-		c.reusable = !cancelled
+		c.reusable = !cancelled && c.bytesRead == 0
 	case cancelled && !result.Written:
 		result.Reason = contextReason(ctx)
 	default:
--- a/io/backend_test.go
+++ b/io/backend_test.go
@@ -258,6 +258,31 @@
 	}
 }
 
+// TestBeforeSendStrayResponse guards against a stray response that is returned as the answer to a request of which no byte was sent, or
+// that makes such a request count as sent.
+func TestBeforeSendStrayResponse(t *testing.T) {
+	for name, wire := range map[string]*core.WireFormat{"without IDs": core.NativeWire(), "with IDs": customWire()} {
+		t.Run(name, func(t *testing.T) {
+			address := newTCPServer(t, func(conn *net.TCPConn) {
+				_, _ = stdio.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: old\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nhi")
+				_, _ = conn.Read(make([]byte, 1))
+			})
+			backend := newBackend(t, address, io.WithWire(wire))
+			request := newPostRequest()
+			request.ID, request.Body = "a", make([]byte, 64<<10)
+			request.BeforeSend = func() schema.Reason {
+				time.Sleep(20 * time.Millisecond)
+				return schema.Reason_REASON_PAUSED
+			}
+			result := backend.Send(t.Context(), request)
+			qt.Check(t, result.Code, qt.Equals, 0)
+			qt.Check(t, result.Written, qt.IsFalse)
+			qt.Check(t, core.ReasonName(result.Reason), qt.Equals, core.ReasonName(schema.Reason_REASON_PAUSED))
+			qt.Check(t, backend.HasOpenIdle(), qt.IsFalse)
+		})
+	}
+}
+
 // TestBeforeSend guards against a request that is written although the reason not to send it appeared while its connection
 // was opened. The connection stays usable.
 func TestBeforeSend(t *testing.T) {
