io: the test of early answers without a length has 413 and servers that read no further

A sound early answer must stay whole with the check of: 200 and 413, by a server that closes its side and reads the upload on, or keeps the rest unread until the answer has arrived.

--- a/io/reset_test.go
+++ b/io/reset_test.go
@@ -21,13 +21,13 @@
 
 // closingServer starts a backend server that reads only the head of a request, sends a response without a length and ends the
 // connection with end.
-func closingServer(t *testing.T, end func(conn *net.TCPConn)) string {
+func closingServer(t *testing.T, status string, end func(conn *net.TCPConn)) string {
 	return newTCPServer(t, func(conn *net.TCPConn) {
 		r, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return
 		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n\r\npart", r.Header.Get("X-Id"))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Id: %s\r\nX-Seal: s\r\n\r\npart", status, r.Header.Get("X-Id"))
 		end(conn)
 	})
 }
@@ -62,7 +62,7 @@
 	for name, end := range ends {
 		for wireName, wire := range map[string]*core.WireFormat{"native": core.NativeWire(), "custom": customWire()} {
 			t.Run(name+", "+wireName, func(t *testing.T) {
-				address := closingServer(t, end)
+				address := closingServer(t, "200 OK", end)
 				for _, size := range []int{4 << 10, 64 << 10, 1 << 20, 12 << 20} {
 					whole := 0
 					for range resetTries {
@@ -85,15 +85,30 @@
 // TestEarlyResponseWithoutLength guards against a response that is given up although the server sent all of it before it had read
 // the upload, and then closed its side of the connection in order.
 func TestEarlyResponseWithoutLength(t *testing.T) {
-	address := closingServer(t, func(conn *net.TCPConn) {
-		_ = conn.CloseWrite()
-		_, _ = stdio.Copy(stdio.Discard, conn)
-	})
-	for _, size := range []int{0, 4 << 10, 64 << 10, 1 << 20, 12 << 20} {
-		for range resetTries {
-			result := upload(t, newBackend(t, address, io.WithWire(customWire())), size)
-			qt.Check(t, result.Code, qt.Equals, http.StatusOK, qt.Commentf("a body of %d bytes: %s", size, core.ReasonName(result.Reason)))
-			qt.Check(t, string(result.Body), qt.Equals, "part")
-		}
+	for _, c := range []struct {
+		status string
+		reads  bool
+	}{{"200 OK", true}, {"200 OK", false}, {"413 Too Large", true}, {"413 Too Large", false}} {
+		t.Run(fmt.Sprintf("%s, reads on %v", c.status, c.reads), func(t *testing.T) {
+			received := make(chan struct{})
+			address := closingServer(t, c.status, func(conn *net.TCPConn) {
+				_ = conn.CloseWrite()
+				if c.reads {
+					_, _ = stdio.Copy(stdio.Discard, conn)
+					return
+				}
+				<-received
+			})
+			for _, size := range []int{0, 4 << 10, 64 << 10, 1 << 20, 12 << 20} {
+				for range resetTries {
+					result := upload(t, newBackend(t, address, io.WithWire(customWire())), size)
+					qt.Check(t, fmt.Sprint(result.Code), qt.Equals, c.status[:3], qt.Commentf("a body of %d bytes: %s", size, core.ReasonName(result.Reason)))
+					qt.Check(t, string(result.Body), qt.Equals, "part")
+					if !c.reads {
+						received <- struct{}{}
+					}
+				}
+			}
+		})
 	}
 }
