--- a/io/reset_test.go
+++ b/io/reset_test.go
@@ -112,3 +112,27 @@
 		})
 	}
 }
+
+// TestPlainCloseWithoutLength guards against a response that is given up although its server had read the whole request and then closed
+// the connection, which no reset follows.
+func TestPlainCloseWithoutLength(t *testing.T) {
+	for _, status := range []string{"200 OK", "413 Too Large"} {
+		t.Run(status, func(t *testing.T) {
+			address := newTCPServer(t, func(conn *net.TCPConn) {
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = stdio.Copy(stdio.Discard, r.Body)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Id: %s\r\nX-Seal: s\r\n\r\nwhole", status, r.Header.Get("X-Id"))
+			})
+			for _, size := range []int{0, 1 << 10, 64 << 10, 12 << 20} {
+				for range resetTries {
+					result := upload(t, newBackend(t, address, io.WithWire(customWire())), size)
+					qt.Check(t, fmt.Sprint(result.Code), qt.Equals, status[:3], qt.Commentf("a body of %d bytes: %s", size, core.ReasonName(result.Reason)))
+					qt.Check(t, string(result.Body), qt.Equals, "whole")
+				}
+			}
+		})
+	}
+}
