--- a/peers/document.go
+++ b/peers/document.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"encoding/binary"
 	"time"
 
@@ -52,6 +53,9 @@
 	hashes   []uint64
 	manifest uint64
 	blocks   map[uint64][]byte
+	// source is the peer that the text came from; empty means the platform. transfer is how long its transfer took.
+	source   string
+	transfer time.Duration
 }
 
 // manifestHash returns the hash of a list of block hashes.
@@ -75,6 +79,18 @@
 	return v
 }
 
+// sourceName returns the address of the peer that the text came from, or "platform".
+func (v *documentVersion) sourceName() string { return cmp.Or(v.source, "platform") }
+
+// size returns the length of the text.
+func (v *documentVersion) size() int {
+	size := 0
+	for _, h := range v.hashes {
+		size += len(v.blocks[h])
+	}
+	return size
+}
+
 // rejectedVersion describes the last text that failed validation.
 type rejectedVersion struct {
 	revision uint64
@@ -94,6 +110,8 @@
 	blocks    map[uint64][]byte
 	// confirmedAt is when the platform was last known to hold the revision.
 	confirmedAt time.Time
+	// startedAt is when the first attempt began.
+	startedAt time.Time
 	// attempt matches replies to the current attempt; replies to earlier attempts are ignored.
 	attempt uint64
 }
--- a/peers/log.go
+++ b/peers/log.go
@@ -15,7 +15,9 @@
 	if before == nil || before.Document() != after.Document() {
 		e.logger.Info("configuration in force", zap.Uint64("revision", after.Revision()),
 			zap.Uint64("revision_before", before.Revision()), zap.String("deployment", after.Document().GetDeployment()),
-			zap.Strings("domains_out_of_service", domainsOutOfService(after)))
+			zap.Strings("domains_out_of_service", domainsOutOfService(after)),
+			zap.String("source", e.state.accepted.sourceName()), zap.Int("bytes", e.state.accepted.size()),
+			zap.Duration("transfer", e.state.accepted.transfer))
 	}
 	var changed []string
 	for _, name := range after.Names() {
@@ -54,6 +56,18 @@
 	}
 }
 
+// logFailedPulls logs the transfers from peers that failed since the last call, one line for all if there are many.
+func (e *Exchange) logFailedPulls() {
+	failed := e.state.failedPulls
+	e.state.failedPulls = failedPulls{}
+	if failed.count == 0 {
+		return
+	}
+	e.logger.Info("transfer of a configuration from a peer failed", zap.Uint64("revision", failed.revision),
+		zap.String("source", failed.source), zap.Int("blocks", failed.blocks), zap.Int("missing", failed.missing),
+		zap.Duration("after", failed.after), zap.Int("failures", failed.count), zap.Error(failed.err))
+}
+
 // logPlatform logs when the platform becomes unreachable and when it can be read again.
 func (e *Exchange) logPlatform() {
 	lost := e.state.outage.err != nil
--- a/peers/publish.go
+++ b/peers/publish.go
@@ -32,6 +32,7 @@
 func (e *Exchange) publish() {
 	e.logRejection()
 	e.logPlatform()
+	e.logFailedPulls()
 	e.logExpired()
 	first := ""
 	if e.state.FirstProcess() {
--- a/peers/pull.go
+++ b/peers/pull.go
@@ -1,14 +1,32 @@
 package peers
 
 import (
+	"cmp"
+	"errors"
 	"time"
 
 	"verbenareel/config"
 	"verbenareel/schema"
 )
 
+var (
+	errNoManifest   = errors.New("peer does not list the blocks of the revision")
+	errNoBlocks     = errors.New("peer does not have the blocks")
+	errTextTooLarge = errors.New("text exceeds the limit")
+)
+
+// failedPulls counts the failed attempts of transfers from peers that have not been logged, and describes the last one.
+type failedPulls struct {
+	count           int
+	revision        uint64
+	source          string
+	blocks, missing int
+	after           time.Duration
+	err             error
+}
+
 // handleRevision compares the revision of a peer with the accepted one and pulls it if it is higher.
-func (s *State) handleRevision(from string, revision, manifest uint64, confirmedAt time.Time) {
+func (s *State) handleRevision(now time.Time, from string, revision, manifest uint64, confirmedAt time.Time) {
 	switch {
 	case revision < s.Revision() || revision == 0:
 		return
@@ -31,7 +49,7 @@
 	if s.pull != nil && s.pull.revision >= revision {
 		return
 	}
-	s.pull = &pull{revision: revision, manifest: manifest, confirmedAt: confirmedAt}
+	s.pull = &pull{revision: revision, manifest: manifest, confirmedAt: confirmedAt, startedAt: now}
 	s.startPull(from)
 }
 
@@ -72,8 +90,12 @@
 
 // retryPull retries the pull with the next peer that announced the revision. Without one, it gives up until the
 // revision is announced again.
-func (s *State) retryPull() {
+func (s *State) retryPull(now time.Time, cause error) {
 	s.counters.PullsFailed++
+	s.failedPulls = failedPulls{
+		count: s.failedPulls.count + 1, revision: s.pull.revision, source: s.pull.source, blocks: len(s.pull.hashes),
+		missing: len(s.pull.missingHashes()), after: now.Sub(s.pull.startedAt), err: cause,
+	}
 	if len(s.pull.fallbacks) == 0 {
 		s.pull = nil
 		s.finishRecheck()
@@ -101,7 +123,7 @@
 	}
 	hashes := reply.GetSections()
 	if err != nil || len(hashes) > maxBlocks || manifestHash(hashes) != s.pull.manifest {
-		s.retryPull()
+		s.retryPull(now, cmp.Or(err, errNoManifest))
 		return
 	}
 	s.pull.hashes = hashes
@@ -125,11 +147,14 @@
 	}
 	text, ok := p.assemble()
 	if !ok {
-		s.retryPull()
+		s.retryPull(now, errTextTooLarge)
 		return
 	}
 	s.pull = nil
 	s.applyDocument(now, p.revision, text, p.confirmedAt)
+	if s.accepted != nil && s.accepted.revision == p.revision {
+		s.accepted.source, s.accepted.transfer = p.source, now.Sub(p.startedAt)
+	}
 	s.releaseHeld(now)
 	s.finishRecheck()
 }
@@ -159,12 +184,12 @@
 	wanted := sent.Request.GetSections()
 	blocks := reply.GetSections()
 	if err != nil || len(blocks) != len(wanted) {
-		s.retryPull()
+		s.retryPull(now, cmp.Or(err, errNoBlocks))
 		return
 	}
 	for i, h := range wanted {
 		if len(blocks[i]) == 0 || config.HashSection(blocks[i]) != h {
-			s.retryPull()
+			s.retryPull(now, errNoBlocks)
 			return
 		}
 		s.pull.blocks[h] = blocks[i]
--- a/peers/state.go
+++ b/peers/state.go
@@ -124,6 +124,7 @@
 	accepted         *documentVersion
 	rejected         rejectedVersion
 	pull             *pull
+	failedPulls      failedPulls
 	conflictManifest uint64
 	// held is the first document read from the platform while it is held back, or nil.
 	held *heldDocument
@@ -275,7 +276,7 @@
 // HandleDigest processes a digest from the node at an address.
 func (s *State) HandleDigest(now time.Time, from string, revision, manifest uint64, confirmed uint32) {
 	s.detectPause(now)
-	s.handleRevision(from, revision, manifest, s.confirmationTime(now, confirmed))
+	s.handleRevision(now, from, revision, manifest, s.confirmationTime(now, confirmed))
 }
 
 // TakeEffects returns the effects requested since the last call.
--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -308,9 +308,8 @@
 	for range ticks {
 		end := m.now.Add(TickInterval)
 		for len(m.queue) > 0 && !m.queue[0].at.After(end) {
-			next := heap.Pop(&m.queue).(scheduledInput)
-			m.now = next.at
-			next.run()
+			m.now = m.queue[0].at
+			m.popInput()()
 		}
 		m.now = end
 		for _, p := range m.processes {
@@ -323,6 +322,9 @@
 	}
 }
 
+// popInput removes the next input from the queue and returns it.
+func (m *model) popInput() func() { return heap.Pop(&m.queue).(scheduledInput).run }
+
 // resume ends a pause. The process handles the held inputs in random order before its next tick.
 func (m *model) resume(p *process) {
 	p.paused = false
@@ -621,7 +623,7 @@
 	kept := b.manifest()
 	for range 3 {
 		b.applyDocument(m.now, 1, testDocument(2, 1), time.Time{})
-		b.handleRevision(a.record.GetAddress(), 1, kept+1, time.Time{})
+		b.handleRevision(m.now, a.record.GetAddress(), 1, kept+1, time.Time{})
 	}
 	c.Assert(b.manifest(), qt.Equals, kept)
 	c.Assert(b.counters.Conflicts > 0, qt.IsTrue)
--- a/peers/sync.go
+++ b/peers/sync.go
@@ -202,7 +202,7 @@
 	s.mergeSuspects(now, r.GetSuspects())
 	if m := s.table.byName[r.GetFrom()]; m != nil && m.name != s.self.GetInstance() {
 		s.recordContact(now, m)
-		s.handleRevision(m.address(), r.GetRevision(), r.GetManifest(), s.confirmationTime(now, r.GetConfirmedMs()))
+		s.handleRevision(now, m.address(), r.GetRevision(), r.GetManifest(), s.confirmationTime(now, r.GetConfirmedMs()))
 	}
 	_, removed := s.table.tombstones[r.GetFrom()]
 	reply := schema.SyncReply_builder{
@@ -305,7 +305,7 @@
 		s.lastReannounce = now
 		s.reannounceSelf(now, s.self.GetVersion()+1, s.self.GetState())
 	}
-	s.handleRevision(sent.To, reply.GetRevision(), reply.GetManifest(), confirmedAt)
+	s.handleRevision(now, sent.To, reply.GetRevision(), reply.GetManifest(), confirmedAt)
 	if reply.GetRevision() >= s.Revision() {
 		s.recordStartAnswer(sent.To, reply.GetRevision())
 	}
