--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -636,8 +636,8 @@
 	c := qt.New(t)
 	m := newModel(1, 1, c.Fatalf)
 	p := m.processes[0]
-	p.handleRevision("10.0.0.8:1", 1, 5, time.Time{})
-	p.handleRevision("10.0.0.9:1", 1, 5, time.Time{})
+	p.handleRevision(m.now, "10.0.0.8:1", 1, 5, time.Time{})
+	p.handleRevision(m.now, "10.0.0.9:1", 1, 5, time.Time{})
 	first, ok := p.TakeEffects()[0].(FetchManifest)
 	c.Assert(ok, qt.IsTrue)
 	p.ManifestDone(m.now, first, nil, errUnreachable)
