peers: a long section is cut into blocks by its content

Callers saw old behaviour after a change, and were crowded out while large configurations spread. Cause: blocks are cut at the headers of TOML tables, but the text that nodes exchange on the store's platform is JSON, one section and so one block. Each change moved the whole text to each node: the exchange by blocks never worked there. Ruled out as the cause: the block hashes and the announcements, which behave as designed on TOML. Change: a section above the largest block is cut by content (restic/chunker). Small sections, and so TOML documents, have the blocks that they had.

--- a/peers/document.go
+++ b/peers/document.go
@@ -1,10 +1,13 @@
 package peers
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"time"
 
+	"github.com/restic/chunker"
+
 	"verbenareel/config"
 	"verbenareel/schema"
 )
@@ -15,6 +18,10 @@
 	// would cost more than the change itself.
 	minBlockSize = 1 << 10
 	maxBlockSize = 8 << 10
+	// A section that is longer than a block, such as a whole text in a format without tables, is cut by its content, on
+	// average 1<<cutBits bytes after the shortest block. All nodes must use the same polynomial.
+	cutBits       = 12
+	cutPolynomial = chunker.Pol(0x3DA3358B4DC173)
 	// On average one section in blockCutDivisor ends a block. The cut depends on the section's hash, so a change moves
 	// few block boundaries.
 	blockCutDivisor = 8
@@ -28,6 +35,15 @@
 	var blocks [][]byte
 	start, end := 0, 0
 	for _, section := range config.Sections(text) {
+		if len(section) > maxBlockSize {
+			if end > start {
+				blocks = append(blocks, text[start:end:end])
+			}
+			blocks = append(blocks, cutByContent(section)...)
+			end += len(section)
+			start = end
+			continue
+		}
 		if end > start && end-start+len(section) > maxBlockSize {
 			blocks = append(blocks, text[start:end:end])
 			start = end
@@ -44,6 +60,24 @@
 	return blocks
 }
 
+// cutByContent splits a text at places that depend on the bytes around them, so a change moves few boundaries.
+func cutByContent(text []byte) [][]byte {
+	var blocks [][]byte
+	cutter := chunker.NewWithBoundaries(bytes.NewReader(text), cutPolynomial, minBlockSize, maxBlockSize)
+	cutter.SetAverageBits(cutBits)
+	buffer := make([]byte, maxBlockSize)
+	for start := 0; start < len(text); {
+		length := len(text) - start
+		if chunk, err := cutter.Next(buffer); err == nil {
+			length = int(chunk.Length)
+		}
+		end := start + length
+		blocks = append(blocks, text[start:end:end])
+		start = end
+	}
+	return blocks
+}
+
 // documentVersion is one revision of the document, split into blocks.
 type documentVersion struct {
 	revision uint64
