native, peers: a read of the platform lasts as long as its response arrives

Callers saw old behaviour after a change: no node read a configuration of 1 MB over a link of 10 Mbit/s. Cause: a read was given up 1 s after it began, whatever had arrived; 1 MiB is 1.4 MB in base64, 1.12 s on such a link. Each attempt started from nothing and, after 4 s, beside the one before. Class: a fixed time that bounds a transfer of unknown size. Change: the timeout of 1 s is the longest time without a byte; a response below 64 KB/s on average is given up too. A read of the document is not begun again beside one in flight.

--- a/native/reader.go
+++ b/native/reader.go
@@ -25,9 +25,12 @@
 	maxResponseBody = 2 << 20
 	// maxIdleConnections is the maximum number of idle connections kept: one for the watch and one for the instance list.
 	maxIdleConnections = 2
-	// defaultTimeout is the timeout of a request, on top of the time that a long poll may wait. The platform answers in
-	// milliseconds.
+	// defaultTimeout is the longest time without a byte of a response, on top of the time that a long poll may wait. The
+	// platform answers in milliseconds; how long the transfer takes depends on the size and the link.
 	defaultTimeout = time.Second
+	// minTransferRate is the average rate in bytes per second below which a response is given up: another connection may be
+	// faster. It is a twentieth of a link of 10 Mbit/s.
+	minTransferRate = 64 << 10
 	// maxInterimResponses is the maximum number of interim responses that are skipped.
 	maxInterimResponses = 16
 	// TCP keep-alive settings. The probes detect a connection that goes silent during a long poll.
@@ -88,6 +91,17 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// progress is that of the response that is being read, or nil.
+	progress *progress
+}
+
+// Read implements io.Reader. It records the progress of the response.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.progress != nil && n > 0 {
+		c.progress.record(n)
+	}
+	return n, err
 }
 
 // NewHTTPReader returns a reader for the platform at a base URL such as http://127.0.0.1:7000. If the URL is invalid, every read
@@ -158,11 +172,11 @@
 	if err := r.target.Load().err; err != nil {
 		return nil, &Error{path: path, err: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+r.timeout)
-	defer cancel()
+	ctx, p := r.watchProgress(ctx, wait)
+	defer p.stop()
 	idle := r.takeIdle()
 	if idle != nil {
-		response, err := r.roundTrip(ctx, idle, path)
+		response, err := r.roundTrip(ctx, idle, path, p)
 		if err == nil {
 			return response, nil
 		}
@@ -174,7 +188,7 @@
 	if err != nil {
 		return nil, &Error{path: path, err: fmt.Errorf("connect: %w", err)}
 	}
-	response, err := r.roundTrip(ctx, fresh, path)
+	response, err := r.roundTrip(ctx, fresh, path, p)
 	if err != nil {
 		return nil, &Error{path: path, err: err}
 	}
@@ -189,7 +203,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, reader: bufio.NewReader(conn), writer: bufio.NewWriter(conn)}, nil
+	c := &connection{Conn: conn, writer: bufio.NewWriter(conn)}
+	c.reader = bufio.NewReader(c)
+	return c, nil
 }
 
 // takeIdle removes and returns the idle connection used last, or nil if there is none.
@@ -217,15 +233,18 @@
 }
 
 // roundTrip sends the request and reads the complete response. It closes the connection when ctx is done.
-func (r *HTTPReader) roundTrip(ctx context.Context, conn *connection, path string) (*fasthttp.Response, error) {
+func (r *HTTPReader) roundTrip(ctx context.Context, conn *connection, path string, p *progress) (*fasthttp.Response, error) {
 	r.calls.Add(1)
+	p.restart()
+	conn.progress = p
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	response := fasthttp.AcquireResponse()
 	err := r.writeAndRead(conn, path, response)
 	if !stop() {
 		// The HTTP library reports a connection that was closed before the first byte as EOF.
-		err = ctx.Err()
+		err = context.Cause(ctx)
 	}
+	conn.progress = nil
 	if err != nil {
 		fasthttp.ReleaseResponse(response)
 		_ = conn.Close()
--- a/peers/read.go
+++ b/peers/read.go
@@ -156,13 +156,13 @@
 }
 
 func (s *State) documentPending(now time.Time) bool {
-	return s.held != nil || s.documentRead.pending(now, s.reading.WatchTimeout+readTimeout)
+	return s.held != nil || s.documentRead.pending(now, s.reading.WatchTimeout+documentReadTimeout)
 }
 
 // confirmReadDue reports whether to read the document although a watch may be pending. The nodes of the fleet are
 // staggered by rank: the first one that reads tells the others, which then skip their reads.
 func (s *State) confirmReadDue(now time.Time) bool {
-	if s.reading.MaxConfirmationAge == 0 || s.accepted == nil || s.confirmRead.pending(now, readTimeout) {
+	if s.reading.MaxConfirmationAge == 0 || s.accepted == nil || s.confirmRead.pending(now, documentReadTimeout) {
 		return false
 	}
 	stagger := 1 - math.Pow(staggerShare, float64(s.currentReaderRole(now).fleetRank))
--- a/peers/state.go
+++ b/peers/state.go
@@ -45,6 +45,9 @@
 	watchTimeout = time.Second
 	// readTimeout is the time after which a read without a result is given up.
 	readTimeout = watchTimeout + 3*time.Second
+	// documentReadTimeout is the time after which a read of the document without a result is given up. A second one would
+	// take half of the link from the first.
+	documentReadTimeout = watchTimeout + 30*time.Second
 	// The list is read at an interval that costs about listBytesPerSecond, given listBytesPerInstance.
 	listBytesPerSecond   = 2000
 	listBytesPerInstance = 130
