--- a/native/reader.go
+++ b/native/reader.go
@@ -169,6 +169,12 @@
 // an idle connection, for example because the platform has closed it, is sent once more on a new connection; this is safe
 // since a read may be repeated. The caller releases the response. Each error is a *Error.
 func (r *HTTPReader) Get(ctx context.Context, path string, wait time.Duration) (*fasthttp.Response, error) {
+	return r.GetUpTo(ctx, path, wait, maxResponseBody)
+}
+
+// GetUpTo is Get with a maximum size of the response body. A larger one fails with fasthttp.ErrBodyTooLarge, before it is read if
+// the platform tells its length.
+func (r *HTTPReader) GetUpTo(ctx context.Context, path string, wait time.Duration, maxBody int) (*fasthttp.Response, error) {
 	if err := r.target.Load().err; err != nil {
 		return nil, &Error{path: path, err: err}
 	}
@@ -176,7 +182,7 @@
 	defer p.stop()
 	idle := r.takeIdle()
 	if idle != nil {
-		response, err := r.roundTrip(ctx, idle, path, p)
+		response, err := r.roundTrip(ctx, idle, path, maxBody, p)
 		if err == nil {
 			return response, nil
 		}
@@ -188,7 +194,7 @@
 	if err != nil {
 		return nil, &Error{path: path, err: fmt.Errorf("connect: %w", err)}
 	}
-	response, err := r.roundTrip(ctx, fresh, path, p)
+	response, err := r.roundTrip(ctx, fresh, path, maxBody, p)
 	if err != nil {
 		return nil, &Error{path: path, err: err}
 	}
@@ -233,13 +239,13 @@
 }
 
 // roundTrip sends the request and reads the complete response. It closes the connection when ctx is done.
-func (r *HTTPReader) roundTrip(ctx context.Context, conn *connection, path string, p *progress) (*fasthttp.Response, error) {
+func (r *HTTPReader) roundTrip(ctx context.Context, conn *connection, path string, maxBody int, p *progress) (*fasthttp.Response, error) {
 	r.calls.Add(1)
 	p.restart()
 	conn.progress = p
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	response := fasthttp.AcquireResponse()
-	err := r.writeAndRead(conn, path, response)
+	err := r.writeAndRead(conn, path, maxBody, response)
 	if !stop() {
 		// The HTTP library reports a connection that was closed before the first byte as EOF.
 		err = context.Cause(ctx)
@@ -259,7 +265,7 @@
 	return response, nil
 }
 
-func (r *HTTPReader) writeAndRead(conn *connection, path string, response *fasthttp.Response) error {
+func (r *HTTPReader) writeAndRead(conn *connection, path string, maxBody int, response *fasthttp.Response) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.SetRequestURI(r.target.Load().base + path)
@@ -269,14 +275,14 @@
 	if err := conn.writer.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
-	if err := r.readResponse(conn.reader, response); err != nil {
+	if err := r.readResponse(conn.reader, maxBody, response); err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
 	return nil
 }
 
 // readResponse reads a complete response. It skips interim responses.
-func (r *HTTPReader) readResponse(reader *bufio.Reader, response *fasthttp.Response) error {
+func (r *HTTPReader) readResponse(reader *bufio.Reader, maxBody int, response *fasthttp.Response) error {
 	h := &response.Header
 	if err := readFinalHead(reader, h); err != nil {
 		return err
@@ -288,7 +294,7 @@
 	if length == head.LengthUntilClose && r.lengthRequired {
 		return errNoLength
 	}
-	if err := response.ReadBody(reader, maxResponseBody); err != nil {
+	if err := response.ReadBody(reader, maxBody); err != nil {
 		return err
 	}
 	if length == head.LengthChunked {
