peers: transfers of blocks go on where they broke off, in small compressed steps

Callers saw old behaviour and late answers while a large configuration spread. Causes, of one class: a transfer of unknown size is bounded by a fixed time, and its retry starts from nothing. All missing blocks were one reply within 2 s; a failure, or a later revision, threw away what had arrived; a peer that had gone on to the next revision answered nothing for the one that it had announced. Nodes without compression get plain replies. A text may have 4 MB on its way: an adapter's can be larger than the stored value. Ruled out: compression of single blocks, which lose what they share.

--- a/native/progress_test.go
+++ b/native/progress_test.go
@@ -22,7 +22,7 @@
 	}{{"stopped", 0}, {"byte by byte", timeout / 10}} {
 		t.Run(c.name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
-			client := New(serveSlowly(t, ctx, c.pause), clockwork.NewRealClock(), WithTimeout(timeout))
+			client := New(serveSlowly(ctx, t, c.pause), clockwork.NewRealClock(), WithTimeout(timeout))
 			defer client.Close()
 			defer cancel()
 			began := time.Now()
@@ -34,7 +34,7 @@
 }
 
 // serveSlowly returns the URL of a platform that sends the body of a response byte by byte until ctx is done.
-func serveSlowly(t testing.TB, ctx context.Context, pause time.Duration) string {
+func serveSlowly(ctx context.Context, t testing.TB, pause time.Duration) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	var group conc.WaitGroup
--- a/peers/document.go
+++ b/peers/document.go
@@ -25,9 +25,12 @@
 	// On average one section in blockCutDivisor ends a block. The cut depends on the section's hash, so a change moves
 	// few block boundaries.
 	blockCutDivisor = 8
-	// maxBlocks limits the length of a manifest. A document of config.MaxDocument bytes has fewer blocks, because only
+	// maxText limits a document in the form in which nodes exchange it, in bytes. An adapter's text may be larger than the value that
+	// its platform stores, of up to config.MaxDocument.
+	maxText = 4 * config.MaxDocument
+	// maxBlocks limits the length of a manifest. A document of maxText bytes has fewer blocks, because only
 	// the last block and those before a long section may be shorter than minBlockSize.
-	maxBlocks = 2*config.MaxDocument/minBlockSize + 2
+	maxBlocks = 2*maxText/minBlockSize + 2
 )
 
 // splitBlocks groups the sections of a document into blocks. The blocks concatenate to the text.
@@ -141,7 +144,8 @@
 	source    string
 	fallbacks []string
 	hashes    []uint64
-	blocks    map[uint64][]byte
+	// refreshes counts the manifests that the source was asked for anew since it lacked the blocks of an earlier one.
+	refreshes int
 	// confirmedAt is when the platform was last known to hold the revision.
 	confirmedAt time.Time
 	// startedAt is when the first attempt began.
@@ -153,6 +157,9 @@
 // maxFallbacks limits the peers that a failed pull is retried with.
 const maxFallbacks = 4
 
+// maxRefreshes limits the manifests that one source is asked for anew.
+const maxRefreshes = 4
+
 func (p *pull) addFallback(address string) {
 	if address == p.source || len(p.fallbacks) >= maxFallbacks {
 		return
@@ -164,28 +171,3 @@
 	}
 	p.fallbacks = append(p.fallbacks, address)
 }
-
-// missingHashes returns the hashes of the blocks that have not been received, without duplicates.
-func (p *pull) missingHashes() []uint64 {
-	var list []uint64
-	seen := make(map[uint64]bool)
-	for _, h := range p.hashes {
-		if p.blocks[h] == nil && !seen[h] {
-			seen[h] = true
-			list = append(list, h)
-		}
-	}
-	return list
-}
-
-// assemble concatenates the received blocks. It returns false if the text exceeds config.MaxDocument.
-func (p *pull) assemble() ([]byte, bool) {
-	var text []byte
-	for _, h := range p.hashes {
-		if len(text)+len(p.blocks[h]) > config.MaxDocument {
-			return nil, false
-		}
-		text = append(text, p.blocks[h]...)
-	}
-	return text, true
-}
--- a/peers/effect.go
+++ b/peers/effect.go
@@ -30,6 +30,7 @@
 type FetchManifest struct {
 	To      string
 	Request *schema.ManifestRequest
+	sentAt  time.Time
 	attempt uint64
 }
 
--- a/peers/pull.go
+++ b/peers/pull.go
@@ -5,13 +5,11 @@
 	"errors"
 	"time"
 
-	"verbenareel/config"
 	"verbenareel/schema"
 )
 
 var (
 	errNoManifest   = errors.New("peer does not list the blocks of the revision")
-	errNoBlocks     = errors.New("peer does not have the blocks")
 	errTextTooLarge = errors.New("text exceeds the limit")
 )
 
@@ -36,7 +34,7 @@
 	case revision == s.Revision() && !s.mayMerge(manifest):
 		s.recordConflict(manifest)
 		return
-	case revision == s.rejected.revision && manifest == s.rejected.manifest:
+	case s.isRejected(revision, manifest):
 		return
 	case manifest == s.manifest():
 		s.advanceRevision(revision, confirmedAt)
@@ -50,7 +48,12 @@
 		return
 	}
 	s.pull = &pull{revision: revision, manifest: manifest, confirmedAt: confirmedAt, startedAt: now}
-	s.startPull(from)
+	s.startPull(now, from)
+}
+
+// isRejected reports whether a version is the one that last failed validation.
+func (s *State) isRejected(revision, manifest uint64) bool {
+	return revision == s.rejected.revision && manifest == s.rejected.manifest
 }
 
 // advanceRevision raises the revision of the accepted document, because the platform holds the same text under the
@@ -79,13 +82,19 @@
 	}
 }
 
-// startPull starts an attempt of the current pull.
-func (s *State) startPull(from string) {
+// startPull starts an attempt of the current pull. Blocks that were received before are kept.
+func (s *State) startPull(now time.Time, from string) {
 	s.counters.Pulls++
+	s.pull.source, s.pull.refreshes, s.pull.hashes = from, 0, nil
+	s.fetchManifest(now)
+}
+
+// fetchManifest asks the source of the current pull for the blocks of its revision.
+func (s *State) fetchManifest(now time.Time) {
 	s.lastID++
-	s.pull.source, s.pull.attempt = from, s.lastID
-	s.pull.hashes, s.pull.blocks = nil, make(map[uint64][]byte)
-	s.emit(FetchManifest{To: from, Request: schema.ManifestRequest_builder{Revision: s.pull.revision}.Build(), attempt: s.lastID})
+	s.pull.attempt = s.lastID
+	request := schema.ManifestRequest_builder{Revision: s.pull.revision}.Build()
+	s.emit(FetchManifest{To: s.pull.source, Request: request, sentAt: now, attempt: s.lastID})
 }
 
 // retryPull retries the pull with the next peer that announced the revision. Without one, it gives up until the
@@ -94,7 +103,7 @@
 	s.counters.PullsFailed++
 	s.failedPulls = failedPulls{
 		count: s.failedPulls.count + 1, revision: s.pull.revision, source: s.pull.source, blocks: len(s.pull.hashes),
-		missing: len(s.pull.missingHashes()), after: now.Sub(s.pull.startedAt), err: cause,
+		missing: len(s.missingHashes()), after: now.Sub(s.pull.startedAt), err: cause,
 	}
 	if len(s.pull.fallbacks) == 0 {
 		s.pull = nil
@@ -103,16 +112,18 @@
 	}
 	next := s.pull.fallbacks[0]
 	s.pull.fallbacks = s.pull.fallbacks[1:]
-	s.startPull(next)
+	s.startPull(now, next)
 }
 
-// HandleManifest returns the block hashes of the accepted revision, or an empty reply for any other revision.
+// HandleManifest returns the block hashes of the accepted revision, or an empty reply if it is lower than the requested one.
 func (s *State) HandleManifest(now time.Time, r *schema.ManifestRequest) *schema.ManifestReply {
 	s.detectPause(now)
-	if s.accepted == nil || s.accepted.revision != r.GetRevision() {
+	if s.accepted == nil || s.accepted.revision < r.GetRevision() {
 		return &schema.ManifestReply{}
 	}
-	return schema.ManifestReply_builder{Revision: s.accepted.revision, Sections: s.accepted.hashes}.Build()
+	return schema.ManifestReply_builder{
+		Revision: s.accepted.revision, Sections: s.accepted.hashes, ConfirmedMs: s.confirmationAge(now),
+	}.Build()
 }
 
 // ManifestDone processes the reply to a FetchManifest, or its error.
@@ -121,31 +132,39 @@
 	if s.pull == nil || s.pull.attempt != sent.attempt {
 		return
 	}
-	hashes := reply.GetSections()
-	if err != nil || len(hashes) > maxBlocks || manifestHash(hashes) != s.pull.manifest {
+	if err != nil || !s.pull.follow(reply, s.confirmationTime(sent.sentAt, reply.GetConfirmedMs())) || s.isRejected(s.pull.revision, s.pull.manifest) {
 		s.retryPull(now, cmp.Or(err, errNoManifest))
 		return
 	}
-	s.pull.hashes = hashes
-	if s.accepted != nil {
-		for _, h := range hashes {
-			if body := s.accepted.blocks[h]; body != nil {
-				s.pull.blocks[h] = body
-			}
-		}
-	}
 	s.continuePull(now)
 }
 
+// follow sets the blocks to transfer to those of a manifest, and reports whether it is that of the revision or of a later one: the
+// peer may have accepted another revision meanwhile.
+func (p *pull) follow(reply *schema.ManifestReply, confirmedAt time.Time) bool {
+	hashes, revision := reply.GetSections(), reply.GetRevision()
+	manifest := manifestHash(hashes)
+	known := revision == p.revision && manifest == p.manifest
+	if len(hashes) == 0 || len(hashes) > maxBlocks || revision < p.revision || revision == p.revision && !known {
+		return false
+	}
+	if !known {
+		p.revision, p.manifest, p.confirmedAt = revision, manifest, confirmedAt
+	}
+	p.hashes = hashes
+	return true
+}
+
 // continuePull requests missing blocks, or applies the document once it is complete.
 func (s *State) continuePull(now time.Time) {
 	p := s.pull
-	if missing := p.missingHashes(); len(missing) > 0 {
+	if missing := s.missingHashes(); len(missing) > 0 {
 		missing = missing[:min(len(missing), maxFetchedBlocks)]
-		s.emit(FetchSections{To: p.source, Request: schema.SectionsRequest_builder{Sections: missing}.Build(), attempt: p.attempt})
+		request := schema.SectionsRequest_builder{Sections: missing, Compressed: true}.Build()
+		s.emit(FetchSections{To: p.source, Request: request, attempt: p.attempt})
 		return
 	}
-	text, ok := p.assemble()
+	text, ok := s.assemble()
 	if !ok {
 		s.retryPull(now, errTextTooLarge)
 		return
@@ -162,39 +181,38 @@
 // HandleSections returns the text of the requested blocks. Unknown blocks are empty.
 func (s *State) HandleSections(now time.Time, r *schema.SectionsRequest) *schema.SectionsReply {
 	s.detectPause(now)
-	reply := &schema.SectionsReply{}
 	hashes := r.GetSections()
-	if s.accepted == nil || len(hashes) > maxFetchedBlocks {
-		return reply
+	if len(hashes) > maxBlocks {
+		return &schema.SectionsReply{}
 	}
-	blocks := make([][]byte, 0, len(hashes))
-	for _, h := range hashes {
-		blocks = append(blocks, s.accepted.blocks[h])
+	if !r.GetCompressed() {
+		// Nodes without compression take a reply that lacks blocks for a failure.
+		return s.replyBlocks(hashes, maxText)
 	}
-	reply.SetSections(blocks)
-	return reply
+	return s.compressor.compress(hashes, s.replyBlocks(hashes, maxReplyText))
 }
 
-// SectionsDone processes the reply to a FetchSections, or its error.
+// SectionsDone processes the reply to a FetchSections, or its error. The blocks of a reply that comes too late for its attempt are
+// kept as well.
 func (s *State) SectionsDone(now time.Time, sent FetchSections, reply *schema.SectionsReply, err error) {
 	s.detectPause(now)
-	if s.pull == nil || s.pull.attempt != sent.attempt {
-		return
+	var received int
+	if err == nil {
+		var blocks [][]byte
+		blocks, err = s.compressor.decompress(reply)
+		received = s.receiveBlocks(sent.Request.GetSections(), blocks)
 	}
-	wanted := sent.Request.GetSections()
-	blocks := reply.GetSections()
-	if err != nil || len(blocks) != len(wanted) {
+	switch {
+	case s.pull == nil || s.pull.attempt != sent.attempt:
+	case err == nil && received > 0:
+		s.continuePull(now)
+	case err == nil && s.pull.refreshes < maxRefreshes:
+		// The source may have accepted another revision, which no longer has the blocks.
+		s.pull.refreshes++
+		s.fetchManifest(now)
+	default:
 		s.retryPull(now, cmp.Or(err, errNoBlocks))
-		return
-	}
-	for i, h := range wanted {
-		if len(blocks[i]) == 0 || config.HashSection(blocks[i]) != h {
-			s.retryPull(now, errNoBlocks)
-			return
-		}
-		s.pull.blocks[h] = blocks[i]
 	}
-	s.continuePull(now)
 }
 
 // applyDocument validates a text and accepts or rejects it. A revision lower than the accepted one is never applied.
@@ -204,7 +222,7 @@
 	case revision < s.Revision():
 		s.counters.Lower++
 		return
-	case revision == s.rejected.revision && offered.manifest == s.rejected.manifest:
+	case s.isRejected(revision, offered.manifest):
 		return
 	}
 	candidate, text := s.merge(offered, text)
@@ -231,6 +249,7 @@
 	candidate.document = document
 	s.counters.Accepted++
 	s.accepted = candidate
+	s.received.retain(s.pulledHashes())
 	s.confirmedAt = confirmedAt
 	if s.pull != nil && s.pull.revision <= revision {
 		s.pull = nil
--- a/peers/state.go
+++ b/peers/state.go
@@ -100,14 +100,13 @@
 	maxAnnouncedRecords = 32
 	maxRepairBuckets    = 8
 	maxSuspects         = 64
-	maxFetchedBlocks    = config.MaxDocument / minBlockSize
 )
 
 // Counters counts the events of one node since its start.
 type Counters struct {
 	SyncsSent, SyncsFailed, SyncsReceived         uint64
 	Announcements                                 uint64
-	Pulls, PullsFailed                            uint64
+	Pulls, PullsFailed, BlocksReceived            uint64
 	Accepted, Rejected, Lower, Conflicts          uint64
 	PlatformCalls, PlatformFailures, PlatformHeld uint64
 	PlatformStale, PlatformRestores, Merged       uint64
@@ -124,9 +123,12 @@
 	random   *rand.Rand
 	platform bool
 
-	accepted         *documentVersion
-	rejected         rejectedVersion
-	pull             *pull
+	accepted *documentVersion
+	rejected rejectedVersion
+	pull     *pull
+	// received holds the blocks of documents that were transferred in part.
+	received         blockStore
+	compressor       *compressor
 	failedPulls      failedPulls
 	conflictManifest uint64
 	// held is the first document read from the platform while it is held back, or nil.
@@ -257,7 +259,7 @@
 // random is the source for the choice of peers and for jitter.
 func NewState(now time.Time, self *schema.Member, platform bool, seeds []string, suspects core.Suspects, random *rand.Rand) *State {
 	s := &State{
-		table: newMemberTable(), seeds: seeds, suspects: suspects, random: random, platform: platform, reading: DefaultReadPolicy(),
+		table: newMemberTable(), seeds: seeds, suspects: suspects, random: random, platform: platform, reading: DefaultReadPolicy(), compressor: newCompressor(),
 		startedAt: now, lastTick: now, nextSync: now, lastContact: now, lastExpiry: now, lastRefill: now, tokens: 1,
 	}
 	version := max(self.GetVersion(), uint64(now.UnixMilli()))
--- a/peers/status.go
+++ b/peers/status.go
@@ -54,7 +54,7 @@
 func (c *Counters) byMetricName() map[string]uint64 {
 	return map[string]uint64{
 		"syncs_sent": c.SyncsSent, "syncs_failed": c.SyncsFailed, "syncs_received": c.SyncsReceived,
-		"announcements": c.Announcements, "pulls": c.Pulls, "pulls_failed": c.PullsFailed,
+		"announcements": c.Announcements, "pulls": c.Pulls, "pulls_failed": c.PullsFailed, "blocks_received": c.BlocksReceived,
 		"documents_accepted": c.Accepted, "documents_rejected": c.Rejected, "documents_lower": c.Lower,
 		"documents_conflicting": c.Conflicts, "platform_calls": c.PlatformCalls, "platform_failures": c.PlatformFailures,
 		"platform_held": c.PlatformHeld, "platform_stale": c.PlatformStale, "platform_restores": c.PlatformRestores, "documents_merged": c.Merged, "pauses": c.Pauses,
