peers, platform: the document is confirmed without transferring it

Cause: the read that confirms a document is a full one, begins when nobody has confirmed it for 0.7 to 1.2 s, and a transfer takes longer than that. Class: a periodic check whose cost grows with what it checks, and that all do at once when it fails. A large change is left to the nodes that watch, for up to 2 s by rank; a node without contact reads at once. A recheck after a pause uses the same. Ruled out: fewer readers, or longer intervals, which would notice a watch that hears nothing later.

--- a/core/core.go
+++ b/core/core.go
@@ -198,6 +198,13 @@
 	Members(ctx context.Context) ([]*schema.Member, error)
 }
 
+// ChangeChecker is a Platform that tells whether its document has changed, without transferring it.
+type ChangeChecker interface {
+	// CheckDocument returns about how many bytes the changes since a revision of the document have, or 0 if there are none. It
+	// returns 1 if that can be told only by a read of the document.
+	CheckDocument(ctx context.Context, revision uint64) (changed int, err error)
+}
+
 // EntryReader is a Platform that can read a single entry of its list.
 type EntryReader interface {
 	// Member returns the current entry of an instance in the list, or nil if the list does not name it.
--- a/node/node.go
+++ b/node/node.go
@@ -243,6 +243,7 @@
 	if n.adapter == nil {
 		return peers.DefaultReadPolicy()
 	}
+	_, checks := n.adapter.(core.ChangeChecker)
 	reading := peers.ReadPolicy{
 		Parse:              n.adapter.Parse,
 		WatchTimeout:       adapterWatchTimeout,
@@ -252,6 +253,7 @@
 		ReadOwnEntry:       true,
 		OwnEntryWait:       adapterEntryWait,
 		MaxConfirmationAge: adapterStaleAge,
+		CheckChanges:       checks,
 		StartSpread:        adapterStartSpread,
 		Burst:              adapterBurst,
 		OutageGrace:        n.settings.GetListGrace().AsDuration(),
--- /dev/null
+++ b/peers/check_test.go
@@ -0,0 +1,74 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenareel/schema"
+)
+
+// checkingState returns the state of a node that is not the first in rank to confirm the document.
+func checkingState(t testing.TB, now time.Time) *State {
+	s := readingState(now)
+	s.reading.CheckChanges = true
+	for i := range 20 {
+		r := nodeRecord(i)
+		r.SetState(schema.InstanceState_INSTANCE_STATE_SERVING)
+		s.table.merge(r, now, false)
+	}
+	s.confirmedAt, s.lastContact = now, now
+	qt.Assert(t, s.currentReaderRole(now).fleetRank > 0, qt.IsTrue)
+	return s
+}
+
+// advance ticks a state in contact with peers, and returns the reads of the document that it began beside a watch.
+func advance(s *State, now time.Time, d time.Duration) (later time.Time, reads int) {
+	for end := now.Add(d); now.Before(end); {
+		now = now.Add(TickInterval)
+		s.lastContact = now
+		s.Tick(now)
+		for _, e := range taken[ReadDocument](s) {
+			if e.Wait == 0 {
+				reads++
+			}
+		}
+	}
+	return now, reads
+}
+
+// TestLargeChangeReadByAll guards against a large configuration that each node of a fleet reads by itself, while it is on its way to
+// the nodes that watch it: the reads take the links from callers and from the transfer.
+func TestLargeChangeReadByAll(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	learn := func(s *State, size int) {
+		s.CheckDone(start, CheckDocument{Revision: s.Revision(), sentAt: start, readID: s.confirmRead.pendingID}, size, nil)
+	}
+	t.Run("small", func(t *testing.T) {
+		s := checkingState(t, start)
+		learn(s, largeChange-1)
+		qt.Check(t, taken[ReadDocument](s), qt.HasLen, 1)
+	})
+	t.Run("large", func(t *testing.T) {
+		s := checkingState(t, start)
+		learn(s, largeChange)
+		now, reads := advance(s, start, newsGrace/2-TickInterval)
+		qt.Check(t, reads, qt.Equals, 0)
+		_, reads = advance(s, now, newsGrace)
+		qt.Check(t, reads, qt.Equals, 1)
+	})
+	t.Run("large, from a peer", func(t *testing.T) {
+		s := checkingState(t, start)
+		learn(s, largeChange)
+		s.applyDocument(start, 2, testDocument(2, 3), start)
+		_, reads := advance(s, start, 2*newsGrace)
+		qt.Check(t, reads, qt.Equals, 0)
+	})
+	t.Run("large, without peers", func(t *testing.T) {
+		s := checkingState(t, start)
+		s.lastContact = start.Add(-isolationTimeout)
+		learn(s, largeChange)
+		qt.Check(t, taken[ReadDocument](s), qt.HasLen, 1)
+	})
+}
--- a/peers/effect.go
+++ b/peers/effect.go
@@ -52,6 +52,15 @@
 	recheckID, pauseCount uint64
 }
 
+// CheckDocument asks the platform whether its document was changed after a revision. It is completed by State.CheckDone.
+type CheckDocument struct {
+	Revision uint64
+	sentAt   time.Time
+	readID   uint64
+	// recheckID and pauseCount are those of ReadDocument.
+	recheckID, pauseCount uint64
+}
+
 // ReadMembers is completed by State.MembersDone.
 type ReadMembers struct {
 	sentAt time.Time
@@ -80,6 +89,7 @@
 func (FetchManifest) effect() {}
 func (FetchSections) effect() {}
 func (ReadDocument) effect()  {}
+func (CheckDocument) effect() {}
 func (ReadMembers) effect()   {}
 func (ReadOwnEntry) effect()  {}
 func (WatchOwnEntry) effect() {}
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -379,6 +379,11 @@
 			revision, text, err := e.platform.Document(ctx, m.After, m.Wait)
 			e.deliver(func(now time.Time) { e.state.DocumentDone(now, m, revision, text, err) })
 		})
+	case CheckDocument:
+		e.group.Go(func() {
+			changed, err := e.checkDocument(ctx, m.Revision)
+			e.deliver(func(now time.Time) { e.state.CheckDone(now, m, changed, err) })
+		})
 	case ReadMembers:
 		e.group.Go(func() {
 			list, err := e.platform.Members(ctx)
@@ -397,6 +402,19 @@
 	}
 }
 
+// checkDocument asks the platform for changes, if it can tell them.
+func (e *Exchange) checkDocument(ctx context.Context, revision uint64) (int, error) {
+	checker, ok := e.platform.(core.ChangeChecker)
+	if !ok {
+		return 1, nil
+	}
+	changed, err := checker.CheckDocument(ctx, revision)
+	if err != nil {
+		return 0, fmt.Errorf("check document: %w", err)
+	}
+	return changed, nil
+}
+
 // roundTrip sends a message and passes its reply to done on the control loop.
 func roundTrip[M any, R any](
 	ctx context.Context, e *Exchange, timeout time.Duration, message M,
--- a/peers/read.go
+++ b/peers/read.go
@@ -165,16 +165,14 @@
 	if s.reading.MaxConfirmationAge == 0 || s.accepted == nil || s.confirmRead.pending(now, documentReadTimeout) {
 		return false
 	}
+	if s.pendingNews() {
+		return s.newsReadDue(now)
+	}
 	stagger := 1 - math.Pow(staggerShare, float64(s.currentReaderRole(now).fleetRank))
 	wait := scale(s.reading.MaxConfirmationAge, 1+staggerSpread*stagger+staggerJitter*s.confirmRead.jitter)
 	return now.Sub(s.confirmedAt) > wait && !now.Before(s.confirmRead.backoff())
 }
 
-// startConfirmRead reads the current document without waiting, in addition to a pending watch.
-func (s *State) startConfirmRead(now time.Time) {
-	s.startRead(now, &s.confirmRead, 0, 0)
-}
-
 func (s *State) startDocumentRead(now time.Time, wait time.Duration, recheckID uint64) {
 	s.startRead(now, &s.documentRead, wait, recheckID)
 }
--- a/peers/state.go
+++ b/peers/state.go
@@ -131,6 +131,7 @@
 	compressor       *compressor
 	failedPulls      failedPulls
 	conflictManifest uint64
+	news             news
 	// held is the first document read from the platform while it is held back, or nil.
 	held *heldDocument
 	// startReplies counts the answers of peers before the first document was in force.
@@ -234,6 +235,8 @@
 	// reads the document even if a watch is pending: a watch may fail to deliver a change. 0 disables these reads and
 	// relies on watches and idle reads.
 	MaxConfirmationAge time.Duration
+	// CheckChanges makes these reads ask only whether the document has changed. The platform must be a core.ChangeChecker.
+	CheckChanges bool
 	// Burst is the number of platform calls that may be made at once; 0 means 1.
 	Burst float64
 	// StartSpread spreads the first reads of processes that start together; 0 disables the spread.
@@ -394,10 +397,19 @@
 	}
 	if s.platform && s.takeToken(now) {
 		s.recheckPending++
-		s.startDocumentRead(now, 0, s.pauseCount)
+		s.startRecheckRead(now)
 	}
 }
 
+// startRecheckRead asks the platform for changes during a pause.
+func (s *State) startRecheckRead(now time.Time) {
+	if s.reading.CheckChanges && s.accepted != nil {
+		s.startCheck(now, &s.documentRead, s.pauseCount)
+		return
+	}
+	s.startDocumentRead(now, 0, s.pauseCount)
+}
+
 // finishRecheck ends the recheck after a pause: two peers or the platform have answered, or no answers are outstanding,
 // and no newer revision is being transferred.
 func (s *State) finishRecheck() {
--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -221,6 +221,9 @@
 	case ReadDocument:
 		p.calls = append(p.calls, m.now)
 		m.document(p, e, m.now.Add(e.Wait))
+	case CheckDocument:
+		p.calls = append(p.calls, m.now)
+		m.check(p, e)
 	case ReadMembers:
 		p.calls = append(p.calls, m.now)
 		m.members(p, e)
@@ -283,6 +286,25 @@
 	m.scheduleInput(m.delay(), p, func() { p.DocumentDone(m.now, e, uint64(revision), nil, nil) })
 }
 
+// check answers a check of the document using the process's path.
+func (m *model) check(p *process, e CheckDocument) {
+	revision := len(m.history) - 1
+	switch p.path {
+	case pathFresh:
+	case pathDown:
+		m.scheduleInput(m.delay()*10, p, func() { p.CheckDone(m.now, e, 0, errDown) })
+		return
+	case pathStale:
+		revision = p.staleRevision
+	}
+	changed := 0
+	if uint64(revision) > e.Revision {
+		// Some changes are large.
+		changed = 1 + m.random.IntN(2*largeChange)
+	}
+	m.scheduleInput(m.delay(), p, func() { p.CheckDone(m.now, e, changed, nil) })
+}
+
 // members answers with a list that names all instances as serving, so the list lags behind each instance that leaves.
 func (m *model) members(p *process, e ReadMembers) {
 	if p.path == pathDown {
@@ -398,6 +420,11 @@
 func TestStateMachine(t *testing.T) {
 	t.Run("idle reads", func(t *testing.T) { checkMachine(t, DefaultReadPolicy()) })
 	t.Run("reads in turn", func(t *testing.T) { checkMachine(t, storeReading()) })
+	t.Run("checks in turn", func(t *testing.T) {
+		reading := storeReading()
+		reading.CheckChanges = true
+		checkMachine(t, reading)
+	})
 }
 
 func checkMachine(t *testing.T, reading ReadPolicy) {
--- a/peers/thin_test.go
+++ b/peers/thin_test.go
@@ -51,7 +51,7 @@
 
 func newThinFleet(t testing.TB, n int, text []byte) *thinFleet {
 	reading := storeReading()
-	reading.MaxConfirmationAge = 700 * time.Millisecond
+	reading.CheckChanges, reading.MaxConfirmationAge = true, 700*time.Millisecond
 	reading.Parse = func([]byte) (*schema.Document, error) {
 		return schema.Document_builder{Deployment: "thin"}.Build(), nil
 	}
@@ -109,6 +109,8 @@
 			ask(f, node, e.To, pullTimeout, e.Request, (*State).HandleSections, func(r *schema.SectionsReply, err error) { p.SectionsDone(f.now, e, r, err) })
 		case ReadDocument:
 			f.readDocument(node, e, f.now.Add(e.Wait))
+		case CheckDocument:
+			f.checkDocument(node, e)
 		case ReadMembers:
 			f.members(p, e)
 		}
@@ -164,6 +166,17 @@
 	})
 }
 
+// checkDocument answers a check of the document.
+func (f *thinFleet) checkDocument(node *thinNode, e CheckDocument) {
+	changed := 0
+	if revision := len(f.history) - 1; uint64(revision) > e.Revision {
+		changed = len(f.history[revision].text)
+	}
+	f.send(nil, &node.down, responseBytes, func() {
+		f.finish(node.process, func() { node.CheckDone(f.now, e, changed, nil) })
+	})
+}
+
 // send transfers a message over two links and then runs done. A nil channel has no limit.
 func (f *thinFleet) send(up, down *channel, size int, done func()) {
 	left, arrived := size, 0
