--- a/peers/merge.go
+++ b/peers/merge.go
@@ -1,5 +1,7 @@
 package peers
 
+import "bytes"
+
 // merge returns the version that takes effect when one is offered with a revision that is not lower than the accepted one, and
 // its text. On a platform that may be restored from a backup, an offered text may be older in parts.
 func (s *State) merge(offered *documentVersion, text []byte) (*documentVersion, []byte) {
@@ -7,6 +9,9 @@
 		return offered, text
 	}
 	merged := s.reading.Merge(s.accepted.revision, s.accepted.text(), offered.revision, text)
+	if bytes.Equal(merged, text) {
+		return offered, text
+	}
 	version := newDocumentVersion(offered.revision, merged)
 	if version.manifest != offered.manifest {
 		s.counters.Merged++
