peers: later nodes in rank spread their checks of the document

Cause: the stagger by rank ends at 1.19 s for all nodes, a spread of 1 MB takes 1.5 to 2.5 s. Change: from the fifth rank on, checks are spread over a further second; a node that pulls a later revision waits that second. A node without contact to peers does not wait.

--- a/peers/check.go
+++ b/peers/check.go
@@ -12,6 +12,9 @@
 	// newsGrace is the time after which a node reads a large change itself that has not reached it by way of its peers. Nodes are
 	// staggered by rank; the first does not wait.
 	newsGrace = 2 * time.Second
+	// All but the first nodes in rank spread their checks of the document over lateCheckSpread.
+	firstCheckers   = 4
+	lateCheckSpread = time.Second
 )
 
 // news is a change of the document that the node knows of but does not have.
@@ -22,6 +25,18 @@
 	readAt time.Time
 }
 
+// lateCheckDelay returns how much longer than by its stagger a node of a rank waits before it checks the document. If the first
+// nodes could not confirm it, a later one is probably on its way.
+func (s *State) lateCheckDelay(now time.Time, rank int) time.Duration {
+	switch {
+	case !s.reading.CheckChanges || rank < firstCheckers || now.Sub(s.lastContact) >= isolationTimeout:
+		return 0
+	case s.pull != nil:
+		return lateCheckSpread
+	}
+	return lateCheckSpread * time.Duration(rank-firstCheckers+1) / time.Duration(len(s.table.sorted))
+}
+
 // pendingNews reports whether the platform is known to hold a later document than the one in force.
 func (s *State) pendingNews() bool { return s.news.revision > 0 && s.news.revision == s.Revision() }
 
--- a/peers/check_test.go
+++ b/peers/check_test.go
@@ -72,3 +72,31 @@
 		qt.Check(t, taken[ReadDocument](s), qt.HasLen, 1)
 	})
 }
+
+// TestChecksWhileChangeSpreads guards against a check of each node of a fleet for each change that takes longer to spread than the
+// first nodes in rank wait: the calls count against the platform's limit.
+func TestChecksWhileChangeSpreads(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	checks := 0
+	const nodes, spread = 80, 1500 * time.Millisecond
+	for self := range nodes {
+		s := checkingState(t, now)
+		s.reading.MaxConfirmationAge = 700 * time.Millisecond
+		r := nodeRecord(self)
+		s.self.SetInstance(r.GetInstance())
+		for i := range nodes {
+			other := nodeRecord(i)
+			other.SetState(schema.InstanceState_INSTANCE_STATE_SERVING)
+			s.table.merge(other, now, false)
+		}
+		at := now
+		for at.Before(now.Add(spread)) {
+			at = at.Add(TickInterval)
+			s.lastContact = at
+			s.Tick(at)
+			checks += len(taken[CheckDocument](s))
+		}
+	}
+	qt.Check(t, checks > 0, qt.IsTrue)
+	qt.Check(t, checks <= nodes/2, qt.IsTrue, qt.Commentf("%d checks", checks))
+}
--- a/peers/read.go
+++ b/peers/read.go
@@ -168,8 +168,10 @@
 	if s.pendingNews() {
 		return s.newsReadDue(now)
 	}
-	stagger := 1 - math.Pow(staggerShare, float64(s.currentReaderRole(now).fleetRank))
+	rank := s.currentReaderRole(now).fleetRank
+	stagger := 1 - math.Pow(staggerShare, float64(rank))
 	wait := scale(s.reading.MaxConfirmationAge, 1+staggerSpread*stagger+staggerJitter*s.confirmRead.jitter)
+	wait += s.lateCheckDelay(now, rank)
 	return now.Sub(s.confirmedAt) > wait && !now.Before(s.confirmRead.backoff())
 }
 
