io: a batch of messages to a node has no time of its own

A batch that the socket does not take at once was written within 2 s, whatever its size: on a slow link several large answers on one connection closed it, with all calls on it. Change: a blocking write carries 64 KB, and each has the 2 s, as the option's documentation says.

--- a/io/frame.go
+++ b/io/frame.go
@@ -24,6 +24,8 @@
 	// maxPooledBuffer is the maximum size of a pooled buffer, so that a few large bodies do not retain memory.
 	maxPooledBuffer = 64 << 10
 	connBufferSize  = 4 << 10
+	// maxPart is the number of bytes that a blocking write with a timeout carries: 0.05 s on a link of 10 Mbit/s.
+	maxPart = 64 << 10
 	// maxFlushes bounds the number of writes that one flush performs, including for the frames of other goroutines.
 	maxFlushes = 4
 )
@@ -385,26 +387,47 @@
 	}
 }
 
+// writeBlocking writes the rest of the batch. Each part has its own timeout, because the time for a whole batch depends on its size and
+// the link.
 func (w *frameWriter) writeBlocking() error {
-	buffers := make(net.Buffers, 0, len(w.batch))
-	skip := w.batchWritten
+	for {
+		part := w.nextPart()
+		if len(part) == 0 {
+			break
+		}
+		if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+			return err
+		}
+		written, err := part.WriteTo(w.conn)
+		w.batchWritten += int(written)
+		if err != nil {
+			return err
+		}
+	}
+	w.releaseBatch()
+	// An expired deadline would make the next write of flush fail.
+	return w.conn.SetWriteDeadline(time.Time{})
+}
+
+// nextPart returns the next maxPart bytes of the batch that have not been written.
+func (w *frameWriter) nextPart() net.Buffers {
+	var part net.Buffers
+	skip, left := w.batchWritten, maxPart
 	for _, f := range w.batch {
 		data := f.bytes()
 		n := min(skip, len(data))
 		skip -= n
-		buffers = append(buffers, data[n:])
-	}
-	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
-		return err
-	}
-	written, err := buffers.WriteTo(w.conn)
-	w.batchWritten += int(written)
-	if err != nil {
-		return err
+		data = data[n:]
+		data = data[:min(left, len(data))]
+		left -= len(data)
+		if len(data) > 0 {
+			part = append(part, data)
+		}
+		if left == 0 {
+			break
+		}
 	}
-	w.releaseBatch()
-	// An expired deadline would make the next write of flush fail.
-	return w.conn.SetWriteDeadline(time.Time{})
+	return part
 }
 
 // withdraw removes a frame from the queue. It reports whether no byte of the frame has been or will be written.
