peers, node: nodes with wide links read the platform for the others

Callers of nodes with thin links waited behind a read of 1.4 MB, and the fleet waited for its end, though each failure domain had machines with twenty times the bandwidth. Cause: the readers were chosen by hash alone, as if all machines were alike. Change: the setting link_mbps (from the platform's settings, where they tell it) is announced in the member record; readers, and the order in which nodes confirm the document, go by its power of two first. Nodes of about the same bandwidth take turns as before; without the setting nothing changes. TestWideLinksReadFirst: new.

--- a/config/check.go
+++ b/config/check.go
@@ -61,6 +61,7 @@
 	maxWeight      = 1_000_000
 	maxInterval    = time.Minute
 	maxRemoteCost  = 100
+	maxLink        = 1_000_000
 )
 
 // applyDocumentDefaults sets the defaults of optional keys that are not in the text; present reports whether the text
@@ -420,6 +421,7 @@
 		c.checkDuration("", "report_interval", s.GetReportInterval(), 0, maxInterval)
 	}
 	c.checkNumber("", "remote_cost", s.GetRemoteCost(), 0, maxRemoteCost)
+	c.checkNumber("", "link_mbps", s.GetLinkMbps(), 0, maxLink)
 	checkLeaveDomain(c, s)
 	if s.HasServiceDefaults() {
 		checkServiceDefaults(c, "service_defaults", s.GetServiceDefaults())
--- a/node/node.go
+++ b/node/node.go
@@ -151,6 +151,7 @@
 		Incarnation: rand.Uint64(),
 		Version:     uint64(n.clock.Now().UnixMilli()),
 		State:       state,
+		LinkMbps:    uint32(n.settings.GetLinkMbps()),
 	}.Build()
 }
 
--- a/peers/check_test.go
+++ b/peers/check_test.go
@@ -100,3 +100,34 @@
 	qt.Check(t, checks > 0, qt.IsTrue)
 	qt.Check(t, checks <= nodes/2, qt.IsTrue, qt.Commentf("%d checks", checks))
 }
+
+// TestWideLinksReadFirst guards against a large configuration that enters a failure domain over a thin link while a wide one is there.
+func TestWideLinksReadFirst(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	const wide, thin = 200, 10
+	newFleetState := func(own uint32, others ...uint32) *State {
+		s := readingState(now)
+		s.self.SetLinkMbps(own)
+		for i, link := range others {
+			r := nodeRecord(i)
+			r.SetDomain(s.self.GetDomain())
+			r.SetState(schema.InstanceState_INSTANCE_STATE_SERVING)
+			r.SetLinkMbps(link)
+			s.table.merge(r, now, false)
+		}
+		return s
+	}
+	for epoch := range 20 {
+		at := now.Add(time.Duration(epoch) * epochLength)
+		qt.Check(t, newFleetState(wide, thin, thin, thin).isReader(at), qt.IsTrue)
+		qt.Check(t, newFleetState(thin, thin, wide, thin).isReader(at), qt.IsFalse)
+		qt.Check(t, newFleetState(thin, wide).currentReaderRole(at).fleetRank, qt.Equals, 1)
+	}
+	turns := 0
+	for epoch := range 40 {
+		if newFleetState(wide, wide+1, thin).isReader(now.Add(time.Duration(epoch) * epochLength)) {
+			turns++
+		}
+	}
+	qt.Check(t, turns > 5 && turns < 35, qt.IsTrue, qt.Commentf("%d of 40 turns", turns))
+}
--- a/peers/identity.go
+++ b/peers/identity.go
@@ -32,10 +32,10 @@
 		version = max(known.record.GetVersion()+1, uint64(now.UnixMilli()))
 	}
 	s.reannounceSelf(now, s.self.GetVersion()+1, schema.InstanceState_INSTANCE_STATE_GONE)
-	s.setSelf(now, schema.Member_builder{
-		Instance: instance, Service: s.self.GetService(), Domain: s.self.GetDomain(), Address: s.self.GetAddress(),
-		Incarnation: s.self.GetIncarnation(), Version: version, State: state,
-	}.Build())
+	renamed := withState(s.self, state)
+	renamed.SetInstance(instance)
+	renamed.SetVersion(version)
+	s.setSelf(now, renamed)
 	s.ownSeenAt, s.ownMissingSince = time.Time{}, time.Time{}
 	s.earlierProcess, s.namedAt = announced, now
 	s.announceRecords(now)
--- a/peers/members.go
+++ b/peers/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"verbenareel/schema"
 )
@@ -80,10 +81,9 @@
 }
 
 func withState(record *schema.Member, state schema.InstanceState) *schema.Member {
-	return schema.Member_builder{
-		Instance: record.GetInstance(), Service: record.GetService(), Domain: record.GetDomain(), Address: record.GetAddress(),
-		Incarnation: record.GetIncarnation(), Version: record.GetVersion(), State: state,
-	}.Build()
+	changed := proto.CloneOf(record)
+	changed.SetState(state)
+	return changed
 }
 
 // sameRecord reports whether two records agree in every field that a snapshot exposes.
--- a/peers/read.go
+++ b/peers/read.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,8 +51,8 @@
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
-// isReader reports whether the node is one of those that watch the platform for its failure domain: the nodes with the
-// lowest rendezvous hashes. The hash includes the revision and the epoch, so the cost of reading whole documents
+// isReader reports whether the node is one of those that watch the platform for its failure domain: among the nodes with the
+// widest links, those with the lowest rendezvous hashes. The hash includes the revision and the epoch, so the cost of reading whole documents
 // rotates among the nodes.
 func (s *State) isReader(now time.Time) bool { return s.currentReaderRole(now).isReader }
 
@@ -71,22 +72,30 @@
 // ranks returns how many nodes of the failure domain and of the fleet precede this one in rendezvous order. The fleet
 // order is constant within an epoch, so that mostly the same node confirms the document for all others.
 func (s *State) ranks(r readerRole) (inDomain, inFleet int) {
-	own := s.self.GetInstance()
+	own, ownLink := s.self.GetInstance(), linkClass(s.self)
 	for _, m := range s.table.sorted {
 		e := m.effective()
 		if e.GetState() >= schema.InstanceState_INSTANCE_STATE_LEAVING {
 			continue
 		}
-		if e.GetDomain() == s.self.GetDomain() && rendezvous(m.name, r.revision, r.epoch) < rendezvous(own, r.revision, r.epoch) {
+		link := linkClass(e)
+		precedes := func(revision uint64) bool {
+			return link > ownLink || link == ownLink && rendezvous(m.name, revision, r.epoch) < rendezvous(own, revision, r.epoch)
+		}
+		if e.GetDomain() == s.self.GetDomain() && precedes(r.revision) {
 			inDomain++
 		}
-		if rendezvous(m.name, 0, r.epoch) < rendezvous(own, 0, r.epoch) {
+		if precedes(0) {
 			inFleet++
 		}
 	}
 	return inDomain, inFleet
 }
 
+// linkClass returns the class of the bandwidth of a node's link: one for each power of two, so that nodes with about the same bandwidth
+// take turns.
+func linkClass(m *schema.Member) int { return bits.Len32(m.GetLinkMbps()) }
+
 func rendezvous(name string, revision, epoch uint64) uint64 {
 	var data [16 + maxStringLength]byte
 	b := binary.LittleEndian.AppendUint64(data[:0], revision)
--- a/peers/state.go
+++ b/peers/state.go
@@ -262,16 +262,15 @@
 // random is the source for the choice of peers and for jitter.
 func NewState(now time.Time, self *schema.Member, platform bool, seeds []string, suspects core.Suspects, random *rand.Rand) *State {
 	s := &State{
-		table: newMemberTable(), seeds: seeds, suspects: suspects, random: random, platform: platform, reading: DefaultReadPolicy(), compressor: newCompressor(),
-		startedAt: now, lastTick: now, nextSync: now, lastContact: now, lastExpiry: now, lastRefill: now, tokens: 1,
+		table: newMemberTable(), seeds: seeds, suspects: suspects, random: random, platform: platform, reading: DefaultReadPolicy(),
+		compressor: newCompressor(), startedAt: now, lastTick: now, nextSync: now, lastContact: now, lastExpiry: now, lastRefill: now, tokens: 1,
 	}
 	version := max(self.GetVersion(), uint64(now.UnixMilli()))
 	state := max(self.GetState(), schema.InstanceState_INSTANCE_STATE_SERVING)
 	s.documentRead.jitter, s.membersRead.jitter, s.ownRead.jitter = random.Float64(), random.Float64(), random.Float64()
-	s.setSelf(now, schema.Member_builder{
-		Instance: self.GetInstance(), Service: self.GetService(), Domain: self.GetDomain(), Address: self.GetAddress(),
-		Incarnation: self.GetIncarnation(), Version: version, State: state,
-	}.Build())
+	own := withState(self, state)
+	own.SetVersion(version)
+	s.setSelf(now, own)
 	return s
 }
 
@@ -350,10 +349,9 @@
 func (s *State) RequestListRead(now time.Time) { s.listRequestedAt = now }
 
 func (s *State) reannounceSelf(now time.Time, version uint64, state schema.InstanceState) {
-	s.setSelf(now, schema.Member_builder{
-		Instance: s.self.GetInstance(), Service: s.self.GetService(), Domain: s.self.GetDomain(),
-		Address: s.self.GetAddress(), Incarnation: s.self.GetIncarnation(), Version: version, State: state,
-	}.Build())
+	record := withState(s.self, state)
+	record.SetVersion(version)
+	s.setSelf(now, record)
 }
 
 // Tick runs the periodic work that is due. It is called every TickInterval.
--- a/peers/thin_test.go
+++ b/peers/thin_test.go
@@ -23,6 +23,9 @@
 	thinWindow  = 4
 	// thinDelay is the delay of a message between two machines, without the time on the links.
 	thinDelay = 500 * time.Microsecond
+	// Each node sends load reports of thinReport bytes, with headers, to thinSubscribers others on each tick.
+	thinReport      = 71
+	thinSubscribers = 12
 	// base64Numerator and base64Denominator are the growth of a value in an answer of the platform.
 	base64Numerator, base64Denominator = 4, 3
 	// inForceBound is the time within which a change must be in force on machines with such links.
@@ -84,13 +87,26 @@
 			f.popInput()()
 		}
 		f.now = next
-		for _, p := range f.processes {
+		for i, p := range f.processes {
 			p.Tick(f.now)
 			f.perform(p)
+			f.report(i)
 		}
 	}
 }
 
+// report sends the digest of a process to its subscribers, as load reports do.
+func (f *thinFleet) report(i int) {
+	from := f.nodes[f.processes[i]]
+	revision, manifest, confirmed := from.Digest(f.now)
+	for k := range thinSubscribers {
+		to := f.processes[(i+1+k*k)%len(f.processes)]
+		f.send(&from.up, &f.nodes[to].down, thinReport, func() {
+			f.finish(to, func() { to.HandleDigest(f.now, from.record.GetAddress(), revision, manifest, confirmed) })
+		})
+	}
+}
+
 // perform sends the messages that a process requested.
 func (f *thinFleet) perform(p *process) {
 	node := f.nodes[p]
