soak, deploy: large configurations on thin links

The faults of existing seeds stay as they are. TestSoakLargeDocuments passes on this code (18.7 s); not run on the untouched code.

--- a/cmd/verbenareel/soak.go
+++ b/cmd/verbenareel/soak.go
@@ -25,6 +25,7 @@
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "maximum number of concurrent runs"},
 			&cli.IntFlag{Name: "instances", Value: 9, Usage: "number of nodes per run, each with a backend server"},
 			&cli.DurationFlag{Name: "length", Value: 10 * time.Second, Usage: "time during which faults are injected"},
+			&cli.BoolFlag{Name: "large", Usage: "publish documents of up to 1 MB, over links of 10 Mbit/s"},
 			&cli.BoolFlag{Name: "verbose", Aliases: []string{"v"}, Usage: "print the faults of each run"},
 		},
 		Action: runSoak,
@@ -56,7 +57,7 @@
 	for _, seed := range seeds {
 		runs.Go(func() {
 			var out bytes.Buffer
-			options := soak.Options{Binary: binary, Seed: seed, FaultDuration: c.Duration("length"), Instances: c.Int("instances")}
+			options := soak.Options{Binary: binary, Seed: seed, FaultDuration: c.Duration("length"), Instances: c.Int("instances"), LargeDocuments: c.Bool("large")}
 			faults, err := soak.Run(ctx, options, &out)
 			mu.Lock()
 			defer mu.Unlock()
--- a/fakes/forwarder.go
+++ b/fakes/forwarder.go
@@ -33,6 +33,9 @@
 	blockNew     bool
 	blockReplies bool
 	delay        time.Duration
+	// rate is the limit in bytes per second; free is when a direction has delivered what was read before.
+	rate                         float64
+	freeToTarget, freeFromTarget time.Time
 }
 
 // connPair holds the two sides of a forwarded connection. The mutex of the Forwarder protects its fields.
@@ -140,6 +143,30 @@
 	f.delay = delay
 }
 
+// SetRate limits the data read from now on to a number of bytes per second in each direction, over all connections; 0 means no limit.
+func (f *Forwarder) SetRate(rate float64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.rate = rate
+}
+
+// due returns when data that was read now in a direction is delivered. The mutex must be held.
+func (f *Forwarder) due(size int, toTarget bool) time.Time {
+	due := time.Now().Add(f.delay)
+	if f.rate <= 0 {
+		return due
+	}
+	free := &f.freeFromTarget
+	if toTarget {
+		free = &f.freeToTarget
+	}
+	if free.Before(due) {
+		*free = due
+	}
+	*free = free.Add(time.Duration(float64(size) / f.rate * float64(time.Second)))
+	return *free
+}
+
 func (f *Forwarder) accept(ctx context.Context) error {
 	for {
 		client, err := f.listener.AcceptTCP()
@@ -193,12 +220,12 @@
 func (f *Forwarder) copy(p *connPair, to, from *net.TCPConn) {
 	chunks := make(chan chunk, forwardQueue)
 	var reader conc.WaitGroup
-	reader.Go(func() { f.read(chunks, from) })
+	reader.Go(func() { f.read(chunks, from, from == p.client) })
 	f.write(p, to, chunks)
 	reader.Wait()
 }
 
-func (f *Forwarder) read(chunks chan<- chunk, from *net.TCPConn) {
+func (f *Forwarder) read(chunks chan<- chunk, from *net.TCPConn, toTarget bool) {
 	defer close(chunks)
 	for {
 		data := make([]byte, forwardBuffer)
@@ -207,7 +234,7 @@
 			return
 		}
 		f.mutex.Lock()
-		due := time.Now().Add(f.delay)
+		due := f.due(n, toTarget)
 		f.mutex.Unlock()
 		chunks <- chunk{data: data[:n], due: due}
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -88,7 +88,7 @@
 func (r *run) checkOutOfService() error {
 	domain := r.fleet.instances[0].entry.Domain
 	published := time.Now()
-	revision := r.fleet.platform.Publish(r.fleet.shape.Document(domain))
+	revision := r.fleet.platform.Publish(r.fleet.document(domain))
 	applied := func() bool {
 		for _, i := range r.fleet.instances {
 			var report node.Report
@@ -108,7 +108,7 @@
 	if after > before {
 		err = errors.Join(err, fmt.Errorf("backend servers of failure domain %s started %d calls more than %v after it was taken out of service", domain, after-before, outOfServiceTimeout))
 	}
-	r.fleet.platform.Publish(r.fleet.shape.Document())
+	r.fleet.platform.Publish(r.fleet.document())
 	return errors.Join(err, r.fleet.waitFor(recoveryTimeout, "the failure domain is back in service", r.fleet.ready))
 }
 
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -149,7 +149,7 @@
 func (r *run) publish(*instance) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fleet.platform.Publish(r.fleet.shape.Document(r.outOfService...))
+	r.fleet.platform.Publish(r.fleet.document(r.outOfService...))
 	return nil
 }
 
@@ -157,7 +157,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.outOfService = append(r.outOfService, i.entry.Domain)
-	r.fleet.platform.Publish(r.fleet.shape.Document(r.outOfService...))
+	r.fleet.platform.Publish(r.fleet.document(r.outOfService...))
 	return nil
 }
 
@@ -167,7 +167,7 @@
 	if at := slices.Index(r.outOfService, i.entry.Domain); at >= 0 {
 		r.outOfService = slices.Delete(r.outOfService, at, at+1)
 	}
-	r.fleet.platform.Publish(r.fleet.shape.Document(r.outOfService...))
+	r.fleet.platform.Publish(r.fleet.document(r.outOfService...))
 	return nil
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	f.group.Go(func() { _ = f.platform.Serve(f.ctx) })
-	f.platform.Publish(f.shape.Document())
+	f.platform.Publish(f.document())
 	for _, group := range f.shape.Groups {
 		for i := range group.Count {
 			if err := f.addInstance(group.Service, i); err != nil {
@@ -181,6 +181,9 @@
 			return err
 		}
 		f.group.Go(func() { _ = forwarder.Serve(f.ctx) })
+		if f.options.LargeDocuments && target != i.backend {
+			forwarder.SetRate(thinLink)
+		}
 		*link = forwarder
 	}
 	i.entry.Address = i.peerLink.Addr()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,9 @@
 	Seed uint64
 	// FaultDuration is the period at the beginning of the run in which faults start.
 	FaultDuration time.Duration
+	// LargeDocuments makes the links of nodes to each other and to the platform thin, and pads documents up to what the platform
+	// stores.
+	LargeDocuments bool
 	// Instances is the number of nodes, each with a backend server. They are divided among three services, each of which
 	// gets at least one.
 	Instances int
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,11 @@
 	checkRun(t, Options{Binary: build(t), Seed: 1, FaultDuration: 4 * time.Second, Instances: 6})
 }
 
+// TestSoakLargeDocuments performs one short run with large documents on thin links.
+func TestSoakLargeDocuments(t *testing.T) {
+	checkRun(t, Options{Binary: build(t), Seed: 2, FaultDuration: 4 * time.Second, Instances: 6, LargeDocuments: true})
+}
+
 // TestKeptSeeds guards against regressions: runs with these seeds found the failures that the subtests are named after.
 func TestKeptSeeds(t *testing.T) {
 	binary := build(t)
