peers: a text above the limit of transfers is rejected by all nodes

A node that read a text above maxText (4 MB) from its platform accepted it, while peers failed to assemble it and asked again and again. Change: it is rejected, reported and counted like an invalid document, on each node. TestTextAboveLimit: the text was in force before.

--- a/peers/pull.go
+++ b/peers/pull.go
@@ -215,6 +215,14 @@
 	}
 }
 
+// parse returns the document of a text, or the fault for which every node rejects it.
+func (s *State) parse(text []byte) (*schema.Document, error) {
+	if len(text) > maxText {
+		return nil, errTextTooLarge
+	}
+	return s.reading.Parse(text)
+}
+
 // applyDocument validates a text and accepts or rejects it. A revision lower than the accepted one is never applied.
 func (s *State) applyDocument(now time.Time, revision uint64, text []byte, confirmedAt time.Time) {
 	offered := newDocumentVersion(revision, text)
@@ -238,7 +246,7 @@
 		s.recordConflict(candidate.manifest)
 		return
 	}
-	document, err := s.reading.Parse(text)
+	document, err := s.parse(text)
 	if err != nil {
 		s.counters.Rejected++
 		if revision >= s.rejected.revision {
--- a/peers/pull_test.go
+++ b/peers/pull_test.go
@@ -121,6 +121,17 @@
 	qt.Check(t, blocks, qt.HasLen, len(source.accepted.hashes))
 }
 
+// TestTextAboveLimit guards against a text that the nodes that read the platform accept, and those that pull it cannot have.
+func TestTextAboveLimit(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := pullingState(now, 5, routesText(64<<10, 1, 1))
+	s.applyDocument(now, 6, routesText(maxText+1<<10, 1, 1), now)
+	qt.Check(t, s.Revision(), qt.Equals, uint64(5))
+	qt.Check(t, s.rejected.faults, qt.ErrorIs, errTextTooLarge)
+	s.applyDocument(now, 7, routesText(maxText-1<<10, 1, 1), now)
+	qt.Check(t, s.Revision(), qt.Equals, uint64(7))
+}
+
 // TestFalseBlocks guards against a reply that ends a node or brings it a document that nobody published.
 func TestFalseBlocks(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
