peers: a change that brings no document is read once

A check that told of a change was followed by a read; if the read brought nothing to apply, because the same text was written again or the text is invalid, the node still knew of news and read the document with each token of its rate limit (12 reads in 10 s), until the next version. Change: a read that succeeds ends the news, and a check begins at the rejected revision if that is later. TestChangeWithoutDocument failed with 12 reads before.

--- a/peers/check.go
+++ b/peers/check.go
@@ -51,7 +51,9 @@
 
 func (s *State) startCheck(now time.Time, r *readSchedule, recheckID uint64) {
 	s.beginRead(now, r)
-	s.emit(CheckDocument{Revision: s.Revision(), sentAt: now, readID: s.lastID, recheckID: recheckID, pauseCount: s.pauseCount})
+	s.emit(CheckDocument{
+		After: s.knownRevision(), inForce: s.Revision(), sentAt: now, readID: s.lastID, recheckID: recheckID, pauseCount: s.pauseCount,
+	})
 }
 
 // CheckDone processes the result of a CheckDocument.
@@ -63,7 +65,7 @@
 	switch {
 	case err != nil:
 		s.countRecheckAnswer(sent.recheckID, 0)
-	case sent.Revision != s.Revision():
+	case sent.inForce != s.Revision():
 		s.countRecheckAnswer(sent.recheckID, 2)
 	case changed == 0:
 		s.recordConfirmation(sent.sentAt)
--- a/peers/check_test.go
+++ b/peers/check_test.go
@@ -43,7 +43,7 @@
 func TestLargeChangeReadByAll(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	learn := func(s *State, size int) {
-		s.CheckDone(start, CheckDocument{Revision: s.Revision(), sentAt: start, readID: s.confirmRead.pendingID}, size, nil)
+		s.CheckDone(start, CheckDocument{inForce: s.Revision(), sentAt: start, readID: s.confirmRead.pendingID}, size, nil)
 	}
 	t.Run("small", func(t *testing.T) {
 		s := checkingState(t, start)
@@ -73,6 +73,43 @@
 	})
 }
 
+// TestChangeWithoutDocument guards against reads without end after a change that brings no document to apply: the same text was written
+// again, or the text is invalid.
+func TestChangeWithoutDocument(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	for name, text := range map[string][]byte{"same text": nil, "invalid text": []byte("no document")} {
+		t.Run(name, func(t *testing.T) {
+			s := checkingState(t, start)
+			reads, written := 0, uint64(2)
+			for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(TickInterval) {
+				s.lastContact = now
+				s.Tick(now)
+				for _, e := range s.TakeEffects() {
+					switch e := e.(type) {
+					case CheckDocument:
+						changed := 0
+						if reads == 0 || e.After < written && text != nil {
+							changed = 1
+						}
+						s.CheckDone(now, e, changed, nil)
+					case ReadDocument:
+						if e.Wait > 0 {
+							continue
+						}
+						reads++
+						if e.After >= written || text == nil {
+							s.DocumentDone(now, e, e.After, nil, nil)
+							continue
+						}
+						s.DocumentDone(now, e, written, text, nil)
+					}
+				}
+			}
+			qt.Check(t, reads, qt.Equals, 1)
+		})
+	}
+}
+
 // TestChecksWhileChangeSpreads guards against a check of each node of a fleet for each change that takes longer to spread than the
 // first nodes in rank wait: the calls count against the platform's limit.
 func TestChecksWhileChangeSpreads(t *testing.T) {
--- a/peers/effect.go
+++ b/peers/effect.go
@@ -54,9 +54,12 @@
 
 // CheckDocument asks the platform whether its document was changed after a revision. It is completed by State.CheckDone.
 type CheckDocument struct {
-	Revision uint64
-	sentAt   time.Time
-	readID   uint64
+	// After is the accepted revision, or a later one that was rejected.
+	After  uint64
+	sentAt time.Time
+	readID uint64
+	// inForce is the accepted revision.
+	inForce uint64
 	// recheckID and pauseCount are those of ReadDocument.
 	recheckID, pauseCount uint64
 }
--- a/peers/exchange.go
+++ b/peers/exchange.go
@@ -381,7 +381,7 @@
 		})
 	case CheckDocument:
 		e.group.Go(func() {
-			changed, err := e.checkDocument(ctx, m.Revision)
+			changed, err := e.checkDocument(ctx, m.After)
 			e.deliver(func(now time.Time) { e.state.CheckDone(now, m, changed, err) })
 		})
 	case ReadMembers:
--- a/peers/read.go
+++ b/peers/read.go
@@ -190,10 +190,12 @@
 
 func (s *State) startRead(now time.Time, r *readSchedule, wait time.Duration, recheckID uint64) {
 	s.beginRead(now, r)
-	after := max(s.Revision(), s.rejected.revision)
-	s.emit(ReadDocument{After: after, Wait: wait, sentAt: now, readID: s.lastID, recheckID: recheckID, pauseCount: s.pauseCount})
+	s.emit(ReadDocument{After: s.knownRevision(), Wait: wait, sentAt: now, readID: s.lastID, recheckID: recheckID, pauseCount: s.pauseCount})
 }
 
+// knownRevision returns the highest revision that the node has accepted or rejected.
+func (s *State) knownRevision() uint64 { return max(s.Revision(), s.rejected.revision) }
+
 // documentDue returns the time of the next read of the document.
 func (s *State) documentDue(now time.Time, watch bool) time.Time {
 	jitter := s.documentRead.jitter
@@ -280,6 +282,8 @@
 		s.finishRecheck()
 		return
 	}
+	// Either the answer has the change that a check told of, or there is none: the same text was written again.
+	s.news = news{}
 	// The platform gives an answer without a document at the end of the wait. It may have given one with a document at
 	// any time since the request: if the process was paused meanwhile, the document may be as old as the request.
 	confirmedAt := sent.sentAt.Add(min(sent.Wait, now.Sub(sent.sentAt)))
--- a/peers/state_test.go
+++ b/peers/state_test.go
@@ -298,7 +298,7 @@
 		revision = p.staleRevision
 	}
 	changed := 0
-	if uint64(revision) > e.Revision {
+	if uint64(revision) > e.After {
 		// Some changes are large.
 		changed = 1 + m.random.IntN(2*largeChange)
 	}
--- a/peers/thin_test.go
+++ b/peers/thin_test.go
@@ -185,7 +185,7 @@
 // checkDocument answers a check of the document.
 func (f *thinFleet) checkDocument(node *thinNode, e CheckDocument) {
 	changed := 0
-	if revision := len(f.history) - 1; uint64(revision) > e.Revision {
+	if revision := len(f.history) - 1; uint64(revision) > e.After {
 		changed = len(f.history[revision].text)
 	}
 	f.send(nil, &node.down, responseBytes, func() {
