peers: a compressed reply that lacks blocks is not kept

Found in a review of the diff: a peer that asked for blocks of an earlier version got a reply without them, and the same reply once the node had them, if a later version was equal to the earlier one. TestReplyWithoutBlocks failed before.

--- a/peers/blocks.go
+++ b/peers/blocks.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/klauspost/compress/zstd"
 	"google.golang.org/protobuf/proto"
@@ -156,14 +157,22 @@
 			return reply
 		}
 		frame = c.encoder.EncodeAll(plain, nil)
-		if len(c.replies) >= maxCachedReplies {
-			clear(c.replies)
-		}
-		c.replies[key] = frame
+		c.keep(key, reply, frame)
 	}
 	return schema.SectionsReply_builder{Compressed: frame}.Build()
 }
 
+// keep keeps a compressed reply, unless it lacks blocks: the node may have them later.
+func (c *compressor) keep(key uint64, reply *schema.SectionsReply, frame []byte) {
+	if slices.ContainsFunc(reply.GetSections(), func(block []byte) bool { return len(block) == 0 }) {
+		return
+	}
+	if len(c.replies) >= maxCachedReplies {
+		clear(c.replies)
+	}
+	c.replies[key] = frame
+}
+
 // decompress returns the blocks of a reply.
 func (c *compressor) decompress(reply *schema.SectionsReply) ([][]byte, error) {
 	if len(reply.GetCompressed()) == 0 {
--- a/peers/pull_test.go
+++ b/peers/pull_test.go
@@ -132,6 +132,20 @@
 	qt.Check(t, s.Revision(), qt.Equals, uint64(7))
 }
 
+// TestReplyWithoutBlocks guards against a reply that lacks blocks and is sent again once the node has them.
+func TestReplyWithoutBlocks(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	text := routesText(64<<10, 1, 1)
+	source := pullingState(now, 5, routesText(64<<10, 1, 2))
+	request := schema.SectionsRequest_builder{Sections: newDocumentVersion(6, text).hashes, Compressed: true}.Build()
+	for _, complete := range []bool{false, true} {
+		blocks, err := source.compressor.decompress(source.HandleSections(now, request))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, len(blocks[0]) > 0, qt.Equals, complete)
+		source.applyDocument(now, 6, text, now)
+	}
+}
+
 // TestFalseBlocks guards against a reply that ends a node or brings it a document that nobody published.
 func TestFalseBlocks(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
